--- /dev/null
+++ b/balance/balance.go
@@ -0,0 +1,734 @@
+// Package balance holds every decision of the balancer: which host an op goes to, when it is pushed
+// again, held, nacked or dead-lettered, and how hosts are judged. The interface to a front, and the
+// types that pass through it, are defined in port.go.
+//
+// A front makes one Balancer an instance with New. It calls At with the time before each round of
+// input, then a method for each thing that happened: List, ListFailed, Arrive, Streaming, Ended, Left
+// and Woke. The Balancer answers by calling the Port, from within those calls only.
+package balance
+
+import (
+	"cmp"
+	"container/heap"
+	"math"
+	"slices"
+	"strconv"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	pointsPerHost = 100  // places on the cycle of a host of usual size; evens shares out to about a tenth
+	overMean      = 1.5  // 1+ε, the talk's example factor
+	floorCount    = 2    // pushes; below this a host is never full
+	tick          = 10.0 // ms, period of the one timer: a small part of any target latency
+
+	latStep  = 0.05 // weight of a new latency in a category's average: about 20 ops
+	hostStep = 0.2  // weight of a new outcome in a host's averages: about 5 ops, few reach it a second
+
+	slowFrom    = 2.0    // times the usual latency from which a host's count is stretched; below is chance
+	failFrom    = 0.25   // smoothed failures above which a host is suspect: one fresh failure does it
+	restFirst   = 250.0  // ms off the walk after a first failure, about what a short stall lasts
+	restLongest = 4000.0 // ms; a healed host is tried again no later than this
+	restShare   = 0.34   // part of the hosts that may rest at once; beyond it the evidence is suspect
+
+	patienceDevs = 5.0 // mean deviations above the usual latency at which a push is looked at
+
+	gateGoal    = 0.7   // smoothed latency over target above which a gate narrows: most answers just in time
+	originGoal  = 0.35  // the same for the origin, whose latency comes on top of a miss
+	gateCut     = 0.85  // factor of one narrowing
+	gatePause   = 100.0 // ms between two narrowings, so that the first can show
+	lineLength  = 2.0   // ops held for each that a gate lets out: about two latencies of waiting
+	fleetStart  = 8.0   // pushes a host that the fleet's gate lets out at first
+	originStart = 6.0   // fetches that the origin's gate lets out at first
+
+	coldSafety = 0.5    // part of the tipping load that a cold host is sent, burst and rate together half each
+	rateSpan   = 2000.0 // ms over which the usual rate of pushes is averaged
+
+	askFirst   = 500.0  // ms until a failed list call is repeated, spread by as much again
+	askLongest = 4000.0 // ms, the longest such wait
+	askAnswer  = 5000.0 // ms after which an unanswered call counts as failed
+
+	settleTicks = 2.0 // quanta before its TTL at which an op is settled, beside one tick
+	shareBurst  = 1.0 // s of its quota that a tenant may spend at once
+)
+
+// state of an op.
+type state uint8
+
+const (
+	fresh     state = iota // accepted, nothing done yet
+	held                   // nothing out: in a gate's line, or waiting for a fetch of its key
+	out                    // a push is out
+	streaming              // bound to a push whose answer flows
+	settled                // acked, nacked or dead-lettered
+)
+
+// Balancer decides for one instance.
+type Balancer struct {
+	Start
+	port Port
+	now  float64
+	rng  pcg
+
+	hosts    []*Host // listed cache hosts, by name
+	ready    []*Host // those that may be pushed to
+	cycle    []point
+	unit     float64 // size that gets pointsPerHost places
+	sizes    float64 // sum of the ready hosts' sizes
+	origins  []*Host
+	resting  int
+	counted  int     // pushes to warm hosts since the last tick
+	rate     float64 // pushes a ms for each unit of warm size
+	ticked   float64
+	fetches  map[string]*fetch
+	fleet    gate
+	origin   gate
+	dues     dues
+	asked    float64 // ms, when the list was last asked for; 0 when an answer stands
+	askAgain float64
+	askWait  float64
+}
+
+// point is a host's place on the cycle.
+type point struct {
+	hash uint64
+	nth  int // it counts while the host has more than nth active
+	host *Host
+}
+
+// fetch is a key on its way from the origin for a leading op; others of the key wait for it.
+type fetch struct {
+	leader  *Op
+	waiters []*Op
+	value   float64 // benefit that hangs on it
+}
+
+// gate lets a learned number of pushes out at once and holds the rest.
+type gate struct {
+	goal, limit float64
+	out         int
+	pain        float64 // smoothed latency over target
+	cutAt       float64
+	line        []*Op
+}
+
+// due is a time at which to look at an op: at its end, or at one push of it.
+type due struct {
+	at   float64
+	seq  int
+	op   *Op
+	push int // 0 for the op's end
+}
+
+type dues struct {
+	all []due
+	seq int
+}
+
+func (d *dues) Len() int      { return len(d.all) }
+func (d *dues) Swap(i, j int) { d.all[i], d.all[j] = d.all[j], d.all[i] }
+func (d *dues) Push(x any)    { d.all = append(d.all, x.(due)) }
+func (d *dues) Less(i, j int) bool {
+	return cmp.Or(cmp.Compare(d.all[i].at, d.all[j].at), d.all[i].seq-d.all[j].seq) < 0
+}
+func (d *dues) Pop() any {
+	last := d.all[len(d.all)-1]
+	d.all = d.all[:len(d.all)-1]
+	return last
+}
+
+func (b *Balancer) look(at float64, op *Op, push int) {
+	b.dues.seq++
+	heap.Push(&b.dues, due{at, b.dues.seq, op, push})
+}
+
+// pcg is a permuted congruential generator (PCG-XSH-RR).
+type pcg uint64
+
+func (p *pcg) float() float64 {
+	s := uint64(*p)
+	*p = pcg(s*6364136223846793005 + 1442695040888963407)
+	x := uint32(((s >> 18) ^ s) >> 27)
+	r := uint(s >> 59)
+	return float64(x>>r|x<<((32-r)&31)) / (1 << 32)
+}
+
+// New makes the balancer of one instance at time now.
+func New(s Start, port Port, now float64) *Balancer {
+	b := &Balancer{Start: s, port: port, now: now, rng: pcg(s.Seed*2 + 1), ticked: now,
+		fetches: map[string]*fetch{}, askWait: askFirst}
+	b.fleet = gate{goal: gateGoal, limit: fleetStart}
+	b.origin = gate{goal: originGoal, limit: originStart}
+	for _, c := range s.Categories {
+		c.lat, c.dev = c.Target/4, c.Target/8
+	}
+	for _, t := range s.Tenants {
+		t.tokens, t.filled = t.Quota/1000*shareBurst*1000/float64(s.Group), now
+	}
+	if s.OnRequest {
+		b.ask()
+	}
+	port.Wake(tick)
+	return b
+}
+
+// At takes the time and does what has fallen due.
+func (b *Balancer) At(now float64) {
+	b.now = now
+	for len(b.dues.all) > 0 && b.dues.all[0].at <= now {
+		d := heap.Pop(&b.dues).(due)
+		switch {
+		case d.op.state == settled || d.op.state == streaming:
+		case d.push == 0:
+			b.giveUp(d.op)
+		case d.push == d.op.pushes && d.op.state == out:
+			b.impatient(d.op)
+		}
+	}
+}
+
+// Woke is the timer's call: all periodic work.
+func (b *Balancer) Woke() {
+	b.port.Wake(tick)
+	span := b.now - b.ticked
+	b.ticked = b.now
+	warm := b.sizes
+	for _, h := range b.ready {
+		if share := b.warmth(h); share < 1 {
+			warm -= h.Size
+			h.active = int(math.Ceil(float64(len(h.points)) * share))
+		} else {
+			h.active = len(h.points)
+		}
+	}
+	if warm > 0 && span > 0 {
+		b.rate += (float64(b.counted)/span/warm - b.rate) * math.Min(1, span/rateSpan)
+	}
+	b.counted = 0
+	b.countResting()
+	if b.asked > 0 && b.now-b.asked > askAnswer {
+		b.ListFailed()
+	}
+	if b.OnRequest && b.askAgain > 0 && b.now >= b.askAgain {
+		b.ask()
+	}
+	b.expire(&b.fleet)
+	b.expire(&b.origin)
+	b.pump(&b.fleet)
+	b.pump(&b.origin)
+}
+
+// ask subscribes to the list.
+func (b *Balancer) ask() {
+	b.asked, b.askAgain = b.now, 0
+	b.port.Watch()
+}
+
+// ListFailed takes word that a call for the list failed or that the watch broke. The next try waits a
+// spread time, so that balancers that failed together do not swamp the list service together.
+func (b *Balancer) ListFailed() {
+	b.asked = 0
+	b.askAgain = b.now + b.askWait*(1+b.rng.float())
+	b.askWait = math.Min(b.askWait*2, askLongest)
+}
+
+// List takes news of hosts: the whole list, or changes to it. A saved list answers no call.
+func (b *Balancer) List(entries []Entry, whole, saved bool) {
+	if !saved {
+		b.asked, b.askAgain, b.askWait = 0, 0, askFirst
+	}
+	if whole {
+		for _, h := range slices.Concat(b.hosts, b.origins) {
+			h.Status = Gone
+		}
+	}
+	for _, e := range entries {
+		h, set := e.Host, &b.hosts
+		if h.Origin {
+			set = &b.origins
+		}
+		if e.UpSince > h.UpSince { // a new process: what was learned of the old one is void
+			h.fail, h.rest, h.restUntil, h.slow, h.budget, h.budgeted = 0, 0, 0, 1, 0, b.now
+		}
+		h.Listing = e.Listing
+		if !slices.Contains(*set, h) {
+			*set = append(*set, h)
+		}
+	}
+	b.layOut()
+}
+
+// layOut puts the ready hosts on the cycle. A host's places depend on its name and size alone.
+func (b *Balancer) layOut() {
+	gone := func(h *Host) bool { return h.Status == Gone }
+	b.hosts = slices.DeleteFunc(b.hosts, gone)
+	b.origins = slices.DeleteFunc(b.origins, gone)
+	slices.SortFunc(b.hosts, func(x, y *Host) int { return cmp.Compare(x.Name, y.Name) })
+	b.ready, b.cycle, b.sizes = b.ready[:0], b.cycle[:0], 0
+	for _, h := range b.hosts {
+		if h.Status == Ready {
+			b.ready = append(b.ready, h)
+			b.sizes += h.Size
+		}
+	}
+	if len(b.ready) == 0 {
+		return
+	}
+	if b.unit == 0 {
+		// Sizes have no unit. A power of two near their mean is the same at balancers whose lists differ.
+		b.unit = math.Exp2(math.Round(math.Log2(b.sizes / float64(len(b.ready)))))
+	}
+	for _, h := range b.ready {
+		n := max(1, int(math.Round(pointsPerHost*h.Size/b.unit)))
+		if len(h.points) != n {
+			h.points = h.points[:0]
+			for i := range n {
+				h.points = append(h.points, xxhash.Sum64String(h.Name+"/"+strconv.Itoa(i)))
+			}
+		}
+		h.active = int(math.Ceil(float64(n) * b.warmth(h)))
+		h.slow = math.Max(h.slow, 1)
+		for i, p := range h.points {
+			b.cycle = append(b.cycle, point{p, i, h})
+		}
+	}
+	slices.SortFunc(b.cycle, func(x, y point) int { return cmp.Compare(x.hash, y.hash) })
+	b.fleet.limit = math.Max(b.fleet.limit, fleetStart*float64(len(b.ready))/2)
+	b.countResting()
+	b.pump(&b.fleet)
+}
+
+// warmth is the share of its capacity that a host surely has by now.
+func (b *Balancer) warmth(h *Host) float64 {
+	age := b.now - h.UpSince
+	if h.UpSince <= 0 || age >= b.ColdFor {
+		return 1
+	}
+	return b.ColdShare + (1-b.ColdShare)*math.Max(age, 0)/b.ColdFor
+}
+
+// afford tells whether a cold host may be pushed to: its budget over any span of TipFor, judged from
+// what warm hosts of its size get from this balancer, so that the parts of all balancers add up.
+func (b *Balancer) afford(h *Host) bool {
+	share := b.warmth(h)
+	if share >= 1 {
+		return true
+	}
+	pace := b.rate * h.Size * b.TipMultiple * share * coldSafety / 2
+	h.budget = math.Min(h.budget+pace*(b.now-h.budgeted), math.Max(pace*b.TipFor, 1))
+	h.budgeted = b.now
+	return h.budget >= 1
+}
+
+func (b *Balancer) countResting() {
+	b.resting = 0
+	for _, h := range b.ready {
+		if b.now < h.restUntil {
+			b.resting++
+		}
+	}
+}
+
+// full tells whether a host has no room by the bounded-load rule: its count against its bound. Trouble
+// changes the count: a resting host is full, a suspect one with anything out, a slow one early.
+func (b *Balancer) full(h *Host, mean float64) bool {
+	count, bound := float64(h.out), math.Ceil(overMean*mean*h.Size*float64(len(b.ready))/b.sizes)
+	bound = math.Max(bound, floorCount)
+	if float64(b.resting) <= restShare*float64(len(b.ready)) {
+		switch {
+		case b.now < h.restUntil:
+			return true
+		case h.fail > failFrom:
+			bound = 1
+		case h.slow > slowFrom:
+			count *= h.slow
+		}
+	}
+	return count >= bound
+}
+
+// walk goes clockwise from the op's place to the first host that is not full.
+func (b *Balancer) walk(op *Op) *Host {
+	if len(b.cycle) == 0 {
+		return nil
+	}
+	mean := float64(b.fleet.out+1) / float64(len(b.ready))
+	from, _ := slices.BinarySearchFunc(b.cycle, op.hash, func(p point, h uint64) int {
+		return cmp.Compare(p.hash, h)
+	})
+	var last *Host
+	for i := range b.cycle {
+		p := b.cycle[(from+i)%len(b.cycle)]
+		h := p.host
+		if h == last || p.nth >= h.active {
+			continue
+		}
+		last = h
+		if h != op.failed && allowed(op, h) && !b.full(h, mean) && b.afford(h) {
+			return h
+		}
+	}
+	return nil
+}
+
+// allowed tells whether a push of op to h keeps the promise on repeats.
+func allowed(op *Op, h *Host) bool {
+	if op.ranHost == nil || op.Category.Repeat == Redeliverable {
+		return true
+	}
+	switch op.Category.Group {
+	case ZoneHosts:
+		return h.Zone == op.ranHost.Zone
+	case CellHosts:
+		return h.Cell == op.ranHost.Cell
+	}
+	return true
+}
+
+// mayPush tells whether any further push of op is allowed now.
+func (b *Balancer) mayPush(op *Op) bool {
+	if op.at != nil || op.pushes >= b.MostPushes {
+		return false
+	}
+	if op.ranHost == nil || op.Category.Repeat == Redeliverable {
+		return true
+	}
+	return op.Category.Repeat == Deduplicated && b.now < op.ranAt+op.Category.Window-b.Quantum
+}
+
+// mayNack tells whether the client may be told that a repeat is safe.
+func (b *Balancer) mayNack(op *Op) bool {
+	switch {
+	case op.Category.Repeat == Redeliverable || op.ranHost == nil && op.at == nil:
+		return true
+	case op.Category.Repeat == AtMostOnce || op.Category.Group != AllHosts:
+		return false
+	}
+	first := op.ranAt
+	if op.ranHost == nil {
+		first = op.pushed
+	}
+	return b.now < first+op.Category.Window
+}
+
+// Arrive takes a new op.
+func (b *Balancer) Arrive(op *Op) {
+	op.arrived, op.hash = b.now, xxhash.Sum64String(op.Key)
+	op.value = op.Category.Benefit
+	if !b.ByWork {
+		op.value /= op.Category.lat
+	}
+	if t := op.Tenant; t != nil {
+		pace := t.Quota / 1000 / float64(b.Group)
+		t.tokens = math.Min(t.tokens+pace*(b.now-t.filled), math.Max(1, pace*shareBurst*1000))
+		t.filled = b.now
+		if t.tokens >= 1 {
+			t.tokens--
+		} else {
+			op.value *= b.ExcessBenefit
+		}
+	}
+	b.look(op.Due-tick-settleTicks*b.Quantum, op, 0)
+	b.route(op)
+}
+
+// route sends an op on its ordinary way: writes of an aside fleet to the origin, all else to the cycle.
+// While the key is being fetched a push could only miss, so the op waits for it.
+func (b *Balancer) route(op *Op) {
+	switch f := b.fetches[op.Key]; {
+	case !b.mayPush(op):
+		b.giveUp(op)
+	case b.Aside && op.Write:
+		b.offer(&b.origin, op)
+	case b.Aside && f != nil:
+		b.move(op, held)
+		f.waiters = append(f.waiters, op)
+		f.value += op.value
+	case b.Aside && op.pushes == b.MostPushes-1: // the last push is the origin's
+		b.lead(op)
+	default:
+		b.offer(&b.fleet, op)
+	}
+}
+
+// lead makes op fetch its key for all that want it.
+func (b *Balancer) lead(op *Op) {
+	if f := b.fetches[op.Key]; f != nil {
+		b.move(op, held)
+		f.waiters = append(f.waiters, op)
+		f.value += op.value
+		return
+	}
+	op.fetch = &fetch{leader: op, value: op.value}
+	b.fetches[op.Key] = op.fetch
+	b.offer(&b.origin, op)
+}
+
+// offer puts op in line at a gate.
+func (b *Balancer) offer(g *gate, op *Op) {
+	b.move(op, held)
+	g.line = append(g.line, op)
+	b.pump(g)
+}
+
+// worth orders a line: what benefit hangs on an op.
+func worth(op *Op) float64 {
+	if op.fetch != nil {
+		return op.fetch.value
+	}
+	return op.value
+}
+
+// pump lets out what a gate has room for, the best first, and sheds the worst beyond what can be let
+// out in good time.
+func (b *Balancer) pump(g *gate) {
+	g.line = slices.DeleteFunc(g.line, func(op *Op) bool { return op.state != held })
+	for len(g.line) > 0 && float64(g.out) < g.limit {
+		best := 0
+		for i, op := range g.line {
+			if worth(op) > worth(g.line[best]) {
+				best = i
+			}
+		}
+		op := g.line[best]
+		h := b.target(g, op)
+		if h == nil {
+			break
+		}
+		g.line = slices.Delete(g.line, best, best+1)
+		b.push(g, op, h)
+	}
+	for float64(len(g.line)) > math.Max(4, g.limit*lineLength) {
+		least := 0
+		for i, op := range g.line {
+			if worth(op) <= worth(g.line[least]) {
+				least = i
+			}
+		}
+		op := g.line[least]
+		g.line = slices.Delete(g.line, least, least+1)
+		b.giveUp(op)
+	}
+}
+
+// target is the host that a gate's op goes to.
+func (b *Balancer) target(g *gate, op *Op) *Host {
+	if g == &b.fleet {
+		return b.walk(op)
+	}
+	for _, h := range b.origins {
+		if h.Status == Ready && b.now >= h.restUntil {
+			return h
+		}
+	}
+	return nil
+}
+
+// expire gives up held ops that can no longer be answered in time.
+func (b *Balancer) expire(g *gate) {
+	for _, op := range slices.Clone(g.line) {
+		if op.state == held && b.now+op.Category.lat > op.arrived+op.Category.Target {
+			b.giveUp(op)
+		}
+	}
+}
+
+func (b *Balancer) push(g *gate, op *Op, h *Host) {
+	b.move(op, out)
+	op.at, op.pushed, op.gate, op.called = h, b.now, g, false
+	op.pushes++
+	h.out++
+	g.out++
+	c, limit := op.Category, op.Due-b.now
+	patience := c.lat + patienceDevs*c.dev
+	if g == &b.fleet {
+		if b.warmth(h) < 1 {
+			h.budget--
+		} else {
+			b.counted++
+		}
+		if !b.MayCancel && c.Repeat == Redeliverable {
+			limit = math.Min(limit, patience)
+		} else {
+			b.look(b.now+patience, op, op.pushes)
+		}
+	}
+	b.port.Push(op, h, limit)
+}
+
+// impatient looks at a push that has been out for unusually long. A host that has answered others since
+// is at work on a heavy op; one that has answered none is suspect, and the op tries its luck elsewhere.
+func (b *Balancer) impatient(op *Op) {
+	h := op.at
+	if h == nil || h.answered > op.pushed || op.Category.Repeat != Redeliverable || op.called {
+		return
+	}
+	op.called = true
+	b.port.Cancel(op)
+}
+
+// Streaming takes word that the answer has begun to flow: TTL and time-outs no longer hold.
+func (b *Balancer) Streaming(op *Op) { b.move(op, streaming) }
+
+// Left takes word that nobody waits for the op any more.
+func (b *Balancer) Left(op *Op) {
+	if op.state == settled {
+		return
+	}
+	b.move(op, settled)
+	b.callOff(op)
+	b.landed(op, false)
+}
+
+// callOff cancels a push whose answer nobody wants.
+func (b *Balancer) callOff(op *Op) {
+	if op.at != nil && b.MayCancel && !op.called {
+		op.called = true
+		b.port.Cancel(op)
+	}
+}
+
+// Ended takes the outcome of op's push. last tells that nothing more is owed for the op.
+func (b *Balancer) Ended(op *Op, o Outcome, spent float64, last bool) {
+	h, g := op.at, op.gate
+	if h == nil {
+		return
+	}
+	op.at = nil
+	h.out--
+	g.out--
+	b.learn(op, h, g, o, spent)
+	switch o {
+	case Refused, NoConn, NotSent, Missed:
+	default:
+		if op.ranHost == nil {
+			op.ranHost, op.ranAt = h, op.pushed
+		}
+	}
+	switch {
+	case op.state == settled:
+	case last:
+		b.move(op, settled)
+		b.landed(op, o == Served)
+	case o == Missed && b.Aside && !h.Origin && b.mayPush(op):
+		b.move(op, held)
+		b.lead(op)
+	case b.now >= op.Due-tick:
+		b.giveUp(op)
+	case op.fetch != nil: // the origin failed the fetch
+		b.retryFetch(op)
+	default:
+		op.failed = h
+		b.route(op)
+	}
+	b.pump(g)
+}
+
+// retryFetch lets the next op that waits for the key take over a failed fetch.
+func (b *Balancer) retryFetch(op *Op) { b.giveUp(op) }
+
+// learn takes from an outcome what it tells of host and gate.
+func (b *Balancer) learn(op *Op, h *Host, g *gate, o Outcome, spent float64) {
+	c, bad := op.Category, false
+	switch o {
+	case Served:
+		if g == &b.fleet {
+			h.slow += (spent/c.lat - h.slow) * hostStep
+			c.dev += (math.Abs(spent-c.lat) - c.dev) * latStep
+			c.lat += (spent - c.lat) * latStep
+		}
+		h.answered = b.now
+	case Missed:
+		h.answered = b.now
+	case Failed, NoConn, Broken, Refused:
+		bad = true
+	case TimedOut, Cancelled:
+		bad = h.answered < op.pushed
+	}
+	switch {
+	case o == NotSent || o == Cancelled && op.state == settled:
+	case bad:
+		h.fail += (1 - h.fail) * math.Max(hostStep, failFrom*1.2)
+		if h.fail > failFrom && b.now >= h.restUntil && !(h.Origin && o != Refused) {
+			h.rest = math.Min(math.Max(h.rest*2, restFirst), restLongest)
+			if h.Origin {
+				h.rest = gatePause
+			}
+			h.restUntil = b.now + h.rest
+			b.countResting()
+		}
+	case o == Served || o == Missed:
+		h.fail -= h.fail * hostStep
+		if h.fail < failFrom {
+			h.rest = 0
+		}
+	}
+	if o == Missed || o == NotSent || o == NoConn && !h.Origin || o == Broken {
+		return
+	}
+	pain := spent / c.Target
+	if o != Served {
+		pain = math.Max(pain, 2*g.goal)
+	}
+	g.pain += (pain - g.pain) * latStep
+	switch {
+	case g.pain > g.goal && b.now >= g.cutAt:
+		g.limit = math.Max(1, math.Min(g.limit, float64(g.out+1))*gateCut)
+		g.cutAt = b.now + gatePause
+	case g.pain < g.goal && float64(g.out+1) > g.limit/2:
+		g.limit += 1 / g.limit
+	}
+}
+
+// landed ends the fetch that op led. Those that waited go to the host that holds the key now; after a
+// failure the first of them that may fetches in its place.
+func (b *Balancer) landed(op *Op, served bool) {
+	f := op.fetch
+	if f == nil {
+		return
+	}
+	op.fetch = nil
+	delete(b.fetches, op.Key)
+	for _, w := range f.waiters {
+		if w.state != held {
+			continue
+		}
+		if served {
+			b.route(w)
+		} else if b.mayPush(w) {
+			b.lead(w)
+		} else {
+			b.giveUp(w)
+		}
+	}
+}
+
+// giveUp settles an op unserved, at once: with a nack where a repeat is safe, else a dead letter.
+func (b *Balancer) giveUp(op *Op) {
+	if op.state == settled {
+		return
+	}
+	nack := b.mayNack(op)
+	b.move(op, settled)
+	if nack {
+		b.port.Nack(op, b.backoff(op))
+	} else {
+		b.port.DeadLetter(op)
+	}
+	b.callOff(op)
+	b.landed(op, false)
+}
+
+// backoff is when a nacked client should come back: after the time a line takes to clear, spread.
+func (b *Balancer) backoff(op *Op) float64 {
+	return math.Min(b.MaxBackoff, op.Category.Target/2*(1+b.rng.float()))
+}
+
+// move is the one place where an op changes state. A settled op stays settled.
+func (b *Balancer) move(op *Op, to state) {
+	if op.state == settled || op.state == streaming && to != settled {
+		return
+	}
+	op.state = to
+}
--- /dev/null
+++ b/balance/port.go
@@ -0,0 +1,159 @@
+package balance
+
+// Port is what the module asks of the front it runs behind. A front answers nothing: what comes of a
+// request reaches the Balancer later, through its methods.
+type Port interface {
+	Push(op *Op, h *Host, limit float64) // send op to h; give the push up after limit ms
+	Cancel(op *Op)                       // call off the last push of op; its outcome still comes
+	Nack(op *Op, backoff float64)        // end op unserved, safe to repeat, in backoff ms at the earliest
+	DeadLetter(op *Op)                   // end op unserved, with no word on whether it ran
+	Wake(after float64)                  // call Woke after that many ms
+	Watch()                              // subscribe to the host list; List or ListFailed answers
+}
+
+// Start is what an instance is told as it comes up.
+type Start struct {
+	Seed       uint64
+	Categories []*Category
+	Tenants    []*Tenant
+	Group      int     // balancers in the group, this one included
+	Quantum    float64 // ms, the shortest time between two looks at the input
+
+	Aside     bool // misses come back and are fetched from the origin here; else hosts fetch
+	OnRequest bool // the host list has to be asked for
+	ByWork    bool // benefit counts for each unit of work, not for each op
+
+	MostPushes int
+	MayCancel  bool
+	MaxBackoff float64 // ms, the longest advice a client heeds; 0 where none is given
+
+	ColdShare   float64 // share of its capacity at which a host starts
+	ColdFor     float64 // ms until it is warm
+	TipMultiple float64 // sent this many times what it can do
+	TipFor      float64 // for this many ms, a cold host falls over
+
+	ExcessBenefit float64 // part of its benefit that an op over its tenant's share keeps
+}
+
+// Repeat tells whether an op may run again.
+type Repeat uint8
+
+const (
+	Redeliverable Repeat = iota
+	Deduplicated
+	AtMostOnce
+)
+
+// Group names the hosts among which repeats of a deduplicated op are dropped.
+type Group uint8
+
+const (
+	AllHosts Group = iota
+	ZoneHosts
+	CellHosts
+)
+
+// Category is a row of the table of what differs by category. The lower part is learned.
+type Category struct {
+	Target  float64 // ms, target latency
+	Benefit float64
+	Tardy   float64 // part of the benefit left for an answer after the target
+	Repeat  Repeat
+	Group   Group
+	Window  float64 // ms for which repeats are dropped
+
+	lat, dev float64 // ms, smoothed latency of hits and its mean deviation
+}
+
+// Tenant is one of those who share the fleet.
+type Tenant struct {
+	Quota float64 // ops a second within its share, over all balancers
+
+	tokens, filled float64 // ops left of the share, and when that was reckoned
+}
+
+// Status of a host as the list tells it.
+type Status uint8
+
+const (
+	Ready Status = iota
+	Draining
+	Gone
+)
+
+// Host is one cache host, or the origin. The front fills the upper part before it first names the host.
+type Host struct {
+	Name   string // the same at every balancer; it places the host on the cycle
+	Origin bool
+
+	Listing // as last listed
+
+	points           []uint64 // hashes of all its places on the cycle
+	active           int      // so many of them stand on the cycle now
+	out              int      // own pushes out
+	slow             float64  // smoothed latency against the category's usual
+	fail             float64  // smoothed share of failures
+	rest, restUntil  float64  // ms of the last rest, and when it ends
+	answered         float64  // ms, time of the last answer
+	budget, budgeted float64  // pushes left to a cold host, and when that was reckoned
+}
+
+// Listing is what a list says of a host.
+type Listing struct {
+	Zone, Cell int
+	Size       float64 // size in relation to the others
+	UpSince    float64 // ms, 0 for long ago
+	Status     Status
+}
+
+// Entry is one line of a list.
+type Entry struct {
+	Host *Host
+	Listing
+}
+
+// Outcome is how a push ended.
+type Outcome uint8
+
+const (
+	Served    Outcome = iota
+	Failed            // the host answered with an error
+	Refused           // turned away unseen
+	TimedOut          // no answer in time
+	NoConn            // no connection could be made
+	Broken            // the connection broke
+	Cancelled         // called off
+	NotSent           // the push never left
+	Missed            // the host does not hold the key
+	Unknown           // an outcome not on this list: it may have run
+)
+
+// Op is one request. The front fills the upper part before Arrive.
+type Op struct {
+	Ref      any // the front's own handle; never read here
+	Category *Category
+	Tenant   *Tenant // nil where there are none
+	Key      string
+	Due      float64 // ms, when the client stops waiting
+	Write    bool
+
+	state   state
+	hash    uint64
+	arrived float64
+	value   float64
+	pushes  int
+	at      *Host   // where a push is out, or nil
+	pushed  float64 // ms, time of the last push
+	ranAt   float64 // ms, first push that may have run
+	ranHost *Host   // and its host; nil while none may have run
+	failed  *Host   // last host that failed it
+	gate    *gate   // whose place the push that is out takes
+	called  bool    // that push has been called off
+	fetch   *fetch  // led by this op
+}
+
+// Over tells that nothing more can come of the op: it is settled and no push is out.
+func (op *Op) Over() bool { return op.state == settled && op.at == nil }
+
+// Settled tells that the op has had its answer.
+func (op *Op) Settled() bool { return op.state == settled }
--- /dev/null
+++ b/internal/simwire/params.go
@@ -0,0 +1,134 @@
+package simwire
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+
+	"larchthread/balance"
+)
+
+// params are the start-up parameters that are read; others are ignored.
+type params struct {
+	Categories []struct {
+		Name    string  `json:"name"`
+		Target  float64 `json:"targetLatencyUs"`
+		TTL     float64 `json:"ttlUs"`
+		Benefit float64 `json:"benefit"`
+		Tardy   float64 `json:"tardyBenefit"`
+		Repeat  string  `json:"repeat"`
+		Group   string  `json:"group"`
+		Window  float64 `json:"dedupWindowUs"`
+	} `json:"categories"`
+	Projects []struct {
+		Name  string  `json:"name"`
+		Quota float64 `json:"quotaPerS"`
+	} `json:"projects"`
+	GroupSize     int     `json:"groupSize"`
+	Quantum       float64 `json:"quantumUs"`
+	BenefitBy     string  `json:"benefitBy"`
+	Discovery     string  `json:"discovery"`
+	ExcessBenefit float64 `json:"excessBenefit"`
+	Models        []string
+	Zones         []string
+	Guarantees    struct {
+		ColdShare   float64 `json:"coldShare"`
+		ColdFor     float64 `json:"coldUs"`
+		TipMultiple float64 `json:"tipMultiple"`
+		FallFor     float64 `json:"fallUs"`
+	} `json:"guarantees"`
+	Limits struct {
+		Cancelling bool    `json:"cancelling"`
+		MostPushes int     `json:"mostPushes"`
+		RetryAfter bool    `json:"retryAfter"`
+		MaxBackoff float64 `json:"maxRetryAfterUs"`
+	} `json:"limits"`
+	Specifics struct {
+		Mode       string `json:"mode"`
+		OriginKind *int   `json:"originKind"`
+	} `json:"specifics"`
+}
+
+var repeats = map[string]balance.Repeat{"retryable": balance.Redeliverable, "dedup": balance.Deduplicated,
+	"fragile": balance.AtMostOnce}
+
+var groups = map[string]balance.Group{"": balance.AllHosts, "all": balance.AllHosts,
+	"zone": balance.ZoneHosts, "cell": balance.CellHosts}
+
+// start reads the parameters of an instance.
+func start(raw json.RawMessage) (params, error) {
+	var p params
+	if len(raw) == 0 {
+		return p, fmt.Errorf("params: missing")
+	}
+	if err := json.Unmarshal(raw, &p); err != nil {
+		return p, fmt.Errorf("params: %w", err)
+	}
+	switch {
+	case len(p.Categories) == 0:
+		return p, fmt.Errorf("params.categories: none")
+	case p.GroupSize < 1:
+		return p, fmt.Errorf("params.groupSize: %d, want 1 or more", p.GroupSize)
+	case p.Quantum < 0:
+		return p, fmt.Errorf("params.quantumUs: %v, want 0 or more", p.Quantum)
+	case p.Limits.MostPushes < 1:
+		return p, fmt.Errorf("params.limits.mostPushes: %d, want 1 or more", p.Limits.MostPushes)
+	case !slices.Contains([]string{"on_request", "pushed"}, p.Discovery):
+		return p, fmt.Errorf("params.discovery: %q, want on_request or pushed", p.Discovery)
+	}
+	for i, c := range p.Categories {
+		_, repeat := repeats[c.Repeat]
+		_, group := groups[c.Group]
+		switch at := fmt.Sprintf("params.categories[%d]", i); {
+		case c.Name == "":
+			return p, fmt.Errorf("%s.name: missing", at)
+		case c.Target <= 0:
+			return p, fmt.Errorf("%s.targetLatencyUs: %v, want above 0", at, c.Target)
+		case !repeat:
+			return p, fmt.Errorf("%s.repeat: unknown %q", at, c.Repeat)
+		case !group:
+			return p, fmt.Errorf("%s.group: unknown %q", at, c.Group)
+		}
+	}
+	for i, t := range p.Projects {
+		if t.Name == "" || t.Quota < 0 {
+			return p, fmt.Errorf("params.projects[%d]: name %q, quotaPerS %v", i, t.Name, t.Quota)
+		}
+	}
+	return p, nil
+}
+
+// origin tells whether hosts of a machine kind are origins.
+func (p params) origin(shape string) bool {
+	k := p.Specifics.OriginKind
+	return k != nil && *k >= 0 && *k < len(p.Models) && p.Models[*k] == shape
+}
+
+// begin gives the module its start, with tables from names to rows for the door.
+func (p params) begin(seed uint64) (balance.Start, map[string]*balance.Category, map[string]*balance.Tenant) {
+	s := balance.Start{
+		Seed: seed, Group: p.GroupSize, Quantum: p.Quantum / 1000,
+		Aside: p.Specifics.Mode == "aside", OnRequest: p.Discovery == "on_request",
+		ByWork: p.BenefitBy == "work", MostPushes: p.Limits.MostPushes, MayCancel: p.Limits.Cancelling,
+		ColdShare: p.Guarantees.ColdShare, ColdFor: p.Guarantees.ColdFor / 1000,
+		TipMultiple: p.Guarantees.TipMultiple, TipFor: p.Guarantees.FallFor / 1000,
+		ExcessBenefit: p.ExcessBenefit,
+	}
+	if p.Limits.RetryAfter {
+		s.MaxBackoff = p.Limits.MaxBackoff / 1000
+	}
+	categories := map[string]*balance.Category{}
+	for _, c := range p.Categories {
+		row := &balance.Category{Target: c.Target / 1000, Benefit: c.Benefit, Tardy: c.Tardy,
+			Repeat: repeats[c.Repeat], Group: groups[c.Group], Window: c.Window / 1000}
+		s.Categories = append(s.Categories, row)
+		categories[c.Name] = row
+	}
+	tenants := map[string]*balance.Tenant{}
+	for _, t := range p.Projects {
+		row := &balance.Tenant{Quota: t.Quota}
+		s.Tenants = append(s.Tenants, row)
+		tenants[t.Name] = row
+	}
+	return s, categories, tenants
+}
