--- a/balance/balance.go
+++ b/balance/balance.go
@@ -429,7 +429,12 @@
 			op.value *= b.ExcessBenefit
 		}
 	}
-	b.look(op.Due-tick-settleTicks*b.Quantum, op, 0)
+	end := op.Due - tick - settleTicks*b.Quantum
+	if end <= b.now { // a last try with next to no time left could be lost between two looks
+		b.giveUp(op)
+		return
+	}
+	b.look(end, op, 0)
 	b.route(op)
 }
 
@@ -641,8 +646,10 @@
 		h.answered = b.now
 	case Missed:
 		h.answered = b.now
-	case Failed, NoConn, Broken, Refused:
+	case Failed, NoConn, Broken:
 		bad = true
+	case Refused: // a host that others fill is no bad host; the op walks on
+		bad = h.Origin
 	case TimedOut, Cancelled:
 		bad = h.answered < op.pushed
 	}
@@ -664,7 +671,7 @@
 			h.rest = 0
 		}
 	}
-	if o == Missed || o == NotSent || o == NoConn && !h.Origin || o == Broken {
+	if o == Missed || o == NotSent || !h.Origin && (o == NoConn || o == Refused) || o == Broken {
 		return
 	}
 	pain := spent / c.Target
