Fleet gate: floor and start by group size, pushes to suspect hosts spare it; up to 0.8 of hosts may rest

The balancers' own gates closed to one push for time-outs on hosts that could not be reached, so ops for reachable hosts were shed.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -30,7 +30,7 @@
 	failFrom    = 0.25   // smoothed failures above which a host is suspect: one fresh failure does it
 	restFirst   = 250.0  // ms off the walk after a first failure, about what a short stall lasts
 	restLongest = 4000.0 // ms; a healed host is tried again no later than this
-	restShare   = 0.34   // part of the hosts that may rest at once; beyond it the evidence is suspect
+	restShare   = 0.8    // part of the hosts that may rest at once; beyond it the evidence is suspect
 
 	patienceDevs = 5.0 // mean deviations above the usual latency at which a push is looked at
 
@@ -39,8 +39,9 @@
 	gateCut     = 0.85  // factor of one narrowing
 	gatePause   = 100.0 // ms between two narrowings, so that the first can show
 	lineLength  = 2.0   // ops held for each that a gate lets out: about two latencies of waiting
-	fleetStart  = 8.0   // pushes a host that the fleet's gate lets out at first
-	originStart = 6.0   // fetches that the origin's gate lets out at first
+	fleetFloor  = 2.0   // pushes a host, of all balancers, that the fleet's gate always lets out
+	fleetStart  = 16.0  // pushes a host, of all balancers, that the fleet's gate lets out at first
+	originStart = 20.0  // fetches, of all balancers, that the origin's gate lets out at first
 
 	coldSafety = 0.5    // part of the tipping load that a cold host is sent, burst and rate together half each
 	rateSpan   = 2000.0 // ms over which the usual rate of pushes is averaged
@@ -107,6 +108,7 @@
 // gate lets a learned number of pushes out at once and holds the rest.
 type gate struct {
 	goal, limit float64
+	floor       float64 // least that limit may sink to
 	out         int
 	pain        float64 // smoothed latency over target
 	cutAt       float64
@@ -158,8 +160,8 @@
 func New(s Start, port Port, now float64) *Balancer {
 	b := &Balancer{Start: s, port: port, now: now, rng: pcg(s.Seed*2 + 1), ticked: now,
 		fetches: map[string]*fetch{}, askWait: askFirst}
-	b.fleet = gate{goal: gateGoal, limit: fleetStart}
-	b.origin = gate{goal: originGoal, limit: originStart}
+	b.fleet = gate{goal: gateGoal, limit: 1, floor: 1}
+	b.origin = gate{goal: originGoal, limit: math.Max(1, originStart/float64(s.Group)), floor: 1}
 	for _, c := range s.Categories {
 		c.lat, c.dev = c.Target/4, c.Target/8
 	}
@@ -294,7 +296,12 @@
 		}
 	}
 	slices.SortFunc(b.cycle, func(x, y point) int { return cmp.Compare(x.hash, y.hash) })
-	b.fleet.limit = math.Max(b.fleet.limit, fleetStart*float64(len(b.ready))/2)
+	share := float64(len(b.ready)) / float64(b.Group)
+	b.fleet.floor = math.Max(1, fleetFloor*share)
+	if b.fleet.limit == 1 {
+		b.fleet.limit = fleetStart * share
+	}
+	b.fleet.limit = math.Max(b.fleet.limit, b.fleet.floor)
 	b.countResting()
 	b.pump(&b.fleet)
 }
@@ -635,7 +642,7 @@
 
 // learn takes from an outcome what it tells of host and gate.
 func (b *Balancer) learn(op *Op, h *Host, g *gate, o Outcome, spent float64) {
-	c, bad := op.Category, false
+	c, bad, suspect := op.Category, false, h.fail > failFrom
 	switch o {
 	case Served:
 		if g == &b.fleet {
@@ -671,7 +678,9 @@
 			h.rest = 0
 		}
 	}
-	if o == Missed || o == NotSent || !h.Origin && (o == NoConn || o == Refused) || o == Broken {
+	// Hosts fall silent under load, but also where a zone is cut off. A fleet gate that narrowed for pushes
+	// to hosts already known as silent would shut out the ops that the others could serve.
+	if o == Missed || o == NotSent || !h.Origin && (o == NoConn || o == Refused || suspect) || o == Broken {
 		return
 	}
 	pain := spent / c.Target
@@ -681,7 +690,7 @@
 	g.pain += (pain - g.pain) * latStep
 	switch {
 	case g.pain > g.goal && b.now >= g.cutAt:
-		g.limit = math.Max(1, math.Min(g.limit, float64(g.out+1))*gateCut)
+		g.limit = math.Max(g.floor, math.Min(g.limit, float64(g.out+1))*gateCut)
 		g.cutAt = b.now + gatePause
 	case g.pain < g.goal && float64(g.out+1) > g.limit/2:
 		g.limit += 1 / g.limit
