--- a/balance/balance.go
+++ b/balance/balance.go
@@ -34,7 +34,7 @@
 
 	patienceDevs = 5.0 // mean deviations above the usual latency at which a push is looked at
 
-	gateGoal    = 0.7   // smoothed latency over target above which a gate narrows: most answers just in time
+	gateGoal    = 0.5   // smoothed latency over target above which a gate narrows: most answers just in time
 	originGoal  = 0.25  // the same for the origin, whose latency comes on top of a miss
 	gateCut     = 0.85  // factor of one narrowing
 	gatePause   = 100.0 // ms between two narrowings, so that the first can show
