--- a/balance/balance.go
+++ b/balance/balance.go
@@ -35,7 +35,10 @@
 	patienceDevs = 5.0 // mean deviations above the usual latency at which a push is looked at
 
 	gateGoal    = 0.5   // smoothed latency over target above which a gate narrows: most answers just in time
-	originGoal  = 0.25  // the same for the origin, whose latency comes on top of a miss
+	originGoal  = 0.25  // the same for the origin, whose latency comes on top of a miss; at the least
+	originMost  = 0.4   // and at the most, whatever its calm latency
+	originRise  = 1.4   // times its calm latency at which an origin of long service counts as crowded
+	calmStep    = 0.002 // weight of a new latency above the calm one: it forgets in about 500 fetches
 	gateCut     = 0.85  // factor of one narrowing
 	gatePause   = 100.0 // ms between two narrowings, so that the first can show
 	lineLength  = 2.0   // ops held for each that a gate lets out: about two latencies of waiting
@@ -111,6 +114,7 @@
 	floor       float64 // least that limit may sink to
 	out         int
 	pain        float64 // smoothed latency over target
+	calm        float64 // pain when little waits: follows pain down at once, up slowly
 	cutAt       float64
 	line        []*Op
 }
@@ -161,7 +165,8 @@
 	b := &Balancer{Start: s, port: port, now: now, rng: pcg(s.Seed*2 + 1), ticked: now,
 		fetches: map[string]*fetch{}, askWait: askFirst}
 	b.fleet = gate{goal: gateGoal, limit: 1, floor: 1}
-	b.origin = gate{goal: originGoal, limit: math.Max(1, originStart/float64(s.Group)), floor: 1}
+	b.origin = gate{goal: originGoal, limit: math.Max(1, originStart/float64(s.Group)), floor: 1,
+		pain: originGoal / 2, calm: originGoal / originRise}
 	for _, c := range s.Categories {
 		c.lat, c.dev = c.Target/4, c.Target/8
 	}
@@ -688,6 +693,14 @@
 		pain = math.Max(pain, 2*g.goal)
 	}
 	g.pain += (pain - g.pain) * latStep
+	if g == &b.origin {
+		step := calmStep
+		if g.pain < g.calm {
+			step = latStep
+		}
+		g.calm += (g.pain - g.calm) * step
+		g.goal = math.Min(math.Max(originGoal, originRise*g.calm), originMost)
+	}
 	switch {
 	case g.pain > g.goal && b.now >= g.cutAt:
 		g.limit = math.Max(g.floor, math.Min(g.limit, float64(g.out+1))*gateCut)
