--- a/balance/balance.go
+++ b/balance/balance.go
@@ -41,7 +41,7 @@
 	calmStep    = 0.002 // weight of a new latency above the calm one: it forgets in about 500 fetches
 	gateCut     = 0.85  // factor of one narrowing
 	gatePause   = 100.0 // ms between two narrowings, so that the first can show
-	lineLength  = 2.0   // ops held for each that a gate lets out: about two latencies of waiting
+	lineLength  = 1.0   // ops held for each that a gate lets out: about two latencies of waiting
 	fleetFloor  = 2.0   // pushes a host, of all balancers, that the fleet's gate always lets out
 	fleetStart  = 16.0  // pushes a host, of all balancers, that the fleet's gate lets out at first
 	originStart = 20.0  // fetches, of all balancers, that the origin's gate lets out at first
@@ -516,7 +516,7 @@
 		g.line = slices.Delete(g.line, best, best+1)
 		b.push(g, op, h)
 	}
-	for float64(len(g.line)) > math.Max(4, g.limit*lineLength) {
+	for float64(len(g.line)) > math.Max(2, g.limit*lineLength) {
 		least := 0
 		for i, op := range g.line {
 			if worth(op) <= worth(g.line[least]) {
