--- a/balance/balance.go
+++ b/balance/balance.go
@@ -112,6 +112,7 @@
 type gate struct {
 	goal, limit float64
 	floor       float64 // least that limit may sink to
+	lat, dev    float64 // ms, smoothed latency and its mean deviation
 	out         int
 	pain        float64 // smoothed latency over target
 	calm        float64 // pain when little waits: follows pain down at once, up slowly
@@ -169,6 +170,7 @@
 		pain: originGoal / 2, calm: originGoal / originRise}
 	for _, c := range s.Categories {
 		c.lat, c.dev = c.Target/4, c.Target/8
+		b.origin.lat, b.origin.dev = max(b.origin.lat, c.lat), max(b.origin.dev, c.dev)
 	}
 	for _, t := range s.Tenants {
 		t.tokens, t.filled = t.Quota/1000*shareBurst*1000/float64(s.Group), now
@@ -559,17 +561,18 @@
 	g.out++
 	c, limit := op.Category, op.Due-b.now
 	patience := c.lat + patienceDevs*c.dev
-	if g == &b.fleet {
-		if b.warmth(h) < 1 {
-			h.budget--
-		} else {
-			b.counted++
-		}
-		if !b.MayCancel && c.Repeat == Redeliverable {
-			limit = math.Min(limit, patience)
-		} else {
-			b.look(b.now+patience, op, op.pushes)
-		}
+	switch {
+	case h.Origin:
+		patience = g.lat + patienceDevs*g.dev
+	case b.warmth(h) < 1:
+		h.budget--
+	default:
+		b.counted++
+	}
+	if b.MayCancel {
+		b.look(b.now+patience, op, op.pushes)
+	} else if c.Repeat == Redeliverable {
+		limit = math.Min(limit, patience)
 	}
 	b.port.Push(op, h, limit)
 }
@@ -578,7 +581,10 @@
 // is at work on a heavy op; one that has answered none is suspect, and the op tries its luck elsewhere.
 func (b *Balancer) impatient(op *Op) {
 	h := op.at
-	if h == nil || h.answered > op.pushed || op.Category.Repeat != Redeliverable || op.called {
+	if h == nil || h.answered > op.pushed || op.called || op.pushes >= b.MostPushes {
+		return
+	}
+	if c := op.Category; c.Repeat == AtMostOnce || c.Repeat == Deduplicated && c.Group != AllHosts {
 		return
 	}
 	op.called = true
@@ -633,8 +639,8 @@
 		b.lead(op)
 	case b.now >= op.Due-tick:
 		b.giveUp(op)
-	case op.fetch != nil: // the origin failed the fetch
-		b.retryFetch(op)
+	case op.fetch != nil && b.mayPush(op): // the origin failed the fetch; its waiters wait on
+		b.offer(g, op)
 	default:
 		op.failed = h
 		b.route(op)
@@ -642,9 +648,6 @@
 	b.pump(g)
 }
 
-// retryFetch lets the next op that waits for the key take over a failed fetch.
-func (b *Balancer) retryFetch(op *Op) { b.giveUp(op) }
-
 // learn takes from an outcome what it tells of host and gate.
 func (b *Balancer) learn(op *Op, h *Host, g *gate, o Outcome, spent float64) {
 	c, bad, suspect := op.Category, false, h.fail > failFrom
@@ -654,6 +657,9 @@
 			h.slow += (spent/c.lat - h.slow) * hostStep
 			c.dev += (math.Abs(spent-c.lat) - c.dev) * latStep
 			c.lat += (spent - c.lat) * latStep
+		} else {
+			g.dev += (math.Abs(spent-g.lat) - g.dev) * latStep
+			g.lat += (spent - g.lat) * latStep
 		}
 		h.answered = b.now
 	case Missed:
