--- a/balance/balance.go
+++ b/balance/balance.go
@@ -329,12 +329,24 @@
 	if share >= 1 {
 		return true
 	}
-	pace := b.rate * h.Size * b.TipMultiple * share * coldSafety / 2
+	// With no warm host to go by, as after all restarted at once, a host takes at least one op after
+	// another: without this floor a fleet that is cold as a whole would be sent nothing for ever.
+	pace := math.Max(b.rate*h.Size, 1/(b.longest()*float64(b.Group)))
+	pace *= b.TipMultiple * share * coldSafety / 2
 	h.budget = math.Min(h.budget+pace*(b.now-h.budgeted), math.Max(pace*b.TipFor, 1))
 	h.budgeted = b.now
 	return h.budget >= 1
 }
 
+// longest is the usual latency of the slowest category.
+func (b *Balancer) longest() float64 {
+	lat := tick
+	for _, c := range b.Categories {
+		lat = math.Max(lat, c.lat)
+	}
+	return lat
+}
+
 func (b *Balancer) countResting() {
 	b.resting = 0
 	for _, h := range b.ready {
@@ -456,7 +468,7 @@
 // While the key is being fetched a push could only miss, so the op waits for it.
 func (b *Balancer) route(op *Op) {
 	switch f := b.fetches[op.Key]; {
-	case !b.mayPush(op):
+	case !b.mayPush(op) || b.now+op.Category.lat/2 > op.Due: // no push allowed, or none that could be answered
 		b.giveUp(op)
 	case b.Aside && op.Write:
 		b.offer(&b.origin, op)
@@ -512,11 +524,18 @@
 		}
 		op := g.line[best]
 		h := b.target(g, op)
-		if h == nil {
+		if h == nil && op.failed == nil {
 			break
 		}
 		g.line = slices.Delete(g.line, best, best+1)
-		b.push(g, op, h)
+		if h != nil {
+			b.push(g, op, h)
+		} else { // none but the host that failed it: it must not hold up the line behind it
+			b.giveUp(op)
+		}
+	}
+	if g == &b.fleet && len(b.ready) == 0 { // no list yet, or an empty one: hold while there is hope
+		return
 	}
 	for float64(len(g.line)) > math.Max(2, g.limit*lineLength) {
 		least := 0
@@ -631,7 +650,7 @@
 	}
 	switch {
 	case op.state == settled:
-	case last:
+	case last || op.state == streaming:
 		b.move(op, settled)
 		b.landed(op, o == Served)
 	case o == Missed && b.Aside && !h.Origin && b.mayPush(op):
@@ -725,18 +744,24 @@
 	}
 	op.fetch = nil
 	delete(b.fetches, op.Key)
-	for _, w := range f.waiters {
-		if w.state != held {
-			continue
-		}
-		if served {
-			b.route(w)
-		} else if b.mayPush(w) {
-			b.lead(w)
-		} else {
-			b.giveUp(w)
+	waiters := slices.DeleteFunc(f.waiters, func(w *Op) bool { return w.state != held })
+	if !served { // passed on whole: one by one the waiters would weigh too little to hold a place in line
+		for len(waiters) > 0 {
+			next := waiters[0]
+			waiters = waiters[1:]
+			if !b.mayPush(next) {
+				b.giveUp(next)
+				continue
+			}
+			next.fetch = &fetch{leader: next, waiters: waiters, value: f.value - op.value}
+			b.fetches[op.Key] = next.fetch
+			b.offer(&b.origin, next)
+			return
 		}
 	}
+	for _, w := range waiters {
+		b.route(w)
+	}
 }
 
 // giveUp settles an op unserved, at once: with a nack where a repeat is safe, else a dead letter.
--- /dev/null
+++ b/balance/balance_test.go
@@ -0,0 +1,467 @@
+package balance
+
+import (
+	"fmt"
+	"slices"
+)
+
+// A key walks to its host; with two pushes there the host is full, and the next op spills clockwise.
+func Example_walk() {
+	x := open(start(), "a", "b", "c", "d")
+	for i := range 3 {
+		x.ask(fmt.Sprint("op", i), 0, "page", 500, false)
+	}
+	x.end("op0", Served, 10)
+	x.ask("op3", 0, "page", 500, false)
+	// Output:
+	// 0 push op0 to c
+	//    0 push op1 to c
+	//    0 push op2 to d
+	//    0 op0 acked
+	//    0 push op3 to c
+}
+
+// When a host leaves, only its own keys move.
+func Example_minimalRemapping() {
+	homes := func(x *scene) map[string]*Host {
+		m := map[string]*Host{}
+		for i := range 1000 {
+			op := &Op{Key: fmt.Sprint("key", i), Category: x.Categories[0], Due: 1e6}
+			x.Arrive(op)
+			m[op.Key] = op.at
+			x.Ended(op, Served, 10, true)
+		}
+		return m
+	}
+	x := open(start(), "a", "b", "c", "d", "e")
+	x.silent = true
+	before := homes(x)
+	x.tell("c", Gone, 0)
+	moved, needless := 0, 0
+	for k, h := range homes(x) {
+		if h != before[k] {
+			moved++
+			if before[k].Name != "c" {
+				needless++
+			}
+		}
+	}
+	fmt.Println("a fifth or so moved:", moved > 150 && moved < 250, "needlessly:", needless)
+	// Output:
+	// a fifth or so moved: true needlessly: 0
+}
+
+// A draining host is sent nothing more; what is out there may end. An op it turns away goes on.
+func Example_drain() {
+	x := open(start(), "a", "b", "c", "d")
+	x.ask("op0", 0, "page", 500, false)
+	x.ask("op1", 0, "page", 500, false)
+	x.tell("c", Draining, 0)
+	x.ask("op2", 0, "page", 500, false)
+	x.end("op1", Refused, 1)
+	x.end("op0", Served, 10)
+	// Output:
+	// 0 push op0 to c
+	//    0 push op1 to c
+	//    0 push op2 to d
+	//    0 push op1 to d
+	//    0 op0 acked
+}
+
+// flood sends ops for ever new keys at one a millisecond, each served at once, and counts pushes.
+func flood(x *scene, ms int) map[string]int {
+	x.silent, x.pushes = true, map[string]int{}
+	for range ms {
+		x.after(1)
+		name := fmt.Sprint("op", x.t)
+		if x.ask(name, 0, name, 500, false).at != nil {
+			x.end(name, Served, 10)
+		}
+	}
+	return x.pushes
+}
+
+// A host that comes back cold joins the cycle point by point, and its budget holds the load under what
+// could tip it, however much arrives.
+func Example_coldHost() {
+	x := open(start(), "a", "b", "c", "d")
+	fmt.Println("warm:", flood(x, 2000)["d"])
+	x.tell("d", Gone, 0)
+	x.after(100)
+	x.tell("d", Ready, x.t)
+	for s := range 6 {
+		fmt.Printf("second %d: %d\n", s+1, flood(x, 1000)["d"])
+	}
+	// Output:
+	// warm: 447
+	// second 1: 51
+	// second 2: 89
+	// second 3: 128
+	// second 4: 160
+	// second 5: 190
+	// second 6: 253
+}
+
+// A fleet that is cold as a whole has no warm host to judge a budget by, and is sent a little all the same.
+func Example_allCold() {
+	x := open(start())
+	for _, n := range []string{"a", "b", "c"} {
+		x.t = 1
+		x.tell(n, Ready, 1)
+	}
+	n := flood(x, 1000)
+	fmt.Println(n["a"] > 0, n["b"] > 0, n["c"] > 0, n["a"]+n["b"]+n["c"] < 100)
+	// Output:
+	// true true true true
+}
+
+func aside() *scene {
+	s := start()
+	s.Aside = true
+	return open(s, "a", "b", "c", "origin")
+}
+
+// One fetch a key is out. Other ops of the key wait for it and then go to the host that holds it.
+func Example_sharedFetch() {
+	x := aside()
+	x.ask("op0", 0, "page", 500, false)
+	x.end("op0", Missed, 1)
+	x.ask("op1", 0, "page", 500, false)
+	x.ask("op2", 0, "page", 500, false)
+	x.end("op0", Served, 20)
+	x.end("op1", Served, 5)
+	// Output:
+	// 0 push op0 to c
+	//    0 push op0 to origin
+	//    0 push op1 to c
+	//    0 push op2 to c
+	//    0 op0 acked
+	//    0 op1 acked
+}
+
+// When the op that leads a fetch goes away, the fetch passes to those that wait with all its benefit.
+func Example_fetchPassedOn() {
+	x := aside()
+	x.ask("op0", 0, "page", 500, false)
+	x.end("op0", Missed, 1)
+	x.ask("op1", 0, "page", 500, false)
+	x.ask("op2", 0, "page", 500, false)
+	x.Left(x.ops["op0"])
+	x.end("op1", Served, 20)
+	// Output:
+	// 0 push op0 to c
+	//    0 push op0 to origin
+	//    0 cancel op0
+	//    0 push op1 to origin
+	//    0 push op2 to c
+	//    0 op1 acked
+}
+
+// The last push is kept for the origin: an op that found two hosts full would otherwise miss and end.
+func Example_lastPushIsOrigins() {
+	x := aside()
+	x.ask("op0", 0, "page", 500, false)
+	x.end("op0", Refused, 1)
+	x.end("op0", Refused, 1)
+	x.end("op0", Served, 20)
+	// Output:
+	// 0 push op0 to c
+	//    0 push op0 to a
+	//    0 push op0 to origin
+	//    0 op0 acked
+}
+
+// A stopped origin holds up no hit, and its line is short: what can't be fetched in time is nacked.
+func Example_stoppedOrigin() {
+	x := aside()
+	for i := range 60 {
+		x.silent = i < 58
+		name := fmt.Sprint("miss", i)
+		x.ask(name, 0, name, 500, false)
+		x.end(name, Missed, 1)
+	}
+	x.ask("hit", 0, "page", 500, false)
+	x.end("hit", Served, 5)
+	// Output:
+	// 0 push miss58 to a
+	//    0 nack miss58
+	//    0 push miss59 to a
+	//    0 nack miss59
+	//    0 push hit to c
+	//    0 hit acked
+}
+
+// What may follow each outcome, for each kind of repeat.
+func Example_repeats() {
+	outcomes := []struct {
+		name string
+		o    Outcome
+	}{{"refused", Refused}, {"no connection", NoConn}, {"error", Failed}, {"broken", Broken}, {"unknown", Unknown}}
+	kinds := []string{"redeliverable", "deduplicated", "at most once", "dropped in its zone"}
+	for row, kind := range kinds {
+		for _, c := range outcomes {
+			x := open(start(), "a", "b", "c")
+			fmt.Printf("%s, %s\n", kind, c.name)
+			x.silent = true
+			x.ask("op", row, "page", 500, false)
+			x.silent = false
+			x.end("op", c.o, 1)
+		}
+	}
+	// Output:
+	// redeliverable, refused
+	//    0 push op to a
+	// redeliverable, no connection
+	//    0 push op to a
+	// redeliverable, error
+	//    0 push op to a
+	// redeliverable, broken
+	//    0 push op to a
+	// redeliverable, unknown
+	//    0 push op to a
+	// deduplicated, refused
+	//    0 push op to a
+	// deduplicated, no connection
+	//    0 push op to a
+	// deduplicated, error
+	//    0 push op to a
+	// deduplicated, broken
+	//    0 push op to a
+	// deduplicated, unknown
+	//    0 push op to a
+	// at most once, refused
+	//    0 push op to a
+	// at most once, no connection
+	//    0 push op to a
+	// at most once, error
+	//    0 dead-letter op
+	// at most once, broken
+	//    0 dead-letter op
+	// at most once, unknown
+	//    0 dead-letter op
+	// dropped in its zone, refused
+	//    0 push op to a
+	// dropped in its zone, no connection
+	//    0 push op to a
+	// dropped in its zone, error
+	//    0 dead-letter op
+	// dropped in its zone, broken
+	//    0 dead-letter op
+	// dropped in its zone, unknown
+	//    0 dead-letter op
+}
+
+// Past its window a deduplicated op that may have run is neither pushed again nor nacked.
+func Example_window() {
+	s := start()
+	s.MayCancel = false
+	x := open(s, "a", "b", "c")
+	x.ask("op", 1, "page", 900, false)
+	x.after(310)
+	x.end("op", Broken, 310)
+	// Output:
+	// 0 push op to c
+	//  310 dead-letter op
+}
+
+// Every op is settled ahead of its TTL, also one that comes with next to no time left; what is out is
+// called off, and an outcome that comes late changes nothing.
+func Example_settlement() {
+	x := open(start(), "a", "b", "c")
+	x.ask("read", 0, "page", 200, false)
+	x.ask("once", 2, "page", 200, false)
+	x.ask("late", 0, "page", 8, false)
+	x.after(200)
+	x.end("once", Broken, 200)
+	// Output:
+	// 0 push read to c
+	//    0 push once to c
+	//    0 nack late
+	//   90 cancel read
+	//   90 push read to a
+	//  180 cancel read
+	//  180 push read to c
+	//  190 nack read
+	//  190 cancel read
+	//  190 dead-letter once
+	//  190 cancel once
+}
+
+// A stream is bound to its push: neither TTL nor a break pushes it again.
+func Example_stream() {
+	x := open(start(), "a", "b")
+	op := x.ask("op", 0, "page", 200, false)
+	x.Streaming(op)
+	x.after(300)
+	x.Ended(op, Broken, 300, true)
+	fmt.Println(op.Over())
+	// Output:
+	// 0 push op to a
+	// true
+}
+
+// A failed list call is made again after a spread and growing wait, as is one that nobody answers.
+func Example_listErrors() {
+	s := start()
+	s.OnRequest = true
+	x := &scene{ops: map[string]*Op{}, hosts: map[string]*Host{}, pushes: map[string]int{}}
+	x.Balancer = New(s, x, 0)
+	x.ListFailed()
+	x.after(1000)
+	x.ListFailed()
+	x.after(2000)
+	x.after(10000)
+	x.list(true, "a")
+	x.after(60000)
+	// Output:
+	// 0 watch
+	//  500 watch
+	// 2210 watch
+	// 11120 watch
+}
+
+// With no host listed an op is held while there is hope.
+func Example_emptyList() {
+	x := open(start())
+	x.ask("op0", 0, "page", 500, false)
+	x.ask("op1", 0, "page", 500, false)
+	x.after(50)
+	x.tell("a", Ready, 0)
+	x.tell("a", Gone, 0)
+	x.ask("op2", 0, "page", 500, false)
+	x.after(100)
+	// Output:
+	// 50 push op0 to a
+	//   50 push op1 to a
+	//  130 nack op2
+	//  140 cancel op0
+	//  140 cancel op1
+	//  140 nack op0
+	//  140 nack op1
+}
+
+// A host that fails rests, is tried with one op at a time, and is trusted again once it answers.
+func Example_healing() {
+	x := open(start(), "a", "b", "c", "d")
+	x.ask("op0", 0, "page", 900, false)
+	x.end("op0", Failed, 1)
+	x.end("op0", Served, 9)
+	x.ask("op1", 0, "page", 900, false)
+	x.end("op1", Served, 9)
+	x.after(300)
+	x.ask("op2", 0, "page", 900, false)
+	x.ask("op3", 0, "page", 900, false)
+	x.end("op2", Served, 9)
+	x.end("op3", Served, 9)
+	x.ask("op4", 0, "page", 900, false)
+	x.ask("op5", 0, "page", 900, false)
+	// Output:
+	// 0 push op0 to c
+	//    0 push op0 to d
+	//    0 op0 acked
+	//    0 push op1 to d
+	//    0 op1 acked
+	//  300 push op2 to c
+	//  300 push op3 to d
+	//  300 op2 acked
+	//  300 op3 acked
+	//  300 push op4 to c
+	//  300 push op5 to c
+}
+
+// A host that takes ops and answers none is left by them once the usual time is well past; one that
+// answers others keeps its heavy op.
+func Example_silentHost() {
+	x := open(start(), "a", "b", "c", "d")
+	x.ask("hung", 0, "page", 900, false)
+	x.ask("heavy", 0, "atlas", 900, false)
+	x.ask("light", 0, "atlas", 900, false)
+	x.after(20)
+	x.end("light", Served, 20)
+	x.after(150)
+	// Output:
+	// 0 push hung to c
+	//    0 push heavy to b
+	//    0 push light to b
+	//   20 light acked
+	//   90 cancel hung
+	//   90 push hung to d
+}
+
+// Silent hosts close no gate: with most of the fleet cut off, ops go to those that answer.
+func Example_cutOffZone() {
+	x := open(start(), "a", "b", "c", "d", "e", "f")
+	x.silent = true
+	served := 0
+	var outs []*Op
+	for i := range 3000 {
+		x.after(2)
+		name := fmt.Sprint("op", i)
+		outs = append(outs, x.ask(name, 0, name, 400, false))
+		for _, op := range outs {
+			if op.at != nil && op.at.Name < "c" {
+				x.end(op.Ref.(string), Served, 10)
+				served++
+			}
+		}
+		outs = slices.DeleteFunc(outs, (*Op).Over)
+	}
+	fmt.Println("served:", served > 2700, "gate above its floor:", x.fleet.limit > x.fleet.floor)
+	// Output:
+	// served: true gate above its floor: true
+}
+
+// Under overload a tenant beyond its share gives way to one within it.
+func Example_tenants() {
+	s := start()
+	big, small := &Tenant{Quota: 20}, &Tenant{Quota: 20}
+	s.Tenants = []*Tenant{big, small}
+	x := open(s, "a")
+	x.silent = true
+	served := map[*Tenant]int{}
+	var outs []*Op
+	for i := range 600 {
+		x.after(5)
+		t := big
+		if i%10 == 0 {
+			t = small
+		}
+		op := &Op{Category: x.Categories[0], Tenant: t, Key: "page", Due: x.t + 500}
+		x.Arrive(op)
+		if outs = append(outs, op); i%3 != 0 {
+			continue
+		}
+		for len(outs) > 0 && outs[0].at == nil {
+			outs = outs[1:]
+		}
+		if len(outs) > 0 {
+			x.Ended(outs[0], Served, x.t-outs[0].pushed, true)
+			served[outs[0].Tenant]++
+		}
+	}
+	fmt.Println("big:", served[big], "of 540, small:", served[small], "of 60")
+	// Output:
+	// big: 147 of 540, small: 53 of 60
+}
+
+// The same events bring the same actions.
+func Example_sameActions() {
+	run := func() (trace string) {
+		x := aside()
+		for i := range 500 {
+			x.silent = true
+			x.after(3)
+			name := fmt.Sprint("op", i)
+			op := x.ask(name, i%4, fmt.Sprint("key", i%17), 300, i%5 == 0)
+			for k := i; op.at != nil; k += 3 {
+				trace += op.at.Name
+				x.Ended(op, Outcome(k%10), 5, Outcome(k%10) == Served)
+			}
+		}
+		return trace
+	}
+	first := run()
+	fmt.Println(len(first) > 300, first == run())
+	// Output:
+	// true true
+}
--- /dev/null
+++ b/internal/simwire/serve_test.go
@@ -0,0 +1,92 @@
+package simwire
+
+import (
+	"fmt"
+	"os"
+	"strings"
+)
+
+const up = `{"CONFIGURE":{"i":0,"prng":7,"params":{"categories":[{"name":"read","benefit":1,"targetLatencyUs":100000,` +
+	`"ttlUs":400000,"repeat":"retryable","group":"all","tardyBenefit":0}],"groupSize":1,"quantumUs":1000,` +
+	`"discovery":"pushed","benefitBy":"request","models":["box","origin"],"zones":["z"],"newer":1,` +
+	`"specifics":{"mode":"aside","originKind":1},"limits":{"mostPushes":3,"cancelling":true}}}},` +
+	`{"DEFINE_LIST":{"slot":0,"elements":[{"host":11,"shape":"box","az":"z","nominal":1,"condition":"SERVING",` +
+	`"group":0,"upSinceUs":null},{"host":12,"shape":"origin","az":"z","nominal":1,"condition":"SERVING","group":0,` +
+	`"upSinceUs":null}]}},{"ANNOUNCE":{"i":0,"slot":0,"serial":1,"scope":"Persisted"}}`
+
+func serve(events ...string) {
+	var in strings.Builder
+	for i, e := range events {
+		fmt.Fprintf(&in, "{\"simTimeUs\":%d,\"input\":[%s]}\n", i*1000, e)
+	}
+	if err := Serve(strings.NewReader(in.String()), os.Stdout); err != nil {
+		fmt.Println(err)
+	}
+}
+
+// An op misses at its host, is fetched from the origin and is answered; the client that leaves later, and
+// outcomes under a code of no known meaning, do no harm.
+func ExampleServe() {
+	serve(up,
+		`{"KNOCK":{"i":0,"corr":"r1","qos":"read","party":null,"targetKey":"k","dropDeadUs":400000,"update":false}}`,
+		`{"ATTEMPT_END":{"i":0,"corr":"r1","roundNo":0,"host":11,"code":9,"spentUs":1000,"last":false}}`,
+		`{"ATTEMPT_END":{"i":0,"corr":"r1","roundNo":1,"host":12,"code":1,"spentUs":1000,"last":true}},`+
+			`{"CLIENT_LEFT":{"i":0,"corr":"r1"}}`,
+		`{"KNOCK":{"i":0,"corr":"r2","qos":"read","party":null,"targetKey":"k","dropDeadUs":400000,"update":false}}`,
+		`{"ATTEMPT_END":{"i":0,"corr":"r2","roundNo":0,"host":11,"code":77,"spentUs":1000,"last":false}}`,
+		``)
+	// Output:
+	// {"actions":[{"AFTER":{"i":0,"fromNowUs":10000,"ctx":0}}]}
+	// {"actions":[{"SEND":{"i":0,"corr":"r1","host":11,"capUs":399000}}]}
+	// {"actions":[{"SEND":{"i":0,"corr":"r1","host":12,"capUs":398000}}]}
+	// {"actions":[]}
+	// {"actions":[{"SEND":{"i":0,"corr":"r2","host":11,"capUs":396000}}]}
+	// {"actions":[{"REJECT":{"i":0,"corr":"r2","backoffUs":0}}]}
+	// {"actions":[]}
+}
+
+// What is malformed is named, by line and field; nothing panics.
+func ExampleServe_malformed() {
+	for _, bad := range []string{
+		`{"KNOCK":{"i":0,"corr":"r1","qos":"write","dropDeadUs":400000}}`,
+		`{"KNOCK":{"i":0,"corr":"r1","qos":"read"}}`,
+		`{"KNOCK":{"i":0,"qos":"read","dropDeadUs":400000}}`,
+		`{"KNOCK":{"i":5,"corr":"r1","qos":"read","dropDeadUs":400000}}`,
+		`{"KNOCK":{"corr":"r1","qos":"read","dropDeadUs":400000}}`,
+		`{"KNOCK":{"i":"x"}}`,
+		`{"ATTEMPT_END":{"i":0,"corr":"never","roundNo":0,"host":11,"code":1}}`,
+		`{"ANNOUNCE":{"i":0,"slot":9,"scope":"Complete"}}`,
+		`{"ANNOUNCE":{"i":0,"slot":0,"scope":"Half"}}`,
+		`{"DEFINE_LIST":{"slot":0,"elements":[{"host":1,"condition":"LOST"}]}}`,
+		`{"TEAPOT":{"i":0}}`,
+		`{"CONFIGURE":{"i":1,"prng":7,"params":{"groupSize":1}}}`,
+		`{"CONFIGURE":{"i":1,"prng":7}}`,
+		`{"CONFIGURE":{"i":1,"prng":7,"params":{"categories":[{"name":"a"}],"groupSize":0}}}`,
+	} {
+		s := server{doors: map[int]*door{}, lists: map[int][]element{}}
+		if err := s.answer([]byte(`{"simTimeUs":0,"input":[` + up + `]}`)); err != nil {
+			fmt.Println("start:", err)
+		}
+		fmt.Println(s.answer([]byte(`{"simTimeUs":0,"input":[` + bad + `]}`)))
+	}
+	fmt.Println(Serve(strings.NewReader("{\"simTimeUs\":0,\"input\":[]}\n\n{\"input\":[]}\n"), os.Stdout))
+	fmt.Println(Serve(strings.NewReader("nonsense"), os.Stdout))
+	// Output:
+	// input[0]: KNOCK.qos: unknown category "write"
+	// input[0]: KNOCK.dropDeadUs: missing
+	// input[0]: KNOCK.corr: missing
+	// input[0]: KNOCK.i: unknown instance 5
+	// input[0]: KNOCK.i: missing
+	// json: cannot unmarshal string into Go struct field knock.input.KNOCK.instance.i of type int
+	// input[0]: ATTEMPT_END.corr: unknown op "never"
+	// input[0]: ANNOUNCE.slot: no list 9
+	// input[0]: ANNOUNCE.scope: unknown "Half"
+	// input[0]: DEFINE_LIST.elements[0].condition: unknown "LOST"
+	// input[0]: unknown event {"TEAPOT":{"i":0}}
+	// input[0]: CONFIGURE.params.categories: none
+	// input[0]: CONFIGURE.params: missing
+	// input[0]: CONFIGURE.params.groupSize: 0, want 1 or more
+	// {"actions":[]}
+	// line 3: simTimeUs: missing
+	// line 1: invalid character 'o' in literal null (expecting 'u')
+}
