--- a/balance/balance.go
+++ b/balance/balance.go
@@ -289,7 +289,7 @@
 		b.unit = math.Exp2(math.Round(math.Log2(b.sizes / float64(len(b.ready)))))
 	}
 	for _, h := range b.ready {
-		n := max(1, int(math.Round(pointsPerHost*h.Size/b.unit)))
+		n := max(1, int(math.Round(pointsPerHost*math.Sqrt(h.Size/b.unit))))
 		if len(h.points) != n {
 			h.points = h.points[:0]
 			for i := range n {
