--- a/balance/balance.go
+++ b/balance/balance.go
@@ -40,6 +40,7 @@
 	originRise  = 1.4   // times its calm latency at which an origin of long service counts as crowded
 	calmStep    = 0.002 // weight of a new latency above the calm one: it forgets in about 500 fetches
 	gateCut     = 0.85  // factor of one narrowing
+	painStep    = 0.1   // weight of a new latency in a gate's pain: about 10 ops, to see a jam while it builds
 	gatePause   = 100.0 // ms between two narrowings, so that the first can show
 	lineLength  = 1.0   // ops held for each that a gate lets out: about two latencies of waiting
 	fleetFloor  = 2.0   // pushes a host, of all balancers, that the fleet's gate always lets out
@@ -717,7 +718,7 @@
 	if o != Served {
 		pain = math.Max(pain, 2*g.goal)
 	}
-	g.pain += (pain - g.pain) * latStep
+	g.pain += (pain - g.pain) * painStep
 	if g == &b.origin {
 		step := calmStep
 		if g.pain < g.calm {
