--- a/balance/balance.go
+++ b/balance/balance.go
@@ -40,7 +40,8 @@
 	originRise  = 1.4   // times its calm latency at which an origin of long service counts as crowded
 	calmStep    = 0.002 // weight of a new latency above the calm one: it forgets in about 500 fetches
 	gateCut     = 0.85  // factor of one narrowing
-	painStep    = 0.1   // weight of a new latency in a gate's pain: about 10 ops, to see a jam while it builds
+	fleetStep   = 0.2   // weight of a new latency in the hosts' gate's pain: about 5 ops, to see a jam build
+	originStep  = 0.1   // the same for the origin, whose answers vary more from one to the next
 	gatePause   = 100.0 // ms between two narrowings, so that the first can show
 	lineLength  = 1.0   // ops held for each that a gate lets out: about two latencies of waiting
 	fleetFloor  = 2.0   // pushes a host, of all balancers, that the fleet's gate always lets out
@@ -112,6 +113,7 @@
 // gate lets a learned number of pushes out at once and holds the rest.
 type gate struct {
 	goal, limit float64
+	step        float64 // weight of a new latency in pain
 	floor       float64 // least that limit may sink to
 	lat, dev    float64 // ms, smoothed latency and its mean deviation
 	out         int
@@ -166,8 +168,8 @@
 func New(s Start, port Port, now float64) *Balancer {
 	b := &Balancer{Start: s, port: port, now: now, rng: pcg(s.Seed*2 + 1), ticked: now,
 		fetches: map[string]*fetch{}, askWait: askFirst}
-	b.fleet = gate{goal: gateGoal, limit: 1, floor: 1}
-	b.origin = gate{goal: originGoal, limit: math.Max(1, originStart/float64(s.Group)), floor: 1,
+	b.fleet = gate{goal: gateGoal, step: fleetStep, limit: 1, floor: 1}
+	b.origin = gate{goal: originGoal, step: originStep, limit: math.Max(1, originStart/float64(s.Group)), floor: 1,
 		pain: originGoal / 2, calm: originGoal / originRise}
 	for _, c := range s.Categories {
 		c.lat, c.dev = c.Target/4, c.Target/8
@@ -718,7 +720,7 @@
 	if o != Served {
 		pain = math.Max(pain, 2*g.goal)
 	}
-	g.pain += (pain - g.pain) * painStep
+	g.pain += (pain - g.pain) * g.step
 	if g == &b.origin {
 		step := calmStep
 		if g.pain < g.calm {
