--- a/balance/balance.go
+++ b/balance/balance.go
@@ -48,7 +48,7 @@
 	fleetStart  = 16.0  // pushes a host, of all balancers, that the fleet's gate lets out at first
 	originStart = 20.0  // fetches, of all balancers, that the origin's gate lets out at first
 
-	coldSafety = 0.5    // part of the tipping load that a cold host is sent, burst and rate together half each
+	coldSafety = 0.75   // part of the tipping load that a cold host is sent, burst and rate together half each
 	rateSpan   = 2000.0 // ms over which the usual rate of pushes is averaged
 
 	askFirst   = 500.0  // ms until a failed list call is repeated, spread by as much again
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -94,11 +94,11 @@
 	}
 	// Output:
 	// warm: 447
-	// second 1: 51
-	// second 2: 89
-	// second 3: 128
-	// second 4: 160
-	// second 5: 190
+	// second 1: 76
+	// second 2: 129
+	// second 3: 181
+	// second 4: 202
+	// second 5: 222
 	// second 6: 253
 }
 
