A slow host's count is stretched by group size: others' ops show in its latency alone

The count was multiplied by the latency ratio from 2 on; now by 1 + excess x group / 3, with no threshold.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -26,7 +26,7 @@
 	latStep  = 0.05 // weight of a new latency in a category's average: about 20 ops
 	hostStep = 0.2  // weight of a new outcome in a host's averages: about 5 ops, few reach it a second
 
-	slowFrom    = 2.0    // times the usual latency from which a host's count is stretched; below is chance
+	crowdGroup  = 3.0    // balancers at which a host of twice the usual latency counts twice; more see less each
 	failFrom    = 0.25   // smoothed failures above which a host is suspect: one fresh failure does it
 	restFirst   = 250.0  // ms off the walk after a first failure, about what a short stall lasts
 	restLongest = 4000.0 // ms; a healed host is tried again no later than this
@@ -169,8 +169,8 @@
 	b := &Balancer{Start: s, port: port, now: now, rng: pcg(s.Seed*2 + 1), ticked: now,
 		fetches: map[string]*fetch{}, askWait: askFirst}
 	b.fleet = gate{goal: gateGoal, step: fleetStep, limit: 1, floor: 1}
-	b.origin = gate{goal: originGoal, step: originStep, limit: math.Max(1, originStart/float64(s.Group)), floor: 1,
-		pain: originGoal / 2, calm: originGoal / originRise}
+	b.origin = gate{goal: originGoal, step: originStep, floor: 1, pain: originGoal / 2,
+		limit: math.Max(1, originStart/float64(s.Group)), calm: originGoal / originRise}
 	for _, c := range s.Categories {
 		c.lat, c.dev = c.Target/4, c.Target/8
 		b.origin.lat, b.origin.dev = max(b.origin.lat, c.lat), max(b.origin.dev, c.dev)
@@ -360,7 +360,8 @@
 }
 
 // full tells whether a host has no room by the bounded-load rule: its count against its bound. Trouble
-// changes the count: a resting host is full, a suspect one with anything out, a slow one early.
+// changes the count: a resting host is full, a suspect one with anything out, a slow one early, and the
+// earlier the more balancers there are.
 func (b *Balancer) full(h *Host, mean float64) bool {
 	count, bound := float64(h.out), math.Ceil(overMean*mean*h.Size*float64(len(b.ready))/b.sizes)
 	bound = math.Max(bound, floorCount)
@@ -370,8 +371,10 @@
 			return true
 		case h.fail > failFrom:
 			bound = 1
-		case h.slow > slowFrom:
-			count *= h.slow
+		case h.slow > 1:
+			// Others' ops show in a host's latency alone. With a dozen balancers the floor of two each would
+			// let two dozen ops crowd a host before any of them saw it full.
+			count *= 1 + (h.slow-1)*float64(b.Group)/crowdGroup
 		}
 	}
 	return count >= bound
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -388,6 +388,33 @@
 	//   90 push hung to d
 }
 
+// What other balancers send shows in latency alone: the more of them there are, the earlier a host that
+// answers slowly is full. It takes 60 ms, others 25.
+func Example_crowdedHost() {
+	for _, group := range []int{1, 3, 12} {
+		s := start()
+		s.Group = group
+		x := open(s, "a", "b", "c", "d")
+		x.silent = true
+		for i := range 20 {
+			x.ask("warm", 0, "page", 900, false)
+			x.end("warm", Served, 60)
+			key := fmt.Sprint("other", i)
+			x.ask(key, 0, key, 900, false)
+			x.end(key, Served, 25)
+		}
+		x.pushes = map[string]int{}
+		for range 2 {
+			x.ask("op", 0, "page", 900, false)
+		}
+		fmt.Println(group, "balancers:", x.pushes["c"], "of 2 at c")
+	}
+	// Output:
+	// 1 balancers: 2 of 2 at c
+	// 3 balancers: 2 of 2 at c
+	// 12 balancers: 1 of 2 at c
+}
+
 // Silent hosts close no gate: with most of the fleet cut off, ops go to those that answer.
 func Example_cutOffZone() {
 	x := open(start(), "a", "b", "c", "d", "e", "f")
@@ -441,7 +468,7 @@
 	}
 	fmt.Println("big:", served[big], "of 540, small:", served[small], "of 60")
 	// Output:
-	// big: 147 of 540, small: 53 of 60
+	// big: 149 of 540, small: 51 of 60
 }
 
 // The same events bring the same actions.
