--- a/balance/balance.go
+++ b/balance/balance.go
@@ -77,23 +77,24 @@
 	now  float64
 	rng  pcg
 
-	hosts    []*Host // listed cache hosts, by name
-	ready    []*Host // those that may be pushed to
-	cycle    []point
-	unit     float64 // size that gets pointsPerHost places
-	sizes    float64 // sum of the ready hosts' sizes
-	origins  []*Host
-	resting  int
-	counted  int     // pushes to warm hosts since the last tick
-	rate     float64 // pushes a ms for each unit of warm size
-	ticked   float64
-	fetches  map[string]*fetch
-	fleet    gate
-	origin   gate
-	dues     dues
-	asked    float64 // ms, when the list was last asked for; 0 when an answer stands
-	askAgain float64
-	askWait  float64
+	hosts   []*Host // listed cache hosts, by name
+	ready   []*Host // those that may be pushed to
+	cycle   []point
+	unit    float64 // size that gets pointsPerHost places
+	sizes   float64 // sum of the ready hosts' sizes
+	origins []*Host
+	walks   int // made so far
+	resting int
+	counted int     // pushes to warm hosts since the last tick
+	rate    float64 // pushes a ms for each unit of warm size
+	ticked  float64
+	fetches map[string]*fetch
+	fleet   gate
+	origin  gate
+	dues    dues
+	asking  bool    // a call for the list is out
+	askAt   float64 // ms, when it was made, or else when the next is due
+	askWait float64 // ms that the next failure puts the call off
 }
 
 // point is a host's place on the cycle.
@@ -219,10 +220,10 @@
 	}
 	b.counted = 0
 	b.countResting()
-	if b.asked > 0 && b.now-b.asked > askAnswer {
+	switch {
+	case b.asking && b.now-b.askAt > askAnswer:
 		b.ListFailed()
-	}
-	if b.OnRequest && b.askAgain > 0 && b.now >= b.askAgain {
+	case b.OnRequest && !b.asking && b.now >= b.askAt:
 		b.ask()
 	}
 	b.expire(&b.fleet)
@@ -233,22 +234,21 @@
 
 // ask subscribes to the list.
 func (b *Balancer) ask() {
-	b.asked, b.askAgain = b.now, 0
+	b.asking, b.askAt = true, b.now
 	b.port.Watch()
 }
 
 // ListFailed takes word that a call for the list failed or that the watch broke. The next try waits a
 // spread time, so that balancers that failed together do not swamp the list service together.
 func (b *Balancer) ListFailed() {
-	b.asked = 0
-	b.askAgain = b.now + b.askWait*(1+b.rng.float())
+	b.asking, b.askAt = false, b.now+b.askWait*(1+b.rng.float())
 	b.askWait = math.Min(b.askWait*2, askLongest)
 }
 
 // List takes news of hosts: the whole list, or changes to it. A saved list answers no call.
 func (b *Balancer) List(entries []Entry, whole, saved bool) {
 	if !saved {
-		b.asked, b.askAgain, b.askWait = 0, 0, askFirst
+		b.asking, b.askAt, b.askWait = false, math.Inf(1), askFirst
 	}
 	if whole {
 		for _, h := range slices.Concat(b.hosts, b.origins) {
@@ -389,14 +389,16 @@
 	from, _ := slices.BinarySearchFunc(b.cycle, op.hash, func(p point, h uint64) int {
 		return cmp.Compare(p.hash, h)
 	})
-	var last *Host
-	for i := range b.cycle {
+	b.walks++
+	left := len(b.ready) // a host is judged once a walk: with most of them full its other points cost too much
+	for i := 0; i < len(b.cycle) && left > 0; i++ {
 		p := b.cycle[(from+i)%len(b.cycle)]
 		h := p.host
-		if h == last || p.nth >= h.active {
+		if h.walked == b.walks || p.nth >= h.active {
 			continue
 		}
-		last = h
+		h.walked = b.walks
+		left--
 		if h != op.failed && allowed(op, h) && !b.full(h, mean) && b.afford(h) {
 			return h
 		}
--- a/balance/port.go
+++ b/balance/port.go
@@ -91,6 +91,7 @@
 	points           []uint64 // hashes of all its places on the cycle
 	active           int      // so many of them stand on the cycle now
 	out              int      // own pushes out
+	walked           int      // the last walk that came by
 	slow             float64  // smoothed latency against the category's usual
 	fail             float64  // smoothed share of failures
 	rest, restUntil  float64  // ms of the last rest, and when it ends
