--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -304,8 +304,7 @@
 func Example_listErrors() {
 	s := start()
 	s.OnRequest = true
-	x := &scene{ops: map[string]*Op{}, hosts: map[string]*Host{}, pushes: map[string]int{}}
-	x.Balancer = New(s, x, 0)
+	x := boot(s)
 	x.ListFailed()
 	x.after(1000)
 	x.ListFailed()
@@ -438,6 +437,68 @@
 	// served: true gate above its floor: true
 }
 
+// A balancer back from a restart routes by its saved list as its peers do by theirs, whatever its seed,
+// and takes the new list when one comes, if ever.
+func Example_restart() {
+	s := start()
+	s.OnRequest = true
+	peer := open(start(), "a", "b", "c")
+	s.Seed = 99
+	x := boot(s)
+	for _, n := range []string{"a", "b", "c"} {
+		x.hosts[n] = &Host{Name: n}
+		x.List([]Entry{{x.hosts[n], Listing{Size: 1}}}, false, true)
+	}
+	x.after(8000)
+	x.ask("op", 0, "page", 500, false)
+	peer.ask("peer's", 0, "page", 500, false)
+	x.end("op", NoConn, 1)
+	x.list(true, "a", "b")
+	// Output:
+	// 0 watch
+	// 5510 watch
+	// 8000 push op to c
+	//    0 push peer's to c
+	// 8000 push op to a
+}
+
+// With every host failing at once, then well again: each op is settled once, and service comes back.
+func Example_allFail() {
+	x := open(start(), "a", "b", "c", "d")
+	x.silent = true
+	for s := range 8 {
+		served, ops := 0, []*Op{}
+		for i := range 100 {
+			x.after(10)
+			name := fmt.Sprint("op", s, i)
+			ops = append(ops, x.ask(name, 0, name, 300, false))
+			for _, op := range ops {
+				if op.at != nil && s >= 2 && x.t-op.pushed < 40 {
+					x.end(op.Ref.(string), Served, 10)
+					served++
+				}
+			}
+		}
+		if s%2 == 1 {
+			fmt.Printf("second %d: %d of 100 acked\n", s+1, served)
+		}
+	}
+	x.after(1000)
+	open := 0
+	for _, op := range x.ops {
+		if op.state != settled {
+			open++
+		}
+	}
+	fmt.Println("open:", open)
+	// Output:
+	// second 2: 0 of 100 acked
+	// second 4: 100 of 100 acked
+	// second 6: 100 of 100 acked
+	// second 8: 100 of 100 acked
+	// open: 0
+}
+
 // Under overload a tenant beyond its share gives way to one within it.
 func Example_tenants() {
 	s := start()
--- a/balance/trace_test.go
+++ b/balance/trace_test.go
@@ -34,9 +34,15 @@
 
 // open starts a balancer and lists hosts; a name that starts with o is the origin's.
 func open(s Start, names ...string) *scene {
+	x := boot(s)
+	x.list(true, names...)
+	return x
+}
+
+// boot starts a balancer that has no list yet.
+func boot(s Start) *scene {
 	x := &scene{ops: map[string]*Op{}, hosts: map[string]*Host{}, pushes: map[string]int{}}
 	x.Balancer = New(s, x, 0)
-	x.list(true, names...)
 	return x
 }
 
