--- a/balance/balance.go
+++ b/balance/balance.go
@@ -468,6 +468,9 @@
 		b.giveUp(op)
 		return
 	}
+	if op.Category.Tardy == 0 { // a late answer is worth nothing and costs others theirs
+		end = math.Min(end, b.now+op.Category.Target)
+	}
 	b.look(end, op, 0)
 	b.route(op)
 }
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -287,6 +287,24 @@
 	//  190 cancel once
 }
 
+// Where a late answer is worth nothing an op is settled at its target latency, and its push called off.
+func Example_worthlessLate() {
+	s := start()
+	s.Categories[0].Tardy = 0
+	x := open(s, "a", "b")
+	x.ask("op0", 0, "page", 900, false)
+	x.ask("op1", 0, "page", 900, false)
+	x.after(50)
+	x.end("op1", Served, 50)
+	x.after(100)
+	// Output:
+	// 0 push op0 to a
+	//    0 push op1 to a
+	//   50 op1 acked
+	//  100 nack op0
+	//  100 cancel op0
+}
+
 // A stream is bound to its push: neither TTL nor a break pushes it again.
 func Example_stream() {
 	x := open(start(), "a", "b")
