--- a/balance/balance.go
+++ b/balance/balance.go
@@ -193,6 +193,8 @@
 		d := heap.Pop(&b.dues).(due)
 		switch {
 		case d.op.state == settled || d.op.state == streaming:
+		case d.push == 0 && d.op.fetch != nil && d.op.at != nil && b.now < b.end(d.op):
+			b.look(b.end(d.op), d.op, 0) // late for this op, but what it fetches is kept for others
 		case d.push == 0:
 			b.giveUp(d.op)
 		case d.push == d.op.pushes && d.op.state == out:
@@ -463,7 +465,7 @@
 			op.value *= b.ExcessBenefit
 		}
 	}
-	end := op.Due - tick - settleTicks*b.Quantum
+	end := b.end(op)
 	if end <= b.now { // a last try with next to no time left could be lost between two looks
 		b.giveUp(op)
 		return
@@ -475,6 +477,9 @@
 	b.route(op)
 }
 
+// end is when an op has to be settled, early enough for the next look to come before its TTL.
+func (b *Balancer) end(op *Op) float64 { return op.Due - tick - settleTicks*b.Quantum }
+
 // route sends an op on its ordinary way: writes of an aside fleet to the origin, all else to the cycle.
 // While the key is being fetched a push could only miss, so the op waits for it.
 func (b *Balancer) route(op *Op) {
