--- a/balance/balance.go
+++ b/balance/balance.go
@@ -28,6 +28,7 @@
 
 	crowdGroup  = 3.0    // balancers at which a host of twice the usual latency counts twice; more see less each
 	failFrom    = 0.25   // smoothed failures above which a host is suspect: one fresh failure does it
+	failStep    = 0.3    // weight of a fresh failure, just over failFrom
 	restFirst   = 250.0  // ms off the walk after a first failure, about what a short stall lasts
 	restLongest = 4000.0 // ms; a healed host is tried again no later than this
 	restShare   = 0.8    // part of the hosts that may rest at once; beyond it the evidence is suspect
@@ -177,7 +178,7 @@
 		b.origin.lat, b.origin.dev = max(b.origin.lat, c.lat), max(b.origin.dev, c.dev)
 	}
 	for _, t := range s.Tenants {
-		t.tokens, t.filled = t.Quota/1000*shareBurst*1000/float64(s.Group), now
+		t.tokens, t.filled = t.Quota*shareBurst/float64(s.Group), now
 	}
 	if s.OnRequest {
 		b.ask()
@@ -709,7 +710,7 @@
 	switch {
 	case o == NotSent || o == Cancelled && op.state == settled:
 	case bad:
-		h.fail += (1 - h.fail) * math.Max(hostStep, failFrom*1.2)
+		h.fail += (1 - h.fail) * failStep
 		if h.fail > failFrom && b.now >= h.restUntil && !(h.Origin && o != Refused) {
 			h.rest = math.Min(math.Max(h.rest*2, restFirst), restLongest)
 			if h.Origin {
