--- a/balance/balance.go
+++ b/balance/balance.go
@@ -26,12 +26,12 @@
 	latStep  = 0.05 // weight of a new latency in a category's average: about 20 ops
 	hostStep = 0.2  // weight of a new outcome in a host's averages: about 5 ops, few reach it a second
 
-	crowdGroup  = 3.0    // balancers at which a host of twice the usual latency counts twice; more see less each
+	crowdGroup  = 3.0    // balancers at which twice the usual latency counts twice; more see less each
 	failFrom    = 0.25   // smoothed failures above which a host is suspect: one fresh failure does it
 	failStep    = 0.3    // weight of a fresh failure, just over failFrom
 	restFirst   = 250.0  // ms off the walk after a first failure, about what a short stall lasts
 	restLongest = 4000.0 // ms; a healed host is tried again no later than this
-	restShare   = 0.8    // part of the hosts that may rest at once; beyond it the evidence is suspect
+	restShare   = 0.8    // part of the hosts that may rest at once; beyond it the evidence is in doubt
 
 	patienceDevs = 5.0 // mean deviations above the usual latency at which a push is looked at
 
@@ -45,11 +45,11 @@
 	originStep  = 0.1   // the same for the origin, whose answers vary more from one to the next
 	gatePause   = 100.0 // ms between two narrowings, so that the first can show
 	lineLength  = 1.0   // ops held for each that a gate lets out: about two latencies of waiting
-	fleetFloor  = 2.0   // pushes a host, of all balancers, that the fleet's gate always lets out
-	fleetStart  = 16.0  // pushes a host, of all balancers, that the fleet's gate lets out at first
+	fleetFloor  = 2.0   // pushes a host, of all balancers, that the hosts' gate lets out at least
+	fleetStart  = 16.0  // pushes a host, of all balancers, that the hosts' gate starts with
 	originStart = 20.0  // fetches, of all balancers, that the origin's gate lets out at first
 
-	coldSafety = 0.75   // part of the tipping load that a cold host is sent, burst and rate together half each
+	coldSafety = 0.75   // part of the tipping load for a cold host, half as a burst and half as a rate
 	rateSpan   = 2000.0 // ms over which the usual rate of pushes is averaged
 
 	askFirst   = 500.0  // ms until a failed list call is repeated, spread by as much again
@@ -393,7 +393,7 @@
 		return cmp.Compare(p.hash, h)
 	})
 	b.walks++
-	left := len(b.ready) // a host is judged once a walk: with most of them full its other points cost too much
+	left := len(b.ready) // each host is judged once: where most are full its other points cost too much
 	for i := 0; i < len(b.cycle) && left > 0; i++ {
 		p := b.cycle[(from+i)%len(b.cycle)]
 		h := p.host
@@ -485,7 +485,7 @@
 // While the key is being fetched a push could only miss, so the op waits for it.
 func (b *Balancer) route(op *Op) {
 	switch f := b.fetches[op.Key]; {
-	case !b.mayPush(op) || b.now+op.Category.lat/2 > op.Due: // no push allowed, or none that could be answered
+	case !b.mayPush(op) || b.now+op.Category.lat/2 > op.Due: // none allowed, or answered in time
 		b.giveUp(op)
 	case b.Aside && op.Write:
 		b.offer(&b.origin, op)
