One way to wait for a fetch, one to join the cycle; dead state removed

route wrote again what lead does for a key whose fetch is out, and a host's points on the cycle were reckoned in two places. The fetch's leader and Op.Settled were read by nobody.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -105,9 +105,8 @@
 	host *Host
 }
 
-// fetch is a key on its way from the origin for a leading op; others of the key wait for it.
+// fetch is a key on its way from the origin for the op that leads it; others of the key wait for it.
 type fetch struct {
-	leader  *Op
 	waiters []*Op
 	value   float64 // benefit that hangs on it
 }
@@ -213,10 +212,8 @@
 	for _, h := range b.ready {
 		if share := b.warmth(h); share < 1 {
 			warm -= h.Size
-			h.active = int(math.Ceil(float64(len(h.points)) * share))
-		} else {
-			h.active = len(h.points)
 		}
+		b.join(h)
 	}
 	if warm > 0 && span > 0 {
 		b.rate += (float64(b.counted)/span/warm - b.rate) * math.Min(1, span/rateSpan)
@@ -302,7 +299,7 @@
 				h.points = append(h.points, xxhash.Sum64String(h.Name+"/"+strconv.Itoa(i)))
 			}
 		}
-		h.active = int(math.Ceil(float64(n) * b.warmth(h)))
+		b.join(h)
 		h.slow = math.Max(h.slow, 1)
 		for i, p := range h.points {
 			b.cycle = append(b.cycle, point{p, i, h})
@@ -319,6 +316,9 @@
 	b.pump(&b.fleet)
 }
 
+// join lets a host stand on the cycle with as many of its points as it is warm.
+func (b *Balancer) join(h *Host) { h.active = int(math.Ceil(float64(len(h.points)) * b.warmth(h))) }
+
 // warmth is the share of its capacity that a host surely has by now.
 func (b *Balancer) warmth(h *Host) float64 {
 	age := b.now - h.UpSince
@@ -489,18 +489,14 @@
 		b.giveUp(op)
 	case b.Aside && op.Write:
 		b.offer(&b.origin, op)
-	case b.Aside && f != nil:
-		b.move(op, held)
-		f.waiters = append(f.waiters, op)
-		f.value += op.value
-	case b.Aside && op.pushes == b.MostPushes-1: // the last push is the origin's
+	case b.Aside && (f != nil || op.pushes == b.MostPushes-1): // the last push is the origin's
 		b.lead(op)
 	default:
 		b.offer(&b.fleet, op)
 	}
 }
 
-// lead makes op fetch its key for all that want it.
+// lead makes op fetch its key for all that want it, or wait for the fetch that is out.
 func (b *Balancer) lead(op *Op) {
 	if f := b.fetches[op.Key]; f != nil {
 		b.move(op, held)
@@ -508,7 +504,7 @@
 		f.value += op.value
 		return
 	}
-	op.fetch = &fetch{leader: op, value: op.value}
+	op.fetch = &fetch{value: op.value}
 	b.fetches[op.Key] = op.fetch
 	b.offer(&b.origin, op)
 }
@@ -671,7 +667,6 @@
 		b.move(op, settled)
 		b.landed(op, o == Served)
 	case o == Missed && b.Aside && !h.Origin && b.mayPush(op):
-		b.move(op, held)
 		b.lead(op)
 	case b.now >= op.Due-tick:
 		b.giveUp(op)
@@ -770,7 +765,7 @@
 				b.giveUp(next)
 				continue
 			}
-			next.fetch = &fetch{leader: next, waiters: waiters, value: f.value - op.value}
+			next.fetch = &fetch{waiters: waiters, value: f.value - op.value}
 			b.fetches[op.Key] = next.fetch
 			b.offer(&b.origin, next)
 			return
--- a/balance/port.go
+++ b/balance/port.go
@@ -155,6 +155,3 @@
 
 // Over tells that nothing more can come of the op: it is settled and no push is out.
 func (op *Op) Over() bool { return op.state == settled && op.at == nil }
-
-// Settled tells that the op has had its answer.
-func (op *Op) Settled() bool { return op.state == settled }
