Gates may sink below one push a balancer, and widen by their part of the group

Each balancer also widened its gate by a whole push a latency, whatever the group. Change: under a limit of one, chance opens a gate once a latency. What a gate gains in one latency is the balancer's part of one push a host, and of three fetches. The calm latency of the origin is learned from the balancer's part of 500 fetches, else a group of 38 never learned it and shut an idle origin out. 'No list yet' is an infinite limit, no longer exactly 1.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -48,6 +48,9 @@
 	fleetFloor  = 2.0   // pushes a host, of all balancers, that the hosts' gate lets out at least
 	fleetStart  = 16.0  // pushes a host, of all balancers, that the hosts' gate starts with
 	originStart = 20.0  // fetches, of all balancers, that the origin's gate lets out at first
+	originFloor = 2.0   // and at the least
+	fleetGain   = 1.0   // pushes a host, of all balancers, that the hosts' gate widens by in one latency
+	originGain  = 3.0   // fetches, of all balancers, that the origin's gate widens by in one latency
 
 	coldSafety = 0.5    // part of the tipping load that all may send a cold host in a span; two can lie close
 	rateSpan   = 2000.0 // ms over which the usual rate of pushes is averaged
@@ -114,8 +117,11 @@
 // gate lets a learned number of pushes out at once and holds the rest.
 type gate struct {
 	goal, limit float64
+	lucky       bool    // drawn to be open, where limit is under 1
+	drawn       float64 // ms, when it was
 	step        float64 // weight of a new latency in pain
 	floor       float64 // least that limit may sink to
+	gain        float64 // what limit gains in one latency
 	lat, dev    float64 // ms, smoothed latency and its mean deviation
 	out         int
 	pain        float64 // smoothed latency over target
@@ -170,12 +176,14 @@
 	b := &Balancer{Start: s, port: port, now: now, rng: pcg(s.Seed), ticked: now,
 		fetches: map[string]*fetch{}, askWait: askFirst}
 	b.rng.float() // seeds that lie close give numbers that lie close at first
-	b.fleet = gate{goal: gateGoal, step: fleetStep, limit: 1, floor: 1}
-	b.origin = gate{goal: originGoal, step: originStep, floor: 1, pain: originGoal / 2,
-		limit: math.Max(1, originStart/float64(s.Group)), calm: originGoal / originRise}
+	b.fleet = gate{goal: gateGoal, step: fleetStep, limit: math.Inf(1)}
+	b.origin = gate{goal: originGoal, step: originStep, pain: originGoal / 2, calm: originGoal / originRise,
+		floor: originFloor / float64(s.Group), limit: math.Max(1, originStart/float64(s.Group)),
+		gain: math.Min(1, originGain/float64(s.Group))}
 	for _, c := range s.Categories {
 		c.lat, c.dev = c.Target/4, c.Target/8
 		b.origin.lat, b.origin.dev = max(b.origin.lat, c.lat), max(b.origin.dev, c.dev)
+		b.fleet.lat = b.origin.lat
 	}
 	for _, t := range s.Tenants {
 		t.tokens, t.filled = t.Quota*shareBurst/float64(s.Group), now
@@ -308,9 +316,9 @@
 	}
 	slices.SortFunc(b.cycle, func(x, y point) int { return cmp.Compare(x.hash, y.hash) })
 	share := float64(len(b.ready)) / float64(b.Group)
-	b.fleet.floor = math.Max(1, fleetFloor*share)
-	if b.fleet.limit == 1 {
-		b.fleet.limit = fleetStart * share
+	b.fleet.floor, b.fleet.gain = fleetFloor*share, math.Min(1, fleetGain*share)
+	if math.IsInf(b.fleet.limit, 1) { // the first list
+		b.fleet.limit = math.Max(1, fleetStart*share)
 	}
 	b.fleet.limit = math.Max(b.fleet.limit, b.fleet.floor)
 	b.countResting()
@@ -532,7 +540,7 @@
 // out in good time.
 func (b *Balancer) pump(g *gate) {
 	g.line = slices.DeleteFunc(g.line, func(op *Op) bool { return op.state != held })
-	for len(g.line) > 0 && float64(g.out) < g.limit {
+	for len(g.line) > 0 && b.open(g) {
 		best := 0
 		for i, op := range g.line {
 			if worth(op) > worth(g.line[best]) {
@@ -567,6 +575,18 @@
 	}
 }
 
+// open tells whether a gate lets one more push out. Under a limit of one chance tells, once each latency:
+// were each of some hundred balancers to have one out at all times, they would keep a full origin full.
+func (b *Balancer) open(g *gate) bool {
+	if g.limit >= 1 {
+		return float64(g.out) < g.limit
+	}
+	if b.now >= g.drawn+g.lat {
+		g.lucky, g.drawn = b.rng.float() < g.limit, b.now
+	}
+	return g.out == 0 && g.lucky
+}
+
 // target is the host that a gate's op goes to.
 func (b *Balancer) target(g *gate, op *Op) *Host {
 	if g == &b.fleet {
@@ -595,6 +615,7 @@
 	op.pushes++
 	h.out++
 	g.out++
+	g.lucky = false // one in the time drawn for
 	c, limit := op.Category, op.Due-b.now
 	patience := c.lat + patienceDevs*c.dev
 	switch {
@@ -692,6 +713,7 @@
 	case Served:
 		if g == &b.fleet {
 			h.slow += (spent/c.lat - h.slow) * hostStep
+			g.lat += (spent - g.lat) * latStep
 			c.dev += (math.Abs(spent-c.lat) - c.dev) * latStep
 			c.lat += (spent - c.lat) * latStep
 		} else {
@@ -737,7 +759,7 @@
 	}
 	g.pain += (pain - g.pain) * g.step
 	if g == &b.origin {
-		step := calmStep
+		step := math.Min(calmStep*math.Max(1, float64(b.Group)/crowdGroup), latStep) // each sees its part
 		if g.pain < g.calm {
 			step = latStep
 		}
@@ -749,7 +771,7 @@
 		g.limit = math.Max(g.floor, math.Min(g.limit, float64(g.out+1))*gateCut)
 		g.cutAt = b.now + gatePause
 	case g.pain < g.goal && float64(g.out+1) > g.limit/2:
-		g.limit += 1 / g.limit
+		g.limit += g.gain / g.limit
 	}
 }
 
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -231,6 +231,43 @@
 	//    0 hit acked
 }
 
+// A full origin that turns fetches away at once: 200 balancers with a miss each all the time let out few in
+// all, where one each would keep it full of fetches that come too late.
+func Example_fullOriginOfMany() {
+	var all []*scene
+	for i := range 200 {
+		s := start()
+		s.Seed, s.Group, s.Aside = uint64(i), 200, true
+		x := open(s, "a", "b", "c", "origin")
+		x.silent = true
+		all = append(all, x)
+	}
+	for sec := range 3 {
+		fetches := 0
+		for t := range 50 {
+			for i, x := range all {
+				x.after(20)
+				x.pushes["origin"] = 0
+				name := fmt.Sprint(sec, t, i)
+				if op := x.ask(name, 0, name, 500, false); op.at != nil && !op.at.Origin {
+					x.end(name, Missed, 1)
+				}
+				for _, op := range x.ops {
+					if op.at != nil && op.at.Origin {
+						x.Ended(op, Refused, 1, false)
+					}
+				}
+				fetches += x.pushes["origin"]
+			}
+		}
+		fmt.Printf("second %d: %d fetches of 10000 misses\n", sec+1, fetches)
+	}
+	// Output:
+	// second 1: 1948 fetches of 10000 misses
+	// second 2: 598 fetches of 10000 misses
+	// second 3: 348 fetches of 10000 misses
+}
+
 // What may follow each outcome, for each kind of repeat.
 func Example_repeats() {
 	outcomes := []struct {
