The origin's gate starts at one and a half fetches a host, of all balancers

Cause: one fetch each at the start, and after each restart, is a flood where there are hundreds of balancers.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -47,8 +47,8 @@
 	lineLength  = 1.0   // ops held for each that a gate lets out: about two latencies of waiting
 	fleetFloor  = 2.0   // pushes a host, of all balancers, that the hosts' gate lets out at least
 	fleetStart  = 16.0  // pushes a host, of all balancers, that the hosts' gate starts with
-	originStart = 20.0  // fetches, of all balancers, that the origin's gate lets out at first
-	originFloor = 2.0   // and at the least
+	originStart = 1.5   // fetches a host, of all balancers, that the origin's gate starts with
+	originFloor = 2.0   // fetches, of all balancers, that it lets out at least
 	fleetGain   = 1.0   // pushes a host, of all balancers, that the hosts' gate widens by in one latency
 	originGain  = 3.0   // fetches, of all balancers, that the origin's gate widens by in one latency
 
@@ -178,7 +178,7 @@
 	b.rng.float() // seeds that lie close give numbers that lie close at first
 	b.fleet = gate{goal: gateGoal, step: fleetStep, limit: math.Inf(1)}
 	b.origin = gate{goal: originGoal, step: originStep, pain: originGoal / 2, calm: originGoal / originRise,
-		floor: originFloor / float64(s.Group), limit: math.Max(1, originStart/float64(s.Group)),
+		floor: originFloor / float64(s.Group), limit: math.Inf(1),
 		gain: math.Min(1, originGain/float64(s.Group))}
 	for _, c := range s.Categories {
 		c.lat, c.dev = c.Target/4, c.Target/8
@@ -318,6 +318,7 @@
 	share := float64(len(b.ready)) / float64(b.Group)
 	b.fleet.floor, b.fleet.gain = fleetFloor*share, math.Min(1, fleetGain*share)
 	if math.IsInf(b.fleet.limit, 1) { // the first list
+		b.origin.limit = originStart * share
 		b.fleet.limit = math.Max(1, fleetStart*share)
 	}
 	b.fleet.limit = math.Max(b.fleet.limit, b.fleet.floor)
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -263,9 +263,9 @@
 		fmt.Printf("second %d: %d fetches of 10000 misses\n", sec+1, fetches)
 	}
 	// Output:
-	// second 1: 1948 fetches of 10000 misses
-	// second 2: 598 fetches of 10000 misses
-	// second 3: 348 fetches of 10000 misses
+	// second 1: 471 fetches of 10000 misses
+	// second 2: 670 fetches of 10000 misses
+	// second 3: 593 fetches of 10000 misses
 }
 
 // What may follow each outcome, for each kind of repeat.
