A tenant's bucket holds eight ops at the least

Cause: one second of quota is under one op where hundreds of balancers share it, so chance alone put half of a tenant's ops over its share, and the line could not tell a school within its share from one far beyond.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -61,6 +61,7 @@
 
 	settleTicks = 2.0 // quanta before its TTL at which an op is settled, beside one tick
 	shareBurst  = 1.0 // s of its quota that a tenant may spend at once
+	shareLeast  = 8.0 // ops that it may at the least: at an op a second, chance alone sends some together
 )
 
 // state of an op.
@@ -186,7 +187,7 @@
 		b.fleet.lat = b.origin.lat
 	}
 	for _, t := range s.Tenants {
-		t.tokens, t.filled = t.Quota*shareBurst/float64(s.Group), now
+		t.tokens, t.filled = math.Max(t.Quota*shareBurst/float64(s.Group), shareLeast), now
 	}
 	if s.OnRequest {
 		b.ask()
@@ -471,7 +472,7 @@
 	}
 	if t := op.Tenant; t != nil {
 		pace := t.Quota / 1000 / float64(b.Group)
-		t.tokens = math.Min(t.tokens+pace*(b.now-t.filled), math.Max(1, pace*shareBurst*1000))
+		t.tokens = math.Min(t.tokens+pace*(b.now-t.filled), math.Max(pace*shareBurst*1000, shareLeast))
 		t.filled = b.now
 		if t.tokens >= 1 {
 			t.tokens--
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -627,6 +627,36 @@
 	// big: 149 of 540, small: 51 of 60
 }
 
+// Of many balancers each sees a tenant's op a second or fewer, and by chance some together: they are within
+// the share all the same. One that sends three times its share is found out in time.
+func Example_tenantOfMany() {
+	s := start()
+	s.Group = 100
+	fair, heavy := &Tenant{Quota: 100}, &Tenant{Quota: 100}
+	s.Tenants = []*Tenant{fair, heavy}
+	x := open(s, "a", "b")
+	x.silent = true
+	within := map[*Tenant]int{}
+	ask := func(t *Tenant) {
+		op := &Op{Category: x.Categories[0], Tenant: t, Due: x.t + 500}
+		if x.Arrive(op); op.value >= 1/op.Category.lat {
+			within[t]++
+		}
+	}
+	for range 10 {
+		x.after(3000)
+		for range 3 {
+			ask(fair)
+		}
+		for range 9 {
+			ask(heavy)
+		}
+	}
+	fmt.Println("fair:", within[fair], "of 30, heavy:", within[heavy], "of 90")
+	// Output:
+	// fair: 30 of 30, heavy: 35 of 90
+}
+
 // The same events bring the same actions.
 func Example_sameActions() {
 	run := func() (trace string) {
