--- a/balance/balance.go
+++ b/balance/balance.go
@@ -55,6 +55,9 @@
 	coldSafety = 0.5    // part of the tipping load that all may send a cold host in a span; two can lie close
 	rateSpan   = 2000.0 // ms over which the usual rate of pushes is averaged
 
+	keepCut  = 0.8 // factor of the time idle connections are kept, when one cannot be made
+	keepGrow = 1.2 // the same when one is made: four in ten may fail, for a handshake costs more
+
 	askFirst   = 500.0  // ms until a failed list call is repeated, spread by as much again
 	askLongest = 4000.0 // ms, the longest such wait
 	askAnswer  = 5000.0 // ms after which an unanswered call counts as failed
@@ -97,6 +100,7 @@
 	fleet   gate
 	origin  gate
 	dues    dues
+	keep    float64 // ms for which an idle connection is kept
 	asking  bool    // a call for the list is out
 	askAt   float64 // ms, when it was made, or else when the next is due
 	askWait float64 // ms that the next failure puts the call off
@@ -175,7 +179,7 @@
 // New makes the balancer of one instance at time now.
 func New(s Start, port Port, now float64) *Balancer {
 	b := &Balancer{Start: s, port: port, now: now, rng: pcg(s.Seed), ticked: now,
-		fetches: map[string]*fetch{}, askWait: askFirst}
+		fetches: map[string]*fetch{}, askWait: askFirst, keep: s.ConnIdle}
 	b.rng.float() // seeds that lie close give numbers that lie close at first
 	b.fleet = gate{goal: gateGoal, step: fleetStep, limit: math.Inf(1)}
 	b.origin = gate{goal: originGoal, step: originStep, pain: originGoal / 2, calm: originGoal / originRise,
@@ -230,6 +234,7 @@
 	}
 	b.counted = 0
 	b.countResting()
+	b.hangUp()
 	switch {
 	case b.asking && b.now-b.askAt > askAnswer:
 		b.ListFailed()
@@ -242,6 +247,17 @@
 	b.pump(&b.origin)
 }
 
+// hangUp closes idle connections. A host takes so many and no more: where there are more balancers than
+// that, those that each keeps for its next op shut out the others.
+func (b *Balancer) hangUp() {
+	for _, h := range b.ready {
+		if h.open && h.out == 0 && b.now-h.pushed > b.keep {
+			h.open = false
+			b.port.HangUp(h)
+		}
+	}
+}
+
 // ask subscribes to the list.
 func (b *Balancer) ask() {
 	b.asking, b.askAt = true, b.now
@@ -271,6 +287,7 @@
 			set = &b.origins
 		}
 		if e.UpSince > h.UpSince { // a new process: what was learned of the old one is void
+			h.open, h.fresh = false, false
 			h.fail, h.rest, h.restUntil, h.slow, h.budget, h.budgeted = 0, 0, 0, 1, 0, 0
 		}
 		h.Listing = e.Listing
@@ -616,6 +633,7 @@
 	op.at, op.pushed, op.gate, op.called = h, b.now, g, false
 	op.pushes++
 	h.out++
+	h.open, h.fresh, h.pushed = true, h.fresh || !h.open, b.now
 	g.out++
 	g.lucky = false // one in the time drawn for
 	c, limit := op.Category, op.Due-b.now
@@ -711,6 +729,10 @@
 	if (o == Served || o == Missed) && !h.Origin && b.warmth(h) == 1 {
 		b.counted++
 	}
+	if h.fresh && (o == Served || o == Missed) {
+		h.fresh = false
+		b.keep = math.Min(b.keep*keepGrow, b.ConnIdle)
+	}
 	switch o {
 	case Served:
 		if g == &b.fleet {
@@ -725,8 +747,13 @@
 		h.answered = b.now
 	case Missed:
 		h.answered = b.now
-	case Failed, NoConn, Broken:
+	case Failed, Broken:
 		bad = true
+	case NoConn:
+		bad, h.open, h.fresh = true, false, false
+		if !h.Origin {
+			b.keep = math.Max(b.keep*keepCut, tick)
+		}
 	case Refused: // a host that others fill is no bad host; the op walks on
 		bad = h.Origin
 	case TimedOut, Cancelled:
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -657,6 +657,41 @@
 	// fair: 30 of 30, heavy: 35 of 90
 }
 
+// A host takes so many connections. When one cannot be made, idle ones are given back sooner, so that others
+// find room; with room they are kept again.
+func Example_idleConnections() {
+	x := open(start(), "a", "b", "c")
+	x.silent = true
+	for i := range 60 {
+		x.after(4000)
+		x.ask("full", 0, "page", 500, false)
+		x.end("full", NoConn, 5)
+		x.end("full", Served, 5)
+		if i%20 == 19 {
+			fmt.Printf("%d failed connects: idle ones are kept %.0f ms\n", i+1, x.keep)
+		}
+	}
+	x.silent = false
+	x.ask("op0", 0, "page", 500, false)
+	x.end("op0", Served, 5)
+	x.after(1000)
+	for i := range 40 {
+		x.silent = true
+		x.ask("op", 0, fmt.Sprint("key", i), 500, false)
+		x.end("op", Served, 5)
+		x.after(400)
+	}
+	fmt.Printf("with room again: %.0f ms\n", x.keep)
+	// Output:
+	// 20 failed connects: idle ones are kept 2974 ms
+	// 40 failed connects: idle ones are kept 1315 ms
+	// 60 failed connects: idle ones are kept 581 ms
+	// 240000 push op0 to a
+	// 240000 op0 acked
+	// 240590 hang up a
+	// with room again: 2998 ms
+}
+
 // The same events bring the same actions.
 func Example_sameActions() {
 	run := func() (trace string) {
--- a/balance/port.go
+++ b/balance/port.go
@@ -9,6 +9,7 @@
 	DeadLetter(op *Op)                   // end op unserved, with no word on whether it ran
 	Wake(after float64)                  // call Woke after that many ms
 	Watch()                              // subscribe to the host list; List or ListFailed answers
+	HangUp(h *Host)                      // close the connections to h that carry nothing now
 }
 
 // Start is what an instance is told as it comes up.
@@ -25,6 +26,7 @@
 
 	MostPushes int
 	MayCancel  bool
+	ConnIdle   float64 // ms after which an idle connection closes by itself
 	MaxBackoff float64 // ms, the longest advice a client heeds; 0 where none is given
 
 	ColdShare   float64 // share of its capacity at which a host starts
@@ -91,6 +93,8 @@
 	points           []uint64 // hashes of all its places on the cycle
 	active           int      // so many of them stand on the cycle now
 	out              int      // own pushes out
+	pushed           float64  // ms, time of the last push
+	open, fresh      bool     // a connection may be open; it was opened for a push not answered yet
 	walked           int      // the last walk that came by
 	slow             float64  // smoothed latency against the category's usual
 	fail             float64  // smoothed share of failures
--- a/balance/trace_test.go
+++ b/balance/trace_test.go
@@ -28,7 +28,7 @@
 }
 
 func start() Start {
-	return Start{Seed: 1, Categories: rows(), Group: 1, Quantum: 1, MostPushes: 3, MayCancel: true,
+	return Start{Seed: 1, Categories: rows(), Group: 1, Quantum: 1, MostPushes: 3, MayCancel: true, ConnIdle: 60000,
 		ColdShare: 0.3, ColdFor: 5000, TipMultiple: 3, TipFor: 1000, MaxBackoff: 50, ExcessBenefit: 0.1}
 }
 
@@ -120,3 +120,4 @@
 func (x *scene) DeadLetter(op *Op)         { x.say("dead-letter %s", op.Ref) }
 func (x *scene) Wake(after float64)        { x.wake = x.t + after }
 func (x *scene) Watch()                    { x.say("watch") }
+func (x *scene) HangUp(h *Host)            { x.say("hang up %s", h.Name) }
--- a/internal/simwire/params.go
+++ b/internal/simwire/params.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math"
 	"slices"
 
 	"larchthread/balance"
@@ -40,6 +41,7 @@
 	Limits struct {
 		Cancelling bool    `json:"cancelling"`
 		MostPushes int     `json:"mostPushes"`
+		ConnIdle   float64 `json:"connIdleUs"`
 		RetryAfter bool    `json:"retryAfter"`
 		MaxBackoff float64 `json:"maxRetryAfterUs"`
 	} `json:"limits"`
@@ -110,10 +112,14 @@
 		Seed: seed, Group: p.GroupSize, Quantum: p.Quantum / 1000,
 		Aside: p.Specifics.Mode == "aside", OnRequest: p.Discovery == "on_request",
 		ByWork: p.BenefitBy == "work", MostPushes: p.Limits.MostPushes, MayCancel: p.Limits.Cancelling,
+		ConnIdle:  p.Limits.ConnIdle / 1000,
 		ColdShare: p.Guarantees.ColdShare, ColdFor: p.Guarantees.ColdFor / 1000,
 		TipMultiple: p.Guarantees.TipMultiple, TipFor: p.Guarantees.FallFor / 1000,
 		ExcessBenefit: p.ExcessBenefit,
 	}
+	if s.ConnIdle <= 0 { // not told: they stay open
+		s.ConnIdle = math.Inf(1)
+	}
 	if p.Limits.RetryAfter {
 		s.MaxBackoff = p.Limits.MaxBackoff / 1000
 	}
--- a/internal/simwire/serve.go
+++ b/internal/simwire/serve.go
@@ -308,5 +308,7 @@
 
 func (d *door) Watch() { d.act(action{Watch: &watch{d.i, true}}) }
 
+func (d *door) HangUp(h *balance.Host) { d.act(action{HangUp: &hangUp{d.i, d.ids[h]}}) }
+
 // us turns milliseconds into the wire's whole microseconds.
 func us(ms float64) int64 { return int64(math.Round(ms * 1000)) }
--- a/internal/simwire/wire.go
+++ b/internal/simwire/wire.go
@@ -102,6 +102,7 @@
 	Error  *ended  `json:"ERROR,omitempty"`
 	After  *after  `json:"AFTER,omitempty"`
 	Watch  *watch  `json:"SUBSCRIBE,omitempty"`
+	HangUp *hangUp `json:"HANG_UP,omitempty"`
 }
 
 type send struct {
@@ -138,3 +139,8 @@
 	I      int  `json:"i"`
 	Enable bool `json:"enable"`
 }
+
+type hangUp struct {
+	I    int    `json:"i"`
+	Host uint32 `json:"host"`
+}
