Pushes at a crowded host count on after their end where there are many balancers

Change: beyond a group of three, refusals count as slowness, and a push counts on after its end for the host's slowness beyond that of all hosts, by group size. The walk is unchanged.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -27,6 +27,8 @@
 	hostStep = 0.2  // weight of a new outcome in a host's averages: about 5 ops, few reach it a second
 
 	crowdGroup  = 3.0    // balancers at which twice the usual latency counts twice; more see less each
+	refusedSlow = 4.0    // what a push turned away counts as, in usual latencies: a full host is a crowded one
+	crowdSlack  = 0.25   // usual latencies above those of all hosts that chance explains
 	failFrom    = 0.25   // smoothed failures above which a host is suspect: one fresh failure does it
 	failStep    = 0.3    // weight of a fresh failure, just over failFrom
 	restFirst   = 250.0  // ms off the walk after a first failure, about what a short stall lasts
@@ -100,6 +102,7 @@
 	fleet   gate
 	origin  gate
 	dues    dues
+	usual   float64 // smoothed over all hosts, what slow is smoothed of for each
 	keep    float64 // ms for which an idle connection is kept
 	asking  bool    // a call for the list is out
 	askAt   float64 // ms, when it was made, or else when the next is due
@@ -179,7 +182,7 @@
 // New makes the balancer of one instance at time now.
 func New(s Start, port Port, now float64) *Balancer {
 	b := &Balancer{Start: s, port: port, now: now, rng: pcg(s.Seed), ticked: now,
-		fetches: map[string]*fetch{}, askWait: askFirst, keep: s.ConnIdle}
+		fetches: map[string]*fetch{}, askWait: askFirst, usual: 1, keep: s.ConnIdle}
 	b.rng.float() // seeds that lie close give numbers that lie close at first
 	b.fleet = gate{goal: gateGoal, step: fleetStep, limit: math.Inf(1)}
 	b.origin = gate{goal: originGoal, step: originStep, pain: originGoal / 2, calm: originGoal / originRise,
@@ -409,6 +412,11 @@
 			// Others' ops show in a host's latency alone. With a dozen balancers the floor of two each would
 			// let two dozen ops crowd a host before any of them saw it full.
 			count *= 1 + (h.slow-1)*float64(b.Group)/crowdGroup
+			// With a hundred, one each is too many: a push counts on for a while after it has ended.
+			more := math.Max(0, float64(b.Group)/crowdGroup-1)
+			if b.now < h.pushed+(h.slow-b.usual-crowdSlack)*more*b.fleet.lat {
+				return true
+			}
 		}
 	}
 	return count >= bound
@@ -737,6 +745,7 @@
 	case Served:
 		if g == &b.fleet {
 			h.slow += (spent/c.lat - h.slow) * hostStep
+			b.usual += (spent/c.lat - b.usual) * latStep
 			g.lat += (spent - g.lat) * latStep
 			c.dev += (math.Abs(spent-c.lat) - c.dev) * latStep
 			c.lat += (spent - c.lat) * latStep
@@ -755,7 +764,10 @@
 			b.keep = math.Max(b.keep*keepCut, tick)
 		}
 	case Refused: // a host that others fill is no bad host; the op walks on
-		bad = h.Origin
+		if bad = h.Origin; !bad && float64(b.Group) > crowdGroup { // of few, each knows its own part
+			h.slow += (refusedSlow - h.slow) * hostStep
+			b.usual += (refusedSlow - b.usual) * latStep
+		}
 	case TimedOut, Cancelled:
 		bad = h.answered < op.pushed
 	}
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -506,7 +506,29 @@
 	// Output:
 	// 1 balancers: 2 of 2 at c
 	// 3 balancers: 2 of 2 at c
-	// 12 balancers: 1 of 2 at c
+	// 12 balancers: 0 of 2 at c
+}
+
+// A host that turns a hundred balancers away is full of one op each. Each leaves it alone for a while after
+// a push, the longer the more of them there are, and comes back.
+func Example_crowdedByOneEach() {
+	for _, group := range []int{3, 100} {
+		s := start()
+		s.Group = group
+		x := open(s, "a", "b", "c", "d")
+		x.silent = true
+		for range 40 {
+			x.after(100)
+			if x.ask("op", 0, "page", 500, false).at.Name == "c" {
+				x.end("op", Refused, 1)
+			}
+			x.end("op", Served, 25)
+		}
+		fmt.Println(group, "balancers: tried", x.pushes["c"], "times of 40")
+	}
+	// Output:
+	// 3 balancers: tried 40 times of 40
+	// 100 balancers: tried 6 times of 40
 }
 
 // Silent hosts close no gate: with most of the fleet cut off, ops go to those that answer.
