Pushes called off count into their category's usual latency

Cause: with one push a balancer at a host, none is answered in between, so every push past its patience was called off; the usual latency was then learned from the quick ones alone and patience shrank with it.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -770,6 +770,10 @@
 		}
 	case TimedOut, Cancelled:
 		bad = h.answered < op.pushed
+		if g == &b.fleet && spent > c.lat && !suspect { // else only the quick would count as usual
+			c.dev += (spent - c.lat - c.dev) * latStep
+			c.lat += (spent - c.lat) * latStep
+		}
 	}
 	switch {
 	case o == NotSent || o == Cancelled && op.state == settled:
