--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -356,8 +356,6 @@
 	//    0 nack late
 	//   90 cancel read
 	//   90 push read to a
-	//  180 cancel read
-	//  180 push read to c
 	//  190 nack read
 	//  190 cancel read
 	//  190 dead-letter once
@@ -482,6 +480,32 @@
 	//   90 push hung to d
 }
 
+// One op in three is heavy, and on hosts that have answered no other since. What is called off counts as usual
+// latency too: patience learned from the quick alone would call ever more off.
+func Example_heavyOps() {
+	x := open(start(), "a", "b", "c", "d", "e", "f")
+	x.silent = true
+	for round := range 4 {
+		called := 0
+		for i := range 30 {
+			op := x.ask("op", 0, fmt.Sprint("key", round, i), 900, false)
+			took := 20.0
+			if i%3 == 0 {
+				took = 150
+			}
+			x.after(took)
+			called += op.pushes - 1
+			x.end("op", Served, x.t-op.pushed)
+		}
+		fmt.Println("called off:", called, "of 10 heavy ones")
+	}
+	// Output:
+	// called off: 4 of 10 heavy ones
+	// called off: 0 of 10 heavy ones
+	// called off: 0 of 10 heavy ones
+	// called off: 0 of 10 heavy ones
+}
+
 // What other balancers send shows in latency alone: the more of them there are, the earlier a host that
 // answers slowly is full. It takes 60 ms, others 25.
 func Example_crowdedHost() {
