A host rests after a failed connect in proportion to what that took

Cause: a box full of connections was rested for up to 4 s like a dead one; a quarter of 32 boxes rested at any time, their keys moved, and 42% of host pushes missed. Change: such a rest is at most 20 times what the connect took.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -33,6 +33,7 @@
 	failStep    = 0.3    // weight of a fresh failure, just over failFrom
 	restFirst   = 250.0  // ms off the walk after a first failure, about what a short stall lasts
 	restLongest = 4000.0 // ms; a healed host is tried again no later than this
+	restCost    = 20.0   // times what a failed connect took that a host rests at most
 	restShare   = 0.8    // part of the hosts that may rest at once; beyond it the evidence is in doubt
 
 	patienceDevs = 5.0 // mean deviations above the usual latency at which a push is looked at
@@ -794,6 +795,9 @@
 		h.fail += (1 - h.fail) * failStep
 		if h.fail > failFrom && b.now >= h.restUntil && !(h.Origin && o != Refused) {
 			h.rest = math.Min(math.Max(h.rest*2, restFirst), restLongest)
+			if o == NoConn { // the host may just be full of connections, and a quick try costs little
+				h.rest = math.Min(h.rest, restCost*spent)
+			}
 			if h.Origin {
 				h.rest = gatePause
 			}
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -461,6 +461,28 @@
 	//  300 push op5 to c
 }
 
+// A host that takes no connection may be dead, or just full of them. It rests after the failure in proportion
+// to what it took: 100 ms after 5 ms, and the usual 250 after 50.
+func Example_failedConnects() {
+	for _, took := range []float64{5, 50} {
+		x := open(start(), "a", "b", "c", "d")
+		x.ask("op0", 0, "page", 500, false)
+		x.end("op0", NoConn, took)
+		x.end("op0", Served, 9)
+		x.after(150)
+		x.ask("op1", 0, "page", 500, false)
+	}
+	// Output:
+	// 0 push op0 to c
+	//    0 push op0 to d
+	//    0 op0 acked
+	//  150 push op1 to c
+	//    0 push op0 to c
+	//    0 push op0 to d
+	//    0 op0 acked
+	//  150 push op1 to d
+}
+
 // A host that takes ops and answers none is left by them once the usual time is well past; one that
 // answers others keeps its heavy op.
 func Example_silentHost() {
