--- a/balance/balance.go
+++ b/balance/balance.go
@@ -829,7 +829,9 @@
 		g.goal = math.Min(math.Max(originGoal, originRise*g.calm), originMost)
 	}
 	switch {
-	case g.pain > g.goal && b.now >= g.cutAt:
+	// Timely answers do not narrow it: where an op a second comes by, one heavy op is smoothed over for long,
+	// and would be paid for again with each answer after it.
+	case g.pain > g.goal && pain > g.goal && b.now >= g.cutAt:
 		g.limit = math.Max(g.floor, math.Min(g.limit, float64(g.out+1))*gateCut)
 		g.cutAt = b.now + gatePause
 	case g.pain < g.goal && float64(g.out+1) > g.limit/2:
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -555,6 +555,25 @@
 	// 12 balancers: 0 of 2 at c
 }
 
+// One heavy op narrows the hosts' gate once; the timely answers after it, while the smoothed latency is still
+// over its goal, do not narrow it again.
+func Example_oneHeavyOp() {
+	x := open(start(), "a", "b", "c", "d")
+	x.silent = true
+	for _, took := range []float64{20, 400, 20, 20, 20} {
+		x.ask("op", 0, "page", 900, false)
+		x.after(80)
+		x.end("op", Served, took)
+		fmt.Printf("%.0f ms: limit %.0f, smoothed over target %.2f\n", took, x.fleet.limit, x.fleet.pain)
+	}
+	// Output:
+	// 20 ms: limit 64, smoothed over target 0.04
+	// 400 ms: limit 8, smoothed over target 0.83
+	// 20 ms: limit 8, smoothed over target 0.71
+	// 20 ms: limit 8, smoothed over target 0.60
+	// 20 ms: limit 8, smoothed over target 0.52
+}
+
 // A host that turns a hundred balancers away is full of one op each. Each leaves it alone for a while after
 // a push, the longer the more of them there are, and comes back.
 func Example_crowdedByOneEach() {
