--- a/balance/balance.go
+++ b/balance/balance.go
@@ -405,8 +405,7 @@
 // changes the count: a resting host is full, a suspect one with anything out, a slow one early, and the
 // earlier the more balancers there are.
 func (b *Balancer) full(h *Host, mean float64) bool {
-	count, bound := float64(h.out), math.Ceil(overMean*mean*h.Size*float64(len(b.ready))/b.sizes)
-	bound = math.Max(bound, floorCount)
+	count, bound := float64(h.out), math.Max(math.Ceil(overMean*mean), floorCount)
 	if float64(b.resting) <= restShare*float64(len(b.ready)) {
 		switch {
 		case b.now < h.restUntil:
