--- a/balance/balance.go
+++ b/balance/balance.go
@@ -608,8 +608,7 @@
 		}
 		op := g.line[least]
 		g.line = slices.Delete(g.line, least, least+1)
-		g.price = math.Max(g.price, worth(op)*priceShare)
-		b.giveUp(op)
+		b.turnAway(g, op)
 	}
 }
 
@@ -643,12 +642,17 @@
 	g.price -= g.price * math.Min(1, span/priceSpan)
 	for _, op := range slices.Clone(g.line) {
 		if op.state == held && b.now+op.Category.lat > op.arrived+op.Category.Target {
-			g.price = math.Max(g.price, worth(op)*priceShare)
-			b.giveUp(op)
+			b.turnAway(g, op)
 		}
 	}
 }
 
+// turnAway gives up an op of a gate's line, and remembers what it was worth.
+func (b *Balancer) turnAway(g *gate, op *Op) {
+	g.price = math.Max(g.price, worth(op)*priceShare)
+	b.giveUp(op)
+}
+
 func (b *Balancer) push(g *gate, op *Op, h *Host) {
 	b.move(op, out)
 	op.at, op.pushed, op.gate, op.called = h, b.now, g, false
@@ -757,15 +761,13 @@
 	switch o {
 	case Served:
 		if g == &b.fleet {
-			h.slow += (spent/c.lat - h.slow) * hostStep
-			b.usual += (spent/c.lat - b.usual) * latStep
-			g.lat += (spent - g.lat) * latStep
+			b.slowed(h, spent/c.lat)
 			c.dev += (math.Abs(spent-c.lat) - c.dev) * latStep
 			c.lat += (spent - c.lat) * latStep
 		} else {
 			g.dev += (math.Abs(spent-g.lat) - g.dev) * latStep
-			g.lat += (spent - g.lat) * latStep
 		}
+		g.lat += (spent - g.lat) * latStep
 		h.answered = b.now
 	case Missed:
 		h.answered = b.now
@@ -778,8 +780,7 @@
 		}
 	case Refused: // a host that others fill is no bad host; the op walks on
 		if bad = h.Origin; !bad && float64(b.Group) > crowdGroup { // of few, each knows its own part
-			h.slow += (refusedSlow - h.slow) * hostStep
-			b.usual += (refusedSlow - b.usual) * latStep
+			b.slowed(h, refusedSlow)
 		}
 	case TimedOut, Cancelled:
 		bad = h.answered < op.pushed
@@ -838,6 +839,12 @@
 	}
 }
 
+// slowed takes the latency of a push, in usual ones, as a sign of how crowded its host is.
+func (b *Balancer) slowed(h *Host, ratio float64) {
+	h.slow += (ratio - h.slow) * hostStep
+	b.usual += (ratio - b.usual) * latStep
+}
+
 // landed ends the fetch that op led. Those that waited go to the host that holds the key now; after a
 // failure the first of them that may fetches in its place.
 func (b *Balancer) landed(op *Op, served bool) {
