An answer of the origin is believed only when its whole head fits: no op served spoilt

Checked: a trace of each origin answer (head lines, bytes left over, time since the connection's last push). At fault: internal/protocol/http.go, header(): the last of two lengths won; and line(): without any, the body ended with its connection. Now: two lengths that differ, a length beside chunks, a body without either, digits with a sign, and a status line that is not exactly one are errors of the connection; an X-Request-ID in the answer has to be the op's. A header that nobody needs still spoils nothing. Test: ExampleFetched_spoilt.

--- a/internal/protocol/command.go
+++ b/internal/protocol/command.go
@@ -19,7 +19,6 @@
 	keyMost   = 250      // bytes of a key, as memcache has it
 	headMost  = 64       // lines of a response's head: a dozen are usual
 	bodyMost  = 8 << 20  // bytes of a body: a list of tens of thousands of hosts
-	chunked   = -2       // stands for a size that the chunks tell
 )
 
 // Verb is what a command asks for.
@@ -141,13 +140,25 @@
 	if len(words) == 0 {
 		return 0, nil, fmt.Errorf("%s: no length", verb)
 	}
-	size, err = strconv.Atoi(words[0])
-	if err != nil || size < 0 || size > valueMost {
+	if size, err = number(words[0], valueMost); err != nil {
 		return 0, nil, fmt.Errorf("%s: length %q, want 0 to %d", verb, clip(words[0]), valueMost)
 	}
 	return size, words[1:], nil
 }
 
+// number reads a number written in digits alone, as all sides write them: what a looser reader takes for one may be
+// a spoilt line, or mean something else to the next reader.
+func number(s string, most int) (int, error) {
+	if s == "" || strings.Trim(s, "0123456789") != "" {
+		return 0, fmt.Errorf("%q, want digits", clip(s))
+	}
+	n, err := strconv.Atoi(s)
+	if err != nil || n > most {
+		return 0, fmt.Errorf("%q, want 0 to %d", clip(s), most)
+	}
+	return n, nil
+}
+
 // words splits a line at its blanks.
 func words(line string) []string {
 	return strings.FieldsFunc(line, func(r rune) bool { return r == ' ' })
--- a/internal/protocol/http.go
+++ b/internal/protocol/http.go
@@ -1,6 +1,7 @@
 package protocol
 
 import (
+	"errors"
 	"fmt"
 	"net/http"
 	"net/url"
@@ -26,19 +27,22 @@
 // Response is an HTTP response.
 type Response struct {
 	Status int
-	NotRun bool // the origin says that the op never ran
-	Close  bool // the connection closes behind it
+	ID     string // of the op that it says it answers; empty where it tells none
+	NotRun bool   // the origin says that the op never ran
+	Close  bool   // the connection closes behind it
 	Body   transport.Chain
 }
 
 // Responses reads HTTP/1.1 responses from the bytes of a connection.
 type Responses struct {
-	Most int // bytes of a body
+	Most  int  // bytes of a body
+	Sized bool // the head has to tell the body's size: one that ends with its connection may be cut short
 
-	part   part
-	size   int
-	lines  int
-	answer *Response
+	part    part
+	size    int  // bytes to come of the body or the chunk; below 0 while not told
+	chunked bool // the chunks tell the body's size
+	lines   int
+	answer  *Response
 }
 
 // Next takes a response off the front. It returns nil while none is whole.
@@ -111,11 +115,11 @@
 	case statusLine:
 		version, rest, _ := strings.Cut(line, " ")
 		code, _, _ := strings.Cut(rest, " ")
-		status, err := strconv.Atoi(code)
-		if !strings.HasPrefix(version, "HTTP/1.") || err != nil || status < 100 || status > 999 {
+		status, err := number(code, 999)
+		if version != "HTTP/1.1" && version != "HTTP/1.0" || err != nil || len(code) != 3 || status < 100 {
 			return nil, fmt.Errorf("status line %q", clip(line))
 		}
-		r.part, r.lines, r.size = head, 0, -1
+		r.part, r.lines, r.size, r.chunked = head, 0, -1, false
 		r.answer = &Response{Status: status, Close: version == "HTTP/1.0", Body: in.Sibling()}
 	case chunkSize:
 		hex, _, _ := strings.Cut(line, ";")
@@ -141,12 +145,16 @@
 		switch {
 		case r.answer.Status < 200: // word that the answer is on its way
 			r.done()
-		case r.size == chunked:
+		case r.chunked && r.size >= 0:
+			return nil, errors.New("a length and chunks")
+		case r.chunked:
 			r.part = chunkSize
 		case r.size >= 0:
 			r.part = sizedBody
 		case r.answer.Status == http.StatusNoContent || r.answer.Status == http.StatusNotModified:
 			return r.done(), nil
+		case r.Sized:
+			return nil, errors.New("a body without a length")
 		default:
 			r.part, r.answer.Close = bodyToEnd, true
 		}
@@ -170,18 +178,21 @@
 	value = strings.TrimSpace(value)
 	switch http.CanonicalHeaderKey(strings.TrimSpace(name)) {
 	case "Content-Length":
-		n, err := strconv.Atoi(value)
-		if err != nil || n < 0 || n > r.Most {
+		n, err := number(value, r.Most)
+		if err != nil {
 			return fmt.Errorf("Content-Length %q, want 0 to %d", clip(value), r.Most)
 		}
-		if r.size != chunked {
-			r.size = n
+		if r.size >= 0 && r.size != n { // nobody can tell which of them is true
+			return fmt.Errorf("Content-Length %d and %d", r.size, n)
 		}
+		r.size = n
 	case "Transfer-Encoding":
-		if !strings.EqualFold(value, "chunked") {
+		if r.chunked || !strings.EqualFold(value, "chunked") {
 			return fmt.Errorf("Transfer-Encoding %q", clip(value))
 		}
-		r.size = chunked
+		r.chunked = true
+	case "X-Request-Id":
+		r.answer.ID = value
 	case "Connection":
 		if strings.EqualFold(value, "close") {
 			r.answer.Close = true
@@ -199,7 +210,7 @@
 }
 
 // NewFetched makes a reader of the origin's answers.
-func NewFetched() *Fetched { return &Fetched{responses: Responses{Most: valueMost}} }
+func NewFetched() *Fetched { return &Fetched{responses: Responses{Most: valueMost, Sized: true}} }
 
 // Next implements Reader.
 func (f *Fetched) Next(in *transport.Chain) (*Answer, error) {
@@ -213,16 +224,8 @@
 // Free implements Reader.
 func (f *Fetched) Free() { f.responses.Free() }
 
-// End is Next for the end of the connection.
-func (f *Fetched) End() *Answer {
-	if r := f.responses.End(); r != nil {
-		return f.answer(r)
-	}
-	return nil
-}
-
 func (f *Fetched) answer(r *Response) *Answer {
-	a := &Answer{Kind: Failure, Close: r.Close, Bare: true}
+	a := &Answer{Kind: Failure, ID: r.ID, Close: r.Close, Bare: r.ID == ""}
 	switch {
 	case r.Status == http.StatusOK && f.Write:
 		a.Kind, a.Receipt = Receipt, string(r.Body.Bytes())
--- a/internal/protocol/protocol_test.go
+++ b/internal/protocol/protocol_test.go
@@ -177,6 +177,26 @@
 	// 0 bytes left
 }
 
+// An answer is believed only when all of it fits. The value behind two lengths, or behind none, was once passed on.
+func ExampleFetched_spoilt() {
+	show(fetched(false), "HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: 3\r\n\r\nabc",
+		"HTTP/1.1 200 OK\r\nContent-Length: 3\r\nContent-Length: 3\r\n\r\nabc", "HTTP/1.1 200 OK\r\n\r\nabc",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nContent-Length: 3\r\n\r\nabc",
+		"HTTP/1.1 200 OK\r\nContent-Length: +3\r\n\r\nabc", "HTTP/1.1 +20 OK\r\n", "HTTP/1.x 200 OK\r\n",
+		"HTTP/1.1 200 OK\r\nX-Server-Load: \x01 ?;:\r\nX-Request-ID: 7\r\nContent-Length: 3\r\n\r\nabc")
+	// Output:
+	// error: Content-Length 1 and 3
+	// kind 0 id "" receipt "" value "abc" close false
+	// 0 bytes left
+	// error: a body without a length
+	// error: a length and chunks
+	// error: Content-Length "+3", want 0 to 65536
+	// error: status line "HTTP/1.1 +20 OK"
+	// error: status line "HTTP/1.x 200 OK"
+	// kind 0 id "7" receipt "" value "abc" close false
+	// 0 bytes left
+}
+
 // A command goes on as it came but for the time that the balancer will wait; the origin gets all as it came.
 func ExampleWriteCommand() {
 	var pool transport.Pool
--- a/internal/routing/link.go
+++ b/internal/routing/link.go
@@ -150,12 +150,6 @@
 
 // Ended implements transport.Owner.
 func (l *link) Ended(c *transport.Conn, why transport.Reason) {
-	if f, ok := l.reader.(*protocol.Fetched); ok && l.push != nil {
-		if a := f.End(); a != nil {
-			l.answered(a)
-			return
-		}
-	}
 	o := balance.Broken
 	switch {
 	case why == transport.OutOfSockets:
