SIGHUP has the configuration read anew and moves the watch; it ended the program

Suspected from reading, confirmed by a probe over sockets: without a handler the program ends on SIGHUP. At fault: cmd/larchthread/main.go, signal.Notify without SIGHUP; internal/routing/watch.go had no way to another address. Now: a goroutine reads the file, the loop moves the watch, and ListMoved has the module ask at once, since waits that failures of the old service ran up could outlast the time in which what the new one tells counts as told. A file that can't be used is logged and changes nothing. Tests: Example_reload over sockets (fails without the handler), Example_listMoved.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -279,6 +279,15 @@
 	b.askWait = math.Min(b.askWait*2, askLongest)
 }
 
+// ListMoved takes word that another service tells the list now. It is asked at once: a wait that failures of the old
+// one have run up says nothing of it, and what it has to tell counts as told soon.
+func (b *Balancer) ListMoved() {
+	if b.OnRequest {
+		b.askWait = askFirst
+		b.ask()
+	}
+}
+
 // List takes news of hosts: the whole list, or changes to it. A saved list answers no call.
 func (b *Balancer) List(entries []Entry, whole, saved bool) {
 	if !saved {
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -639,6 +639,24 @@
 	// 8000 push op to a
 }
 
+// Calls for the list fail ever longer apart; where another service tells it from now on, it is asked at once.
+func Example_listMoved() {
+	s := start()
+	s.OnRequest = true
+	x := boot(s)
+	for range 4 {
+		x.ListFailed()
+	}
+	x.after(100)
+	x.ListMoved()
+	x.ListFailed()
+	x.after(1000)
+	// Output:
+	// 0 watch
+	//  100 watch
+	//  680 watch
+}
+
 // With every host failing at once, then well again: each op is settled once, and service comes back.
 func Example_allFail() {
 	x := open(start(), "a", "b", "c", "d")
--- a/cmd/larchthread/main.go
+++ b/cmd/larchthread/main.go
@@ -52,6 +52,18 @@
 		<-signals
 		router.Stop()
 	}()
+	anew := make(chan os.Signal, 1)
+	signal.Notify(anew, syscall.SIGHUP)
+	go func() {
+		for range anew {
+			told, err := params.ReadFile(path)
+			if err != nil {
+				log.Error("configuration kept as it was", "error", err)
+				continue
+			}
+			router.Reload(told)
+		}
+	}()
 	log.Info("serving", "listen", told.Listen.String(), "sockets", told.Sockets, "memory_mb", told.MemoryMB)
 	return loop.Run()
 }
--- a/cmd/larchthread/main_test.go
+++ b/cmd/larchthread/main_test.go
@@ -40,6 +40,7 @@
 	changed chan string // the answer to a watch
 	process *exec.Cmd
 	listen  string
+	path    string // of the configuration
 	log     bytes.Buffer
 	limits  string
 	logTo   io.Writer
@@ -146,14 +147,13 @@
 	"specifics":{"mode":"aside","originKind":1},
 	"limits":{"mostPushes":3,"cancelling":true,"connIdleUs":60000000,"connectTimeoutUs":50000,"retryAfter":true,"maxRetryAfterUs":400000}}`
 
-// start starts discovery and the program, and returns once its watch stands.
-func (f *fleet) start() {
-	f.changed = make(chan string, 4)
-	discovery := listenAnywhere()
-	f.closers = append(f.closers, discovery)
-	go http.Serve(discovery, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+// discovery starts a list service under a name, and returns its address.
+func (f *fleet) discovery(name string) string {
+	l := listenAnywhere()
+	f.closers = append(f.closers, l)
+	go http.Serve(l, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		asked := r.URL.Query()
-		f.note("discovery: %s", asked.Get("index"))
+		f.note("%s: %s", name, asked.Get("index"))
 		w.Header().Set("Content-Type", "application/json")
 		select {
 		case l := <-f.changed:
@@ -174,24 +174,34 @@
 			fmt.Fprintf(w, `{"revision":%s,"complete":false,"members":[]}`, asked.Get("index"))
 		}
 	}))
-	door := listenAnywhere()
-	f.listen = door.Addr().String()
-	door.Close()
-	if f.limits == "" {
-		f.limits = `{"cores":1,"memory_mb":192,"sockets":1024}`
-	}
-	start := filepath.Join(os.TempDir(), fmt.Sprintf("larchthread-test-%d.json", os.Getpid()))
+	return l.Addr().String()
+}
+
+// write writes the configuration.
+func (f *fleet) write(discovery string) {
 	text := fmt.Sprintf(`{"name":"n1","listen":%q,"discovery":%q,"seed":"7","limits":%s,"known":%s,"settings":%s}`,
-		f.listen, discovery.Addr(), f.limits, list(1, true, f.members...), settings)
+		f.listen, discovery, f.limits, list(1, true, f.members...), settings)
 	if !json.Valid([]byte(text)) {
 		panic(text)
 	}
-	if err := os.WriteFile(start, []byte(text), 0o600); err != nil {
+	if err := os.WriteFile(f.path, []byte(text), 0o600); err != nil {
 		panic(err)
 	}
-	defer os.Remove(start)
+}
+
+// start starts discovery and the program, and returns once its watch stands.
+func (f *fleet) start() {
+	f.changed = make(chan string, 4)
+	door := listenAnywhere()
+	f.listen = door.Addr().String()
+	door.Close()
+	if f.limits == "" {
+		f.limits = `{"cores":1,"memory_mb":192,"sockets":1024}`
+	}
+	f.path = filepath.Join(os.TempDir(), fmt.Sprintf("larchthread-test-%d.json", os.Getpid()))
+	f.write(f.discovery("discovery"))
 	f.process = exec.Command(os.Args[0])
-	f.process.Env = append(os.Environ(), "LARCHTHREAD_SERVE=1", "RELAY_CONFIG="+start)
+	f.process.Env = append(os.Environ(), "LARCHTHREAD_SERVE=1", "RELAY_CONFIG="+f.path)
 	f.process.Stderr = &f.log
 	if f.logTo != nil {
 		f.process.Stderr = f.logTo
@@ -235,6 +245,7 @@
 func (f *fleet) stop() {
 	f.process.Process.Kill()
 	f.process.Wait()
+	os.Remove(f.path)
 	for _, c := range f.closers {
 		c.Close()
 	}
@@ -689,6 +700,43 @@
 	//   a: mg k v O1 Pc=read,d=..
 }
 
+// SIGHUP has the configuration read anew: the watch moves, while hosts, ops and connections stay. One that can't be
+// read changes nothing. The program once ended on SIGHUP.
+func Example_reload() {
+	f := &fleet{}
+	f.host("a", func(words []string) string {
+		time.Sleep(100 * time.Millisecond)
+		return hit(words)
+	})
+	f.start()
+	defer f.stop()
+	c := f.client()
+	os.WriteFile(f.path, []byte("{"), 0o600)
+	f.process.Process.Signal(syscall.SIGHUP)
+	c.say(2, "mg k v O1 Pc=read,d=500\r\n")
+	f.write(f.discovery("discovery, moved"))
+	c.say(0, "mg k v O2 Pc=read,d=500\r\n")
+	f.await("a: mg k v O2 Pc=read,d=..", 1)
+	f.process.Process.Signal(syscall.SIGHUP)
+	f.await("discovery, moved: 1", 2) // a first call and the one that waits
+	c.say(2, "")
+	f.changed <- list(2, false, strings.Replace(f.members[0], "in_service", "terminating", 1))
+	f.await("a: connection closed", 1)
+	f.heard()
+	c.Close()
+	f.ended("watch-moved", "peer-closed")
+	// Output:
+	// VA 5 O1
+	// value
+	// VA 5 O2
+	// value
+	//   a: mg k v O1 Pc=read,d=..
+	//   a: mg k v O2 Pc=read,d=..
+	//   a: connection closed
+	// watch-moved 1
+	// peer-closed 2
+}
+
 // A watch whose call is never answered is begun again on a new connection.
 func Example_deadWatch() {
 	f := &fleet{}
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -9,6 +9,7 @@
 	"log/slog"
 	"net/netip"
 	"slices"
+	"sync/atomic"
 
 	"larchthread/balance"
 	"larchthread/internal/params"
@@ -53,6 +54,7 @@
 	wake       transport.Timer
 	calledOff  []*push // of which the balancer has still to hear
 	stop       stop
+	told       atomic.Pointer[params.Told] // read anew, still to be heeded
 }
 
 // host is a cache host, or the origin, with the connections to it that carry nothing.
@@ -100,6 +102,7 @@
 func (r *Router) round(now float64) {
 	r.stop.heed(r)
 	r.balancer.At(now)
+	r.reload()
 	over := r.calledOff
 	r.calledOff = nil
 	for _, p := range over {
--- a/internal/routing/stop.go
+++ b/internal/routing/stop.go
@@ -8,7 +8,7 @@
 
 // stop is the state of a planned end.
 type stop struct {
-	asked   atomic.Bool // the one thing here that another goroutine touches
+	asked   atomic.Bool // another goroutine sets it
 	on      bool
 	closing bool    // connections are closed as they come between two commands
 	began   float64 // ms
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -28,6 +28,7 @@
 	LastAnswer   Reason = "answered-last"   // the other side asked for it to close
 	Stopping     Reason = "stopping"        // the program stops
 	WatchRenewed Reason = "watch-renewed"   // a new watch begins in place of this one
+	WatchMoved   Reason = "watch-moved"     // the configuration names another address
 	WatchOverdue Reason = "watch-timeout"   // discovery did not answer in time
 	NoList       Reason = "no-list"         // discovery answered with something else than a list
 	OutOfSockets Reason = "out-of-sockets"  // none was to be had
