An open id is turned down, and bad commands or single spoilt answers rest no good host

Checked: a trace of the commands at fault: all were under an id that was open at that moment (the usual client's answer came 15 ms later); and of the spoilt answers: 540 of about 20,000 pushes, spread over all hosts alike, each of which rested its host and sent the op to a neighbour that missed. Ruled out: malformed commands passed on (the lines were well formed). At fault: internal/routing/client.go, take() never looked at the id; balance.go, learn() took an error about the op, and any answer that could not be read, for a failure of the host, and narrowed the origin's gate by the former. Numbers are digits alone, names and flags may stand once. Tests: Example_sameID, Example_spoilt, Example_rejected, ExampleCommands.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -747,8 +747,15 @@
 		b.lead(op)
 	case b.now >= op.Due-tick:
 		b.giveUp(op)
+	case o == Rejected && op.wrong != nil: // two agree, so it is the op that is wrong
+		b.giveUp(op)
+	case o == Rejected:
+		op.wrong, op.failed = h, h
+		b.route(op)
 	case op.fetch != nil && b.mayPush(op): // the origin failed the fetch; its waiters wait on
 		b.offer(g, op)
+	case o == Spoilt && h.fail <= failFrom: // one bad answer of a good host, which may hold the key: elsewhere is a miss
+		b.route(op)
 	default:
 		op.failed = h
 		b.route(op)
@@ -758,7 +765,7 @@
 
 // learn takes from an outcome what it tells of host and gate.
 func (b *Balancer) learn(op *Op, h *Host, g *gate, o Outcome, spent float64) {
-	c, bad, suspect := op.Category, false, h.fail > failFrom
+	c, bad, suspect, step := op.Category, false, h.fail > failFrom, failStep
 	// Pushes turned away are not counted: of a full fleet's they are half, and no measure of what it can do.
 	if (o == Served || o == Missed) && !h.Origin && b.warmth(h) == 1 {
 		b.counted++
@@ -782,6 +789,9 @@
 		h.answered = b.now
 	case Failed, Broken:
 		bad = true
+	case Spoilt: // the host is there and at work: the share of such answers tells, not the single one
+		h.answered = b.now
+		bad, step = true, hostStep
 	case NoConn:
 		bad, h.open, h.fresh = true, false, false
 		if !h.Origin {
@@ -798,21 +808,13 @@
 			c.lat += (spent - c.lat) * latStep
 		}
 	}
+	if o == Served && op.wrong != nil { // another host serves the op: it is not the one to blame
+		b.blame(op.wrong, o, spent, failStep)
+	}
 	switch {
 	case o == NotSent || o == Cancelled && op.state == settled:
 	case bad:
-		h.fail += (1 - h.fail) * failStep
-		if h.fail > failFrom && b.now >= h.restUntil && !(h.Origin && o != Refused) {
-			h.rest = math.Min(math.Max(h.rest*2, restFirst), restLongest)
-			if o == NoConn { // the host may just be full of connections, and a quick try costs little
-				h.rest = math.Min(h.rest, restCost*spent)
-			}
-			if h.Origin {
-				h.rest = gatePause
-			}
-			h.restUntil = b.now + h.rest
-			b.countResting()
-		}
+		b.blame(h, o, spent, step)
 	case o == Served || o == Missed:
 		h.fail -= h.fail * hostStep
 		if h.fail < failFrom {
@@ -821,7 +823,8 @@
 	}
 	// Hosts fall silent under load, but also where a zone is cut off. A fleet gate that narrowed for pushes
 	// to hosts already known as silent would shut out the ops that the others could serve.
-	if o == Missed || o == NotSent || !h.Origin && (o == NoConn || o == Refused || suspect) || o == Broken {
+	if o == Missed || o == NotSent || o == Spoilt || o == Rejected || o == Broken ||
+		!h.Origin && (o == NoConn || o == Refused || suspect) {
 		return
 	}
 	pain := spent / c.Target
@@ -848,6 +851,23 @@
 	}
 }
 
+// blame counts a failure against a host, and takes it off the walk for a while once it is suspect.
+func (b *Balancer) blame(h *Host, o Outcome, spent, step float64) {
+	h.fail += (1 - h.fail) * step
+	if h.fail <= failFrom || b.now < h.restUntil || h.Origin && o != Refused {
+		return
+	}
+	h.rest = math.Min(math.Max(h.rest*2, restFirst), restLongest)
+	if o == NoConn { // the host may just be full of connections, and a quick try costs little
+		h.rest = math.Min(h.rest, restCost*spent)
+	}
+	if h.Origin {
+		h.rest = gatePause
+	}
+	h.restUntil = b.now + h.rest
+	b.countResting()
+}
+
 // slowed takes the latency of a push, in usual ones, as a sign of how crowded its host is.
 func (b *Balancer) slowed(h *Host, ratio float64) {
 	h.slow += (ratio - h.slow) * hostStep
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -657,6 +657,43 @@
 	//  680 watch
 }
 
+// A single spoilt answer says little of a host: the op goes there again, for it may hold the key. A host of which many
+// come is left for a while. All hosts that spoil a few answers once rested in turn, and keys missed elsewhere.
+func Example_spoilt() {
+	x := open(start(), "a", "b", "c", "d")
+	for _, name := range []string{"op0", "op1"} {
+		x.ask(name, 0, "page", 500, false)
+		x.end(name, Spoilt, 5)
+	}
+	x.end("op1", Served, 5)
+	// Output:
+	// 0 push op0 to c
+	//    0 push op0 to c
+	//    0 push op1 to c
+	//    0 push op1 to d
+	//    0 op1 acked
+}
+
+// An op that two hosts hold for wrong is given up, and neither is blamed; one that another host serves tells of the first.
+func Example_rejected() {
+	x := open(start(), "a", "b", "c", "d")
+	x.ask("wrong", 0, "page", 500, false)
+	x.end("wrong", Rejected, 5)
+	x.end("wrong", Rejected, 5)
+	x.ask("right", 0, "page", 500, false)
+	x.end("right", Rejected, 5)
+	x.end("right", Served, 5)
+	x.ask("next", 0, "page", 500, false)
+	// Output:
+	// 0 push wrong to c
+	//    0 push wrong to d
+	//    0 nack wrong
+	//    0 push right to c
+	//    0 push right to d
+	//    0 right acked
+	//    0 push next to d
+}
+
 // With every host failing at once, then well again: each op is settled once, and service comes back.
 func Example_allFail() {
 	x := open(start(), "a", "b", "c", "d")
--- a/balance/port.go
+++ b/balance/port.go
@@ -127,6 +127,8 @@
 	TimedOut          // no answer in time
 	NoConn            // no connection could be made
 	Broken            // the connection broke
+	Spoilt            // an answer came that can't be believed; it may have run
+	Rejected          // the host holds the op itself for wrong; it may have run
 	Cancelled         // called off
 	NotSent           // the push never left
 	Missed            // the host does not hold the key
@@ -152,6 +154,7 @@
 	ranAt   float64 // ms, first push that may have run
 	ranHost *Host   // and its host; nil while none may have run
 	failed  *Host   // last host that failed it
+	wrong   *Host   // host that held the op itself for wrong
 	gate    *gate   // whose place the push that is out takes
 	called  bool    // that push has been called off
 	fetch   *fetch  // led by this op
--- a/cmd/larchthread/main_test.go
+++ b/cmd/larchthread/main_test.go
@@ -737,6 +737,32 @@
 	// peer-closed 2
 }
 
+// A command under the id of an open op is turned down, and that op goes on. Hosts once got both, and turned both away.
+func Example_sameID() {
+	f := &fleet{}
+	f.host("a", func(words []string) string {
+		time.Sleep(50 * time.Millisecond)
+		return hit(words)
+	})
+	f.start()
+	defer f.stop()
+	c, other := f.client(), f.client()
+	c.say(0, "mg k v O1 Pc=read,d=500\r\n")
+	f.await("a: mg k v O1 Pc=read,d=..", 1)
+	other.say(1, "mg x v O1 Pc=read,d=500\r\n")
+	c.say(2, "")
+	other.say(2, "mg k v O1 Pc=read,d=500\r\n") // it is free again
+	f.heard()
+	// Output:
+	// CLIENT_ERROR O: "1" is the id of an open op
+	// VA 5 O1
+	// value
+	// VA 5 O1
+	// value
+	//   a: mg k v O1 Pc=read,d=..
+	//   a: mg k v O1 Pc=read,d=..
+}
+
 // A watch whose call is never answered is begun again on a new connection.
 func Example_deadWatch() {
 	f := &fleet{}
--- a/internal/protocol/answer.go
+++ b/internal/protocol/answer.go
@@ -16,6 +16,7 @@
 	Miss                // the host does not hold the key
 	Busy                // turned away, never run
 	Failure             // an error; it may have run
+	Refusal             // the command is held for wrong; it may have run
 )
 
 // Answer is what a cache host or the origin says to a push.
@@ -33,7 +34,7 @@
 // To tells whether an answer can be one to the command: under its id, and of its kind.
 func (a *Answer) To(c *Command) bool {
 	switch a.Kind {
-	case Busy, Failure:
+	case Busy, Failure, Refusal:
 		return true
 	case Value:
 		return (a.Bare || a.ID == c.ID) && c.Verb == Get
@@ -116,7 +117,7 @@
 		}
 		return a, 0, nil
 	case "CLIENT_ERROR", "ERROR":
-		a.Kind, a.Complaint = Failure, line
+		a.Kind, a.Complaint = Refusal, line
 		return a, 0, nil
 	default:
 		return nil, 0, fmt.Errorf("unknown answer %q", clip(words[0]))
--- a/internal/protocol/command.go
+++ b/internal/protocol/command.go
@@ -17,6 +17,7 @@
 	valueMost = 64 << 10 // bytes of a value, as the protocol has it
 	lineMost  = 4 << 10  // bytes of a line: a key, an id and a list of names and values, with room to spare
 	keyMost   = 250      // bytes of a key, as memcache has it
+	ttlMost   = 1e9      // ms for which a client may wait, eleven days: more is a fault of the client
 	headMost  = 64       // lines of a response's head: a dozen are usual
 	bodyMost  = 8 << 20  // bytes of a body: a list of tens of thousands of hosts
 )
@@ -172,17 +173,26 @@
 	for _, f := range c.flags {
 		switch f[0] {
 		case 'O':
+			if c.ID != "" {
+				return errors.New("O: twice")
+			}
 			c.ID = f[1:]
 		case 'P':
+			if c.Attrs != nil {
+				return errors.New("P: twice")
+			}
 			for pair := range strings.SplitSeq(f[1:], ",") {
 				name, value, _ := strings.Cut(pair, "=")
 				c.Attrs = append(c.Attrs, Attr{name, value})
 				switch name {
 				case "c":
+					if c.Category != "" {
+						return errors.New("c: twice")
+					}
 					c.Category = value
 				case "d":
 					ms, err := strconv.ParseFloat(value, 64)
-					if err != nil || !(ms >= 0) || ms > 1e9 {
+					if err != nil || strings.Trim(value, "0123456789.") != "" || ms > ttlMost || c.TTL > 0 {
 						return fmt.Errorf("d: %q, want milliseconds", clip(value))
 					}
 					c.TTL = ms
@@ -249,5 +259,8 @@
 	}
 }
 
+// ErrOpen is the error of a command under the id of an op that has no answer yet.
+func ErrOpen(c *Command) error { return fmt.Errorf("O: %q is the id of an open op", clip(c.ID)) }
+
 // ErrCategory is the error of a command whose category is not known.
 func ErrCategory(c *Command) error { return fmt.Errorf("c: unknown category %q", clip(c.Category)) }
--- a/internal/protocol/http.go
+++ b/internal/protocol/http.go
@@ -232,6 +232,8 @@
 	case r.Status == http.StatusOK:
 		a.Kind, a.Value = Value, r.Body
 		return a
+	case r.Status >= 400 && r.Status < 500:
+		a.Kind, a.Complaint = Refusal, http.StatusText(r.Status)
 	case r.NotRun && (r.Status == http.StatusServiceUnavailable || r.Status == http.StatusGatewayTimeout):
 		a.Kind = Busy
 	}
--- a/internal/protocol/protocol_test.go
+++ b/internal/protocol/protocol_test.go
@@ -110,7 +110,9 @@
 		"ge\t\r\n\r\nmg\r\nmg k v O1 Pc=read\r\nmg k v O1 Pd=5\r\nmg k v Pc=read,d=5\r\nmg k v O1 Pc=read,d=soon\r\n",
 		"mg k\x01 v O1 Pc=read,d=5\r\nmn\r\n",
 		"ms k 5 O1 Pc=put,d=5\r\nhello, world\r\n", "ms k 70000 O1 Pc=put,d=5\r\n", "ms k\r\n",
-		strings.Repeat("x", 5000))
+		strings.Repeat("x", 5000),
+		"mg k v O1 Pc=a,d=+5\r\nmg k v O1 Pc=a,d=0x5\r\nmg k v O1 Pc=a,d=1e3\r\nmg k v O1 Pc=a,d=-5\r\nmg k v O1 O2 Pc=a,d=5\r\n"+
+			"mg k v O1 Pc=a,c=b,d=5\r\nmg k v O1 Pc=a,d=5 Pd=6\r\n", "ms k +5 O1 Pc=put,d=5\r\n")
 	// Output:
 	// verb 2 key "" id "" category "" ttl 0 value ""
 	// verb 0 key "k1" id "id1" category "read" ttl 480 value ""
@@ -131,6 +133,15 @@
 	// error: ms: length "70000", want 0 to 65536
 	// error: ms: no length
 	// error: a line of over 4096 bytes
+	// bad: d: "+5", want milliseconds
+	// bad: d: "0x5", want milliseconds
+	// bad: d: "1e3", want milliseconds
+	// bad: d: "-5", want milliseconds
+	// bad: O: twice
+	// bad: c: twice
+	// bad: P: twice
+	// 0 bytes left
+	// error: ms: length "+5", want 0 to 65536
 }
 
 func ExampleAnswers() {
--- a/internal/routing/client.go
+++ b/internal/routing/client.go
@@ -29,8 +29,12 @@
 
 // move is the one place where an op changes its state here.
 func (o *op) move(to opState) {
-	if o.state == open {
-		o.state = to
+	if o.state != open {
+		return
+	}
+	o.state = to
+	if r := o.client.router; r.ops[o.command.ID] == o {
+		delete(r.ops, o.command.ID)
 	}
 }
 
@@ -94,7 +98,10 @@
 		protocol.WritePong(&o.reply)
 	case category == nil:
 		protocol.WriteBad(&o.reply, protocol.ErrCategory(command))
+	case r.ops[command.ID] != nil: // hosts would take the two for one, and turn both away
+		protocol.WriteBad(&o.reply, protocol.ErrOpen(command))
 	default:
+		r.ops[command.ID] = o
 		o.Op = balance.Op{Ref: o, Category: category, Key: command.Key, Due: r.came() + command.TTL,
 			Write: command.Verb == protocol.Set}
 		r.balancer.Arrive(&o.Op)
--- a/internal/routing/link.go
+++ b/internal/routing/link.go
@@ -142,7 +142,7 @@
 	switch {
 	case err != nil:
 		l.router.log.Warn("answer not understood", "peer", l.host.Name, "error", err)
-		l.fail(transport.BadInput, balance.Broken)
+		l.fail(transport.BadInput, balance.Spoilt)
 	case a != nil:
 		l.answered(a)
 	}
@@ -165,7 +165,7 @@
 	p, op := l.push, l.push.op
 	if !a.To(op.command) {
 		a.Value.Free()
-		l.fail(transport.WrongAnswer, balance.Broken)
+		l.fail(transport.WrongAnswer, balance.Spoilt)
 		return
 	}
 	l.host.silent, l.host.heard = false, l.router.loop.Now()
@@ -196,7 +196,8 @@
 }
 
 var outcomes = map[protocol.Kind]balance.Outcome{protocol.Value: balance.Served, protocol.Receipt: balance.Served,
-	protocol.Miss: balance.Missed, protocol.Busy: balance.Refused, protocol.Failure: balance.Failed}
+	protocol.Miss: balance.Missed, protocol.Busy: balance.Refused, protocol.Failure: balance.Failed,
+	protocol.Refusal: balance.Rejected}
 
 // hangUp closes the connections that carry nothing.
 func (h *host) hangUp(why transport.Reason) {
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -50,6 +50,7 @@
 	hosts      map[string]*host
 	fronts     map[*balance.Host]*host // back from what the balancer holds
 	clients    []*client
+	ops        map[string]*op // by id, those without an answer
 	watch      watch
 	wake       transport.Timer
 	calledOff  []*push // of which the balancer has still to hear
@@ -69,7 +70,7 @@
 // New makes the front of a balancer that has been told so much, and starts the balancer.
 func New(loop *transport.Loop, log *slog.Logger, told *params.Told) (*Router, error) {
 	r := &Router{loop: loop, log: log, params: told.Params, budget: int(told.MemoryMB * memoryShare * (1 << 20)),
-		hosts: map[string]*host{}, fronts: map[*balance.Host]*host{}, connect: told.Params.Limits.Connect / 1000}
+		ops: map[string]*op{}, hosts: map[string]*host{}, fronts: map[*balance.Host]*host{}, connect: told.Params.Limits.Connect / 1000}
 	if r.connect <= 0 {
 		r.connect = connectFor
 	}
