A host is forgotten a while after it has gone; the front reaches it by the host's own handle

Suspected from reading: Router.hosts and fronts kept every id for ever, and a whole list that left a host out did not close its idle connections. At fault: internal/routing/router.go, list(). Now a host goes from the table with a list that comes 20 s or more after it has gone, once no push is out there; the second table is gone, Host has a Ref as Op has. Test: Example_forget.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -279,8 +279,8 @@
 	b.askWait = math.Min(b.askWait*2, askLongest)
 }
 
-// ListMoved takes word that another service tells the list now. It is asked at once: a wait that failures of the old
-// one have run up says nothing of it, and what it has to tell counts as told soon.
+// ListMoved takes word that another service tells the list now. It is asked at once: a wait that failures
+// of the old one have run up says nothing of it, and what it has to tell counts as told soon.
 func (b *Balancer) ListMoved() {
 	if b.OnRequest {
 		b.askWait = askFirst
@@ -754,7 +754,7 @@
 		b.route(op)
 	case op.fetch != nil && b.mayPush(op): // the origin failed the fetch; its waiters wait on
 		b.offer(g, op)
-	case o == Spoilt && h.fail <= failFrom: // one bad answer of a good host, which may hold the key: elsewhere is a miss
+	case o == Spoilt && h.fail <= failFrom: // one of a good host, which may hold the key: others would miss
 		b.route(op)
 	default:
 		op.failed = h
--- a/balance/port.go
+++ b/balance/port.go
@@ -85,6 +85,7 @@
 
 // Host is one cache host, or the origin. The front fills the upper part before it first names the host.
 type Host struct {
+	Ref    any    // the front's own handle; never read here
 	Name   string // the same at every balancer; it places the host on the cycle
 	Origin bool
 
--- a/internal/routing/link.go
+++ b/internal/routing/link.go
@@ -33,6 +33,7 @@
 		return
 	}
 	p.state = to
+	p.link.host.carries--
 	p.router.loop.Stop(&p.limit)
 }
 
@@ -96,6 +97,7 @@
 // carry writes a push.
 func (l *link) carry(p *push, limit float64) {
 	l.push, p.link = p, l
+	l.host.carries++
 	if f, ok := l.reader.(*protocol.Fetched); ok {
 		f.Write = p.op.command.Verb == protocol.Set
 		protocol.WriteFetch(&l.conn.Out, p.op.command, l.host.address.String())
--- a/internal/routing/link_test.go
+++ b/internal/routing/link_test.go
@@ -3,9 +3,12 @@
 import (
 	"fmt"
 	"log/slog"
+	"maps"
 	"net/netip"
+	"slices"
 
 	"larchthread/balance"
+	"larchthread/internal/params"
 	"larchthread/internal/protocol"
 	"larchthread/internal/transport"
 )
@@ -30,3 +33,39 @@
 	// held: true
 	// held: false
 }
+
+// A host is forgotten some time after it has gone, but not while a push is out there. The table of hosts once grew with
+// each new id.
+func Example_forget() {
+	loop, err := transport.NewLoop(256, 64<<20, slog.New(slog.DiscardHandler))
+	if err != nil {
+		fmt.Println(err)
+		return
+	}
+	r := &Router{loop: loop, hosts: map[string]*host{}, params: params.Params{}}
+	r.balancer = balance.New(balance.Start{Group: 1}, r, 0)
+	tell := func(whole bool, phase protocol.Phase, ids ...string) {
+		l := &protocol.List{Complete: whole}
+		for _, id := range ids {
+			l.Members = append(l.Members, protocol.Listed{ID: id, Phase: phase})
+		}
+		r.list(l, false)
+		fmt.Println(slices.Sorted(maps.Keys(r.hosts)))
+	}
+	tell(true, protocol.InService, "a", "b", "c")
+	tell(false, protocol.Terminated, "a")
+	r.hosts["b"].carries = 1
+	tell(true, protocol.InService, "d")
+	for _, h := range r.hosts {
+		h.gone = min(h.gone, 1) // long ago
+	}
+	tell(false, protocol.InService, "e")
+	r.hosts["b"].carries = 0
+	tell(false, protocol.InService, "b") // back in time
+	// Output:
+	// [a b c]
+	// [a b c]
+	// [a b c d]
+	// [b d e]
+	// [b d e]
+}
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -24,6 +24,7 @@
 	lineMost    = 256     // commands of one connection without an answer at which reading stops: well over what a client needs
 	replyMost   = 1 << 20 // bytes of answers not taken at which reading stops: a dozen of the largest
 	stall       = 25.0    // ms between two rounds, over twice the timer's period, that tell of a stall
+	goneFor     = 20000.0 // ms that a host is known after it has gone: a list that forgets one by mistake has it back by then
 	stuckFor    = 5000.0  // ms without progress after which a half command or answer counts as abandoned: over any TTL
 
 	watchFirst = 1      // ms that the first call of a watch waits: its answer tells that the watch stands
@@ -48,7 +49,6 @@
 	connect    float64 // ms
 	budget     int     // bytes of buffers
 	hosts      map[string]*host
-	fronts     map[*balance.Host]*host // back from what the balancer holds
 	clients    []*client
 	ops        map[string]*op // by id, those without an answer
 	watch      watch
@@ -64,13 +64,15 @@
 	address netip.AddrPort
 	idle    []*link
 	heard   float64 // ms, time of its last answer
+	carries int     // pushes on connections to it
+	gone    float64 // ms, when it was first seen to be gone; 0 while it is not
 	silent  bool    // the last push to it had to be given up, and none was answered since that began
 }
 
 // New makes the front of a balancer that has been told so much, and starts the balancer.
 func New(loop *transport.Loop, log *slog.Logger, told *params.Told) (*Router, error) {
 	r := &Router{loop: loop, log: log, params: told.Params, budget: int(told.MemoryMB * memoryShare * (1 << 20)),
-		ops: map[string]*op{}, hosts: map[string]*host{}, fronts: map[*balance.Host]*host{}, connect: told.Params.Limits.Connect / 1000}
+		ops: map[string]*op{}, hosts: map[string]*host{}, connect: told.Params.Limits.Connect / 1000}
 	if r.connect <= 0 {
 		r.connect = connectFor
 	}
@@ -122,7 +124,8 @@
 		h := r.hosts[m.ID]
 		if h == nil {
 			h = &host{Host: balance.Host{Name: m.ID, Origin: r.params.IsOrigin(m.Flavor)}}
-			r.hosts[m.ID], r.fronts[&h.Host] = h, h
+			h.Ref = h
+			r.hosts[m.ID] = h
 		}
 		listing := balance.Listing{Zone: slices.Index(r.params.Zones, m.Locality), Cell: m.Cell, Size: m.Size,
 			UpSince: m.UpSince, Status: phases[m.Phase]}
@@ -142,6 +145,24 @@
 		entries = append(entries, balance.Entry{Host: &h.Host, Listing: listing})
 	}
 	r.balancer.List(entries, l.Complete || saved, saved)
+	r.forget()
+}
+
+// forget lets go of hosts that have been gone for a while: where hosts are replaced by new ones, ids are ever new. One that
+// comes back sooner is still known, with what was learned of it and what it was sent.
+func (r *Router) forget() {
+	now := r.loop.Now()
+	for id, h := range r.hosts {
+		switch {
+		case h.Status != balance.Gone:
+			h.gone = 0
+		case h.gone == 0:
+			h.gone = now
+			h.hangUp(transport.Unlisted) // a whole list does not name it
+		case now-h.gone > goneFor && h.carries == 0:
+			delete(r.hosts, id)
+		}
+	}
 }
 
 var phases = map[protocol.Phase]balance.Status{protocol.InService: balance.Ready,
@@ -154,7 +175,7 @@
 	p.limit.Fire = p.late
 	op.push = p
 	r.loop.Set(&p.limit, limit)
-	r.fronts[h].link(r).carry(p, limit)
+	h.Ref.(*host).link(r).carry(p, limit)
 }
 
 // Cancel calls the last push of an op off by closing its connection.
@@ -190,7 +211,7 @@
 
 func (r *Router) Watch() { r.watch.begin() }
 
-func (r *Router) HangUp(h *balance.Host) { r.fronts[h].hangUp(transport.HungUp) }
+func (r *Router) HangUp(h *balance.Host) { h.Ref.(*host).hangUp(transport.HungUp) }
 
 // ended tells the balancer how a push ended.
 func (r *Router) ended(p *push, o balance.Outcome) {
