A kept connection is looked at before it is used again; one that ends under a push counts little

At fault: internal/routing/link.go, link() took the connection used last, also in the round of its answer, without a look at its socket; Ended() called the end of a kept connection a failure of its host. Now: Quiet looks at the socket first, the connection rests for the round of its answer, and Stale counts as a spoilt answer does. Tests: Example_stale twice, ExampleConn_Quiet.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -754,7 +754,7 @@
 		b.route(op)
 	case op.fetch != nil && b.mayPush(op): // the origin failed the fetch; its waiters wait on
 		b.offer(g, op)
-	case o == Spoilt && h.fail <= failFrom: // one of a good host, which may hold the key: others would miss
+	case (o == Spoilt || o == Stale) && h.fail <= failFrom: // a good host: it may hold the key, others miss
 		b.route(op)
 	default:
 		op.failed = h
@@ -789,9 +789,10 @@
 		h.answered = b.now
 	case Failed, Broken:
 		bad = true
-	case Spoilt: // the host is there and at work: the share of such answers tells, not the single one
-		h.answered = b.now
-		bad, step = true, hostStep
+	case Spoilt, Stale: // any host closes idle connections, or is at work where it answers: their share tells
+		if bad, step = true, hostStep; o == Spoilt {
+			h.answered = b.now
+		}
 	case NoConn:
 		bad, h.open, h.fresh = true, false, false
 		if !h.Origin {
@@ -823,7 +824,7 @@
 	}
 	// Hosts fall silent under load, but also where a zone is cut off. A fleet gate that narrowed for pushes
 	// to hosts already known as silent would shut out the ops that the others could serve.
-	if o == Missed || o == NotSent || o == Spoilt || o == Rejected || o == Broken ||
+	if o == Missed || o == NotSent || o == Spoilt || o == Stale || o == Rejected || o == Broken ||
 		!h.Origin && (o == NoConn || o == Refused || suspect) {
 		return
 	}
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -674,6 +674,22 @@
 	//    0 op1 acked
 }
 
+// A kept connection that ends under a push counts as little: hosts close them as they like.
+func Example_stale() {
+	x := open(start(), "a", "b", "c", "d")
+	x.ask("read", 0, "page", 500, false)
+	x.end("read", Stale, 5)
+	x.end("read", Served, 5)
+	x.ask("once", 2, "page", 500, false)
+	x.end("once", Stale, 5)
+	// Output:
+	// 0 push read to c
+	//    0 push read to c
+	//    0 read acked
+	//    0 push once to c
+	//    0 dead-letter once
+}
+
 // An op that two hosts hold for wrong is given up, and neither is blamed; one that another host serves tells of the first.
 func Example_rejected() {
 	x := open(start(), "a", "b", "c", "d")
--- a/balance/port.go
+++ b/balance/port.go
@@ -129,6 +129,7 @@
 	NoConn            // no connection could be made
 	Broken            // the connection broke
 	Spoilt            // an answer came that can't be believed; it may have run
+	Stale             // the connection, kept from before, ended with no word on the push; it may have run
 	Rejected          // the host holds the op itself for wrong; it may have run
 	Cancelled         // called off
 	NotSent           // the push never left
--- a/cmd/larchthread/main_test.go
+++ b/cmd/larchthread/main_test.go
@@ -645,6 +645,33 @@
 	// wrong-answer 0
 }
 
+// A kept connection that ends under a push tells little of its host: the op goes there again, on a new one. The host was
+// once left out for it, which moved its keys.
+func Example_stale() {
+	f := &fleet{}
+	n := 0
+	f.host("a", func(words []string) string {
+		if n++; n == 2 {
+			return "drop"
+		}
+		return hit(words)
+	})
+	f.start()
+	defer f.stop()
+	c := f.client()
+	c.say(2, "mg k v O1 Pc=read,d=500\r\n")
+	c.say(2, "mg k v O2 Pc=read,d=500\r\n")
+	f.heard()
+	// Output:
+	// VA 5 O1
+	// value
+	// VA 5 O2
+	// value
+	//   a: mg k v O1 Pc=read,d=..
+	//   a: mg k v O2 Pc=read,d=..
+	//   a: mg k v O2 Pc=read,d=..
+}
+
 // A host that falls silent gets a new connection: those that are idle from before may be dead without a word.
 func Example_vanished() {
 	f := &fleet{}
--- a/internal/routing/link.go
+++ b/internal/routing/link.go
@@ -64,6 +64,8 @@
 	conn   *transport.Conn
 	reader protocol.Reader
 	push   *push
+	kept   bool            // it has carried a push before
+	heard  bool            // bytes have come since the push was written
 	coming transport.Timer // until it has to be up
 }
 
@@ -74,13 +76,20 @@
 	if h.silent {
 		h.hangUp(transport.Doubted)
 	}
-	for len(h.idle) > 0 {
-		l := h.idle[len(h.idle)-1]
-		h.idle = h.idle[:len(h.idle)-1]
-		if r.loop.Now()-l.conn.Used < r.connIdle*idleShare {
+	for i := len(h.idle) - 1; i >= 0; i-- {
+		l := h.idle[i]
+		if l.conn.Used == r.loop.Now() { // answered in this round: more, or its end, may be right behind the answer
+			continue
+		}
+		h.idle = slices.Delete(h.idle, i, i+1)
+		switch {
+		case r.loop.Now()-l.conn.Used >= r.connIdle*idleShare:
+			l.conn.Close(transport.IdleTooLong)
+		case l.conn.Quiet():
 			return l
+		default:
+			l.conn.Close(transport.Unquiet)
 		}
-		l.conn.Close(transport.IdleTooLong)
 	}
 	l := &link{router: r, host: h}
 	kind := "host"
@@ -96,7 +105,7 @@
 
 // carry writes a push.
 func (l *link) carry(p *push, limit float64) {
-	l.push, p.link = p, l
+	l.push, p.link, l.heard = p, l, false
 	l.host.carries++
 	if f, ok := l.reader.(*protocol.Fetched); ok {
 		f.Write = p.op.command.Verb == protocol.Set
@@ -140,6 +149,7 @@
 		l.close(transport.BadInput)
 		return
 	}
+	l.heard = true
 	a, err := l.reader.Next(&c.In)
 	switch {
 	case err != nil:
@@ -158,6 +168,8 @@
 		o = balance.NotSent
 	case c.Out.Len() > 0: // its last byte was never written
 		o = balance.NoConn
+	case l.kept && !l.heard:
+		o = balance.Stale
 	}
 	l.fail(why, o)
 }
@@ -172,7 +184,7 @@
 	}
 	l.host.silent, l.host.heard = false, l.router.loop.Now()
 	p.move(over)
-	l.push = nil
+	l.push, l.kept = nil, true
 	l.conn.Used = l.router.loop.Now()
 	switch {
 	case l.conn.In.Len() > 0: // more than was asked for: it would be taken for the next op's answer
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -21,6 +21,7 @@
 	Shed         Reason = "shed"            // idle, closed to make room for another
 	Unlisted     Reason = "host-gone"       // its host is draining or gone
 	Doubted      Reason = "host-silent"     // idle since before its host fell silent
+	Unquiet      Reason = "not-quiet"       // something came behind the last answer, or it ended there
 	BadInput     Reason = "bad-input"       // what came on it could not be read
 	WrongAnswer  Reason = "wrong-answer"    // the answer was to another op
 	SlowReader   Reason = "slow-reader"     // it does not take its answers
@@ -87,6 +88,17 @@
 	}
 }
 
+// Quiet tells whether the connection is open and nothing stands unread at its socket: what has come behind the last
+// answer, or its end, may not have been gathered yet.
+func (c *Conn) Quiet() bool {
+	if c.status != up || c.why != "" || c.fresh || c.In.Len() > 0 {
+		return false
+	}
+	var b [1]byte
+	_, _, err := unix.Recvfrom(c.fd, b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+	return err == unix.EAGAIN
+}
+
 // Flush has what stands in Out written when the round is carried out.
 func (c *Conn) Flush() {
 	c.Used = c.loop.now
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -136,6 +136,39 @@
 	// log connect-failed host
 }
 
+// reader looks whether its connection is quiet, before and after more has come that was not gathered.
+type reader struct {
+	other net.Conn
+	quiet chan bool
+}
+
+func (r *reader) Received(c *Conn) {
+	c.In.Free()
+	r.quiet <- c.Quiet()
+	r.other.Write([]byte("more"))
+	time.Sleep(20 * time.Millisecond)
+	r.quiet <- c.Quiet()
+	c.Close(Unquiet)
+}
+func (r *reader) Ended(*Conn, Reason) {}
+
+// Noise behind an answer is seen before a connection is used again, also where it has not been gathered yet.
+func ExampleConn_Quiet() {
+	door, _ := net.Listen("tcp", "127.0.0.1:0")
+	defer door.Close()
+	r := &reader{quiet: make(chan bool, 2)}
+	_, stop := serve(func(l *Loop, _ netip.AddrPort) {
+		l.Dial("host", door.Addr().(*net.TCPAddr).AddrPort(), r)
+	})
+	r.other, _ = door.Accept()
+	r.other.Write([]byte("answer"))
+	fmt.Println(<-r.quiet, <-r.quiet)
+	fmt.Println(stop())
+	// Output:
+	// true false
+	// log not-quiet host
+}
+
 // Timers fire in the order of their times, those of one time in the order in which they were set, and one that is
 // set again or stopped does not fire for what it was set to before.
 func ExampleLoop_Set() {
