Clients that send nothing or half a command are ended after 2 s, and make room first

At fault: internal/routing/client.go had no timer; internal/transport/loop.go, makeRoom() knew idle or not. Now: 2 s for the first op and for the rest of a command, then an error (where anything came) and a close; a client without an op makes room first once it is 100 ms old or such clients hold a quarter of the sockets. Tests: Example_silent, Example_flood.

--- a/cmd/larchthread/main_test.go
+++ b/cmd/larchthread/main_test.go
@@ -620,6 +620,63 @@
 	// shed some: true
 }
 
+// Clients that say nothing, or not all, are ended in time, with an error where something has come; one that has had an
+// answer may stay. They once stayed for as long as there were sockets.
+func Example_silent() {
+	f := &fleet{}
+	f.host("a", hit)
+	f.start()
+	defer f.stop()
+	silent, half, value, kept := f.client(), f.client(), f.client(), f.client()
+	half.say(0, "mg k v O1 Pc=re")
+	value.say(2, "mg k v O2 Pc=read,d=500\r\nms k 5 O3 Pc=put,d=500\r\nhe")
+	kept.say(2, "mg k v O4 Pc=read,d=500\r\n")
+	began := time.Now()
+	silent.say(1, "")
+	half.say(2, "")
+	value.say(2, "")
+	fmt.Println("in time:", time.Since(began) < 2500*time.Millisecond)
+	kept.say(2, "mg k v O5 Pc=read,d=500\r\n")
+	f.ended("silent", "half-sent")
+	// Output:
+	// VA 5 O2
+	// value
+	// VA 5 O4
+	// value
+	// client:  false true
+	// CLIENT_ERROR the rest of the command did not come
+	// client:  false true
+	// CLIENT_ERROR the rest of the command did not come
+	// client:  false true
+	// in time: true
+	// VA 5 O5
+	// value
+	// silent 1
+	// half-sent 2
+}
+
+// A flood of connections that say nothing makes room before those of usual clients, which once went first, being older.
+func Example_flood() {
+	f := &fleet{limits: `{"cores":1,"memory_mb":64,"sockets":96}`}
+	f.host("a", hit)
+	f.start()
+	defer f.stop()
+	c := f.client()
+	c.say(2, "mg k v O1 Pc=read,d=500\r\n")
+	for range 300 {
+		defer f.client().Close()
+	}
+	c.say(2, "mg k v O2 Pc=read,d=500\r\n")
+	f.client().say(2, "mg k v O3 Pc=read,d=500\r\n")
+	// Output:
+	// VA 5 O1
+	// value
+	// VA 5 O2
+	// value
+	// VA 5 O3
+	// value
+}
+
 // Bytes behind an answer are not taken for the next op's: the connection ends, and the next op gets a new one.
 func Example_leftover() {
 	f := &fleet{}
--- a/internal/protocol/command.go
+++ b/internal/protocol/command.go
@@ -259,6 +259,9 @@
 	}
 }
 
+// ErrHalf is the error of a command of which the rest does not come.
+var ErrHalf = errors.New("the rest of the command did not come")
+
 // ErrOpen is the error of a command under the id of an op that has no answer yet.
 func ErrOpen(c *Command) error { return fmt.Errorf("O: %q is the id of an open op", clip(c.ID)) }
 
--- a/internal/routing/client.go
+++ b/internal/routing/client.go
@@ -43,16 +43,19 @@
 	router   *Router
 	conn     *transport.Conn
 	commands protocol.Commands
-	line     []*op // commands in the order in which they came, until their answers are passed on
-	served   bool  // a command has come
-	ending   bool  // what came last can't be read; the connection ends behind the answers
-	place    int   // in the router's list
+	line     []*op            // commands in the order in which they came, until their answers are passed on
+	proven   bool             // an op has come
+	ending   transport.Reason // why the connection ends behind the answers; empty while it goes on
+	patience transport.Timer  // until the rest of a command, or the first op, has to be there
+	place    int              // in the router's list
 }
 
 // accept takes in a client's connection.
 func (r *Router) accept(conn *transport.Conn) {
 	c := &client{router: r, conn: conn, place: len(r.clients)}
-	conn.Owner, conn.Idle = c, c.idle
+	conn.Owner, conn.Use = c, c.use
+	c.patience.Fire = c.overdue
+	r.loop.Set(&c.patience, restFor)
 	r.clients = append(r.clients, c)
 }
 
@@ -61,6 +64,44 @@
 	return len(c.line) == 0 && !c.commands.Begun() && c.conn.In.Len() == 0
 }
 
+// use tells what the connection is good for, where sockets run short.
+func (c *client) use() transport.Use {
+	switch {
+	case !c.proven && len(c.line) == 0:
+		return transport.Unproven
+	case c.idle():
+		return transport.Idle
+	}
+	return transport.Needed
+}
+
+// half tells whether part of a command has come.
+func (c *client) half() bool { return c.commands.Begun() || c.conn.In.Len() > 0 }
+
+// attend sets how long the rest of a command may take. Until its first op a client has what it was given at the start.
+func (c *client) attend(took bool) {
+	switch {
+	case !c.proven:
+	case c.ending != "" || !c.half():
+		c.router.loop.Stop(&c.patience)
+	case took || !c.patience.On():
+		c.router.loop.Set(&c.patience, restFor)
+	}
+}
+
+// overdue ends a connection on which nothing of use has come in time, with an error where something has: it would hold its
+// socket and buffers for ever.
+func (c *client) overdue() {
+	if !c.half() {
+		c.leave()
+		c.conn.Finish(transport.Silent)
+		return
+	}
+	c.ending = transport.HalfSent
+	c.conn.Pause(true)
+	c.take(&protocol.Command{Bad: protocol.ErrHalf})
+}
+
 // idle tells whether the connection may be closed to make room: nothing is owed on it, or nothing moves.
 func (c *client) idle() bool {
 	return c.between() && c.conn.Out.Len() == 0 || len(c.line) == 0 && c.router.loop.Now()-c.conn.Used > stuckFor
@@ -69,26 +110,31 @@
 // Received implements transport.Owner.
 func (c *client) Received(conn *transport.Conn) {
 	conn.Used = c.router.loop.Now()
-	for !c.ending && len(c.line) < lineMost && conn.Out.Len() < replyMost {
+	took := false
+	for c.ending == "" && len(c.line) < lineMost && conn.Out.Len() < replyMost {
 		command, err := c.commands.Next(&conn.In)
 		if err != nil { // what was taken before it is still answered
 			c.router.log.Warn("command not understood", "peer", conn.Peer(), "error", err)
-			c.ending = true
+			c.ending = transport.BadInput
 			command = &protocol.Command{Bad: err}
 		}
 		if command == nil {
 			conn.Pause(false)
+			c.attend(took)
 			return
 		}
+		took = true
 		c.take(command)
 	}
 	conn.Pause(true)
+	if c.proven { // what is left unread is for this side to go on with
+		c.router.loop.Stop(&c.patience)
+	}
 }
 
 // take serves one command.
 func (c *client) take(command *protocol.Command) {
 	r := c.router
-	c.served = true
 	o := &op{client: c, command: command, reply: r.loop.Pool.Chain()}
 	c.line = append(c.line, o)
 	switch category := r.categories[command.Category]; {
@@ -102,6 +148,7 @@
 		protocol.WriteBad(&o.reply, protocol.ErrOpen(command))
 	default:
 		r.ops[command.ID] = o
+		c.proven = true
 		o.Op = balance.Op{Ref: o, Category: category, Key: command.Key, Due: r.came() + command.TTL,
 			Write: command.Verb == protocol.Set}
 		r.balancer.Arrive(&o.Op)
@@ -140,9 +187,9 @@
 	if n > 0 {
 		c.conn.Flush()
 		switch {
-		case c.ending && len(c.line) == 0:
+		case c.ending != "" && len(c.line) == 0:
 			c.leave()
-			c.conn.Finish(transport.BadInput)
+			c.conn.Finish(c.ending)
 		case c.router.stop.closing && c.between(): // a client without pauses would go on until the end is forced
 			c.leave()
 			c.conn.Finish(transport.Stopping)
@@ -158,6 +205,7 @@
 // leave takes the client's ops out of the books.
 func (c *client) leave() {
 	r := c.router
+	r.loop.Stop(&c.patience)
 	last := r.clients[len(r.clients)-1]
 	r.clients[c.place], last.place = last, c.place
 	r.clients = r.clients[:len(r.clients)-1]
--- a/internal/routing/link.go
+++ b/internal/routing/link.go
@@ -97,7 +97,12 @@
 		kind, l.reader = "origin", protocol.NewFetched()
 	}
 	l.conn = r.loop.Dial(kind, h.address, l)
-	l.conn.Idle = func() bool { return l.push == nil }
+	l.conn.Use = func() transport.Use {
+		if l.push != nil {
+			return transport.Needed
+		}
+		return transport.Idle
+	}
 	l.coming.Fire = l.late
 	r.loop.Set(&l.coming, r.connect)
 	return l
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -24,6 +24,7 @@
 	lineMost    = 256     // commands of one connection without an answer at which reading stops: well over what a client needs
 	replyMost   = 1 << 20 // bytes of answers not taken at which reading stops: a dozen of the largest
 	stall       = 25.0    // ms between two rounds, over twice the timer's period, that tell of a stall
+	restFor     = 2000.0  // ms for the rest of a command, or the first op of a connection: clients of any use take some round trips
 	goneFor     = 20000.0 // ms that a host is known after it has gone: a list that forgets one by mistake has it back by then
 	stuckFor    = 5000.0  // ms without progress after which a half command or answer counts as abandoned: over any TTL
 
--- a/internal/routing/stop.go
+++ b/internal/routing/stop.go
@@ -37,7 +37,7 @@
 	now := r.loop.Now()
 	r.stop.closing = true
 	for i := len(r.clients) - 1; i >= 0; i-- {
-		if c := r.clients[i]; c.idle() && (c.served || now-c.conn.Began > stopGrace) {
+		if c := r.clients[i]; c.idle() && (c.proven || now-c.conn.Began > stopGrace) {
 			c.leave()
 			c.conn.Finish(transport.Stopping)
 		}
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -25,7 +25,8 @@
 	BadInput     Reason = "bad-input"       // what came on it could not be read
 	WrongAnswer  Reason = "wrong-answer"    // the answer was to another op
 	SlowReader   Reason = "slow-reader"     // it does not take its answers
-	HalfSent     Reason = "half-sent"       // memory ran short, and the rest of a command did not come
+	HalfSent     Reason = "half-sent"       // the rest of a command did not come
+	Silent       Reason = "silent"          // no command came that could be taken
 	LastAnswer   Reason = "answered-last"   // the other side asked for it to close
 	Stopping     Reason = "stopping"        // the program stops
 	WatchRenewed Reason = "watch-renewed"   // a new watch begins in place of this one
@@ -41,6 +42,15 @@
 	Ended(c *Conn, why Reason) // the other side or the network ended it; not called after Close
 }
 
+// Use is what a connection is good for, where room has to be made.
+type Use uint8
+
+const (
+	Needed   Use = iota // something is owed on it
+	Idle                // nothing is, now
+	Unproven            // nothing of use has ever come on it
+)
+
 // status of a connection.
 type status uint8
 
@@ -55,9 +65,9 @@
 type Conn struct {
 	In, Out Chain
 	Owner   Owner
-	Idle    func() bool // tells whether the connection may be closed to make room
-	Used    float64     // ms, when it last carried anything
-	Began   float64     // ms
+	Use     func() Use // tells whether the connection may be closed to make room
+	Used    float64    // ms, when it last carried anything
+	Began   float64    // ms
 
 	loop   *Loop
 	kind   string // who is at the other side, for the log
@@ -131,7 +141,12 @@
 	}
 	c.move(finishing)
 	c.In.Free()
-	c.Idle = func() bool { return c.Out.Len() == 0 }
+	c.Use = func() Use {
+		if c.Out.Len() > 0 {
+			return Needed
+		}
+		return Unproven
+	}
 	c.last.Fire = func() { c.Close(why) }
 	c.Owner = ender{why}
 	c.loop.Set(&c.last, finishMost)
--- a/internal/transport/loop.go
+++ b/internal/transport/loop.go
@@ -28,7 +28,10 @@
 	finishFor  = 200.0  // ms that the other side may take to end after our last word: many round trips
 	doorPause  = 5.0    // ms until it is tried again to accept, where no connection was idle: a busy one takes as long
 
-	spareFiles  = 32       // descriptors that the runtime, the loop and the log hold: about ten, and room
+	spareFiles    = 32    // descriptors that the runtime, the loop and the log hold: about ten, and room
+	unprovenFor   = 100.0 // ms that a new client has for its first command before it makes room: many round trips
+	unprovenShare = 4     // one in so many sockets may be a new client's without one: usual ones hold a third in all
+
 	dialShare   = 8        // one in so many sockets is kept for connections that this side opens: some a host
 	kernelShare = 0.2      // part of the memory that the kernel's buffers of all sockets may take
 	kernelLeast = 16 << 10 // bytes of one: below that each value takes many rounds
@@ -238,14 +241,28 @@
 	}
 }
 
-// makeRoom closes the connection that has been idle for the longest time, if there is one.
+// makeRoom closes a connection that nothing is owed on, if there is one. Those on which nothing of use has ever come go first,
+// once they have had time for it or where they are many: a flood of them must not cost the others theirs.
 func (l *Loop) makeRoom() bool {
-	var oldest *Conn
+	var oldest, unproven *Conn
+	n := 0
 	for _, c := range l.conns {
-		if c != nil && (c.status == up || c.status == finishing) && c.why == "" && !c.fresh && c.Idle != nil && c.Idle() &&
-			(oldest == nil || c.Used < oldest.Used) {
-			oldest = c
+		if c == nil || c.status != up && c.status != finishing || c.why != "" || c.fresh || c.Use == nil {
+			continue
 		}
+		switch c.Use() {
+		case Idle:
+			if oldest == nil || c.Used < oldest.Used {
+				oldest = c
+			}
+		case Unproven:
+			if n++; unproven == nil || c.Began < unproven.Began {
+				unproven = c
+			}
+		}
+	}
+	if unproven != nil && (l.now-unproven.Began > unprovenFor || n > l.most/unprovenShare || oldest == nil) {
+		oldest = unproven
 	}
 	if oldest == nil {
 		return false
