Pushes nobody waits for, or whose host answers others, no longer narrow gates

Checked: a trace of both gates: the origin's stood at its floor of 1 (12 fetches a half second, at 24 to 40 ms) with spells of 12 out (160 fetches, at 24 ms), so narrowing bought nothing and caches stayed cold (4 misses a hit). Each push called off because its client had left counted as twice the goal, after 3 ms too. At fault: balance.go, learn(): pain of every outcome but Served; calm rose by 0.002 a fetch, which at the floor takes 20 s. Now: an op whose client left counts only where it took long, one whose host answered others since not at all; at the floor calm is learned quickly.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -829,13 +829,19 @@
 		return
 	}
 	pain := spent / c.Target
-	if o != Served {
+	switch {
+	case o == Served:
+	// Its connection is dead or the op is heavy, as the host answers others; or the client went away first.
+	case (o == TimedOut || o == Cancelled) && h.answered > op.pushed,
+		o == Cancelled && op.state == settled && pain < g.goal:
+		return
+	default:
 		pain = math.Max(pain, 2*g.goal)
 	}
 	g.pain += (pain - g.pain) * g.step
 	if g == &b.origin {
 		step := math.Min(calmStep*math.Max(1, float64(b.Group)/crowdGroup), latStep) // each sees its part
-		if g.pain < g.calm {
+		if g.pain < g.calm || g.limit <= math.Max(g.floor, 1) {                      // with so little out, this is what calm is
 			step = latStep
 		}
 		g.calm += (g.pain - g.calm) * step
