--- a/balance/balance.go
+++ b/balance/balance.go
@@ -564,8 +564,8 @@
 // offer puts op in line at a gate.
 func (b *Balancer) offer(g *gate, op *Op) {
 	// With room for one or two, a line cannot sort: what is worth far less than an op turned away of late
-	// would take its place by chance.
-	if worth(op) < g.price {
+	// would take its place by chance. While there is room beside it, nothing is gained by that.
+	if worth(op) < g.price && float64(g.out+len(g.line)+1) > g.limit {
 		b.giveUp(op)
 		return
 	}
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -690,6 +690,46 @@
 	//    0 dead-letter once
 }
 
+// Clients that go away, and pushes that get no answer while their host answers others, are no sign of crowding: the gates
+// stay as wide as they were. An op that takes as long unanswered by all is one.
+func Example_leavers() {
+	x := open(start(), "a", "b", "c", "d", "o")
+	x.silent = true
+	before := x.fleet.limit
+	for i := range 200 {
+		name := fmt.Sprint("op", i)
+		x.ask(name, 0, name, 500, false)
+		x.after(3)
+		x.Left(x.ops[name])
+		x.after(20)
+	}
+	fmt.Println("as wide as before:", x.fleet.limit == before)
+	for i := range 20 {
+		name := fmt.Sprint("late", i)
+		x.ask(name, 2, name, 300, false)
+		x.after(300)
+		x.end(name, TimedOut, 300)
+	}
+	fmt.Println("narrower:", x.fleet.limit < before)
+	// Output:
+	// as wide as before: true
+	// narrower: true
+}
+
+// A dear op turned away holds a narrow gate's place for its like, but turns none away while there is room.
+func Example_price() {
+	s := start()
+	s.Aside = true
+	x := open(s, "a", "b", "o")
+	x.origin.price = 100
+	x.ask("write", 1, "page", 500, true)
+	x.origin.limit = 1
+	x.ask("second", 1, "other", 500, true)
+	// Output:
+	// 0 push write to o
+	//    0 nack second
+}
+
 // An op that two hosts hold for wrong is given up, and neither is blamed; one that another host serves tells of the first.
 func Example_rejected() {
 	x := open(start(), "a", "b", "c", "d")
@@ -777,7 +817,7 @@
 	}
 	fmt.Println("big:", served[big], "of 540, small:", served[small], "of 60")
 	// Output:
-	// big: 125 of 540, small: 58 of 60
+	// big: 142 of 540, small: 58 of 60
 }
 
 // Of many balancers each sees a tenant's op a second or fewer, and by chance some together: they are within
