--- a/balance/balance.go
+++ b/balance/balance.go
@@ -564,8 +564,8 @@
 // offer puts op in line at a gate.
 func (b *Balancer) offer(g *gate, op *Op) {
 	// With room for one or two, a line cannot sort: what is worth far less than an op turned away of late
-	// would take its place by chance. While there is room beside it, nothing is gained by that.
-	if worth(op) < g.price && float64(g.out+len(g.line)+1) > g.limit {
+	// would take its place by chance.
+	if worth(op) < g.price {
 		b.giveUp(op)
 		return
 	}
@@ -658,7 +658,7 @@
 
 // turnAway gives up an op of a gate's line, and remembers what it was worth.
 func (b *Balancer) turnAway(g *gate, op *Op) {
-	g.price = math.Max(g.price, worth(op)*priceShare)
+	g.price = math.Max(g.price, op.value*priceShare) // its own: few are worth what a fetch for many is
 	b.giveUp(op)
 }
 
@@ -841,7 +841,7 @@
 	g.pain += (pain - g.pain) * g.step
 	if g == &b.origin {
 		step := math.Min(calmStep*math.Max(1, float64(b.Group)/crowdGroup), latStep) // each sees its part
-		if g.pain < g.calm || g.limit <= math.Max(g.floor, 1) {                      // with so little out, this is what calm is
+		if g.pain < g.calm || g.limit <= math.Max(g.floor, 1) { // so little out is what calm is
 			step = latStep
 		}
 		g.calm += (g.pain - g.calm) * step
