--- a/internal/routing/client.go
+++ b/internal/routing/client.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"container/list"
 	"slices"
 
 	"larchthread/balance"
@@ -45,6 +46,8 @@
 	commands protocol.Commands
 	line     []*op            // commands in the order in which they came, until their answers are passed on
 	proven   bool             // an op has come
+	waits    bool             // the timer is for the rest of a command
+	rest     *list.Element    // its place among those with nothing open, or nil
 	ending   transport.Reason // why the connection ends behind the answers; empty while it goes on
 	patience transport.Timer  // until the rest of a command, or the first op, has to be there
 	place    int              // in the router's list
@@ -78,28 +81,63 @@
 // half tells whether part of a command has come.
 func (c *client) half() bool { return c.commands.Begun() || c.conn.In.Len() > 0 }
 
-// attend sets how long the rest of a command may take. Until its first op a client has what it was given at the start.
+// attend sets how long the connection may stand as it is: with part of a command, or with nothing open. Clients may have
+// only so many connections, and some keep theirs for good: their like could open none. Until its first op a client has
+// what it was given at the start.
 func (c *client) attend(took bool) {
+	c.router.atRest.remove(c)
 	switch {
-	case !c.proven:
-	case c.ending != "" || !c.half():
+	case !c.proven || c.ending != "":
+	case c.conn.Paused() || !c.half() && len(c.line) > 0: // it is for this side to go on
+		c.waits = false
 		c.router.loop.Stop(&c.patience)
-	case took || !c.patience.On():
+	case !c.half():
+		c.waits = false
+		c.router.loop.Set(&c.patience, idleFor)
+		c.router.atRest.add(c)
+		c.router.turnOver()
+	case took || !c.waits:
+		c.waits = true
 		c.router.loop.Set(&c.patience, restFor)
 	}
 }
 
-// overdue ends a connection on which nothing of use has come in time, with an error where something has: it would hold its
-// socket and buffers for ever.
+// turnOver ends the connection that has had nothing open for the longest time, where there are many. Where clients open
+// one for each op and keep it, those that may have no more go unheard.
+func (r *Router) turnOver() {
+	if r.atRest.Len() > r.restMost {
+		c := r.atRest.Front().Value.(*client)
+		c.leave()
+		c.conn.Finish(transport.Surplus)
+	}
+}
+
+// resting are the clients with nothing open, that for longest first.
+type resting struct{ list.List }
+
+func (l *resting) add(c *client) { c.rest = l.PushBack(c) }
+
+func (l *resting) remove(c *client) {
+	if c.rest != nil {
+		l.Remove(c.rest)
+		c.rest = nil
+	}
+}
+
+// overdue ends a connection that has stood for too long, with an error where part of a command has come.
 func (c *client) overdue() {
-	if !c.half() {
+	switch {
+	case c.half():
+		c.ending = transport.HalfSent
+		c.conn.Pause(true)
+		c.take(&protocol.Command{Bad: protocol.ErrHalf})
+	case c.proven:
+		c.leave()
+		c.conn.Finish(transport.IdleTooLong)
+	default:
 		c.leave()
 		c.conn.Finish(transport.Silent)
-		return
 	}
-	c.ending = transport.HalfSent
-	c.conn.Pause(true)
-	c.take(&protocol.Command{Bad: protocol.ErrHalf})
 }
 
 // idle tells whether the connection may be closed to make room: nothing is owed on it, or nothing moves.
@@ -127,9 +165,7 @@
 		c.take(command)
 	}
 	conn.Pause(true)
-	if c.proven { // what is left unread is for this side to go on with
-		c.router.loop.Stop(&c.patience)
-	}
+	c.attend(took)
 }
 
 // take serves one command.
@@ -195,6 +231,8 @@
 			c.conn.Finish(transport.Stopping)
 		case full: // commands that have come meanwhile are read on
 			c.router.loop.Later(c.conn)
+		default:
+			c.attend(false)
 		}
 	}
 }
@@ -206,6 +244,7 @@
 func (c *client) leave() {
 	r := c.router
 	r.loop.Stop(&c.patience)
+	r.atRest.remove(c)
 	last := r.clients[len(r.clients)-1]
 	r.clients[c.place], last.place = last, c.place
 	r.clients = r.clients[:len(r.clients)-1]
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -25,6 +25,8 @@
 	replyMost   = 1 << 20 // bytes of answers not taken at which reading stops: a dozen of the largest
 	stall       = 25.0    // ms between two rounds, over twice the timer's period, that tell of a stall
 	restFor     = 2000.0  // ms for the rest of a command, or the first op of a connection: clients of any use take some round trips
+	restShare   = 6       // one in so many sockets may be a client's with nothing open: clients hold a third in all
+	idleFor     = 2100.0  // ms that a client's connection with nothing open is kept: it may be closed after 2 s
 	goneFor     = 20000.0 // ms that a host is known after it has gone: a list that forgets one by mistake has it back by then
 	stuckFor    = 5000.0  // ms without progress after which a half command or answer counts as abandoned: over any TTL
 
@@ -51,6 +53,8 @@
 	budget     int     // bytes of buffers
 	hosts      map[string]*host
 	clients    []*client
+	atRest     resting
+	restMost   int            // clients with nothing open that may stay
 	ops        map[string]*op // by id, those without an answer
 	watch      watch
 	wake       transport.Timer
@@ -73,7 +77,8 @@
 // New makes the front of a balancer that has been told so much, and starts the balancer.
 func New(loop *transport.Loop, log *slog.Logger, told *params.Told) (*Router, error) {
 	r := &Router{loop: loop, log: log, params: told.Params, budget: int(told.MemoryMB * memoryShare * (1 << 20)),
-		ops: map[string]*op{}, hosts: map[string]*host{}, connect: told.Params.Limits.Connect / 1000}
+		ops: map[string]*op{}, hosts: map[string]*host{}, connect: told.Params.Limits.Connect / 1000,
+		restMost: told.Sockets / restShare}
 	if r.connect <= 0 {
 		r.connect = connectFor
 	}
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -19,6 +19,7 @@
 	HungUp       Reason = "hung-up"         // given back while idle
 	IdleTooLong  Reason = "idle"            // idle for nearly as long as the other side keeps it
 	Shed         Reason = "shed"            // idle, closed to make room for another
+	Surplus      Reason = "surplus"         // idle for longest of many
 	Unlisted     Reason = "host-gone"       // its host is draining or gone
 	Doubted      Reason = "host-silent"     // idle since before its host fell silent
 	Unquiet      Reason = "not-quiet"       // something came behind the last answer, or it ended there
@@ -160,6 +161,9 @@
 func (ender) Received(c *Conn)            { c.In.Free() }
 func (e ender) Ended(c *Conn, why Reason) { c.Close(e.why) }
 
+// Paused tells whether nothing is read for now.
+func (c *Conn) Paused() bool { return c.paused }
+
 // Pause stops reading, or starts it again.
 func (c *Conn) Pause(on bool) {
 	if c.paused != on && c.status == up {
