A push called off sooner than a connection may take to come up does not mark its host silent

Checked: those pushes had been out for a few ms; unheard() asked only whether the host had answered since, which in 3 ms it seldom has. At fault: internal/routing/link.go, unheard(). Now the push has to have been out for longer than a connection may take to come up. Test: Example_leaver (host-silent 1 without).

--- a/cmd/larchthread/main_test.go
+++ b/cmd/larchthread/main_test.go
@@ -876,6 +876,38 @@
 	//   a: mg k v O1 Pc=read,d=..
 }
 
+// A client that goes away at once says nothing of the host: its kept connections stay. They were once closed as of a host
+// that has fallen silent.
+func Example_leaver() {
+	f := &fleet{}
+	f.host("a", func(words []string) string {
+		if words[1] == "slow" {
+			time.Sleep(30 * time.Millisecond)
+		}
+		return hit(words)
+	})
+	f.start()
+	defer f.stop()
+	c := f.client()
+	c.say(4, "mg slow v O1 Pc=read,d=500\r\nmg slow v O2 Pc=read,d=500\r\n") // two connections
+	gone := f.client()
+	gone.say(0, "mg slow v O3 Pc=read,d=500\r\n")
+	f.await("a: mg slow v O3 Pc=read,d=..", 1)
+	gone.Close()
+	c.say(2, "mg k v O4 Pc=read,d=500\r\n")
+	c.Close()
+	f.ended("called-off", "host-silent")
+	// Output:
+	// VA 5 O1
+	// value
+	// VA 5 O2
+	// value
+	// VA 5 O4
+	// value
+	// called-off 1
+	// host-silent 0
+}
+
 // A watch whose call is never answered is begun again on a new connection.
 func Example_deadWatch() {
 	f := &fleet{}
--- a/internal/routing/link.go
+++ b/internal/routing/link.go
@@ -40,10 +40,11 @@
 // sent tells whether the last byte has been written: from then on the push may have run.
 func (p *push) sent() bool { return p.link.conn.Out.Len() == 0 }
 
-// unheard takes note of a push given up at a host that has answered nothing since it began.
+// unheard takes note of a push given up at a host that has answered nothing since it began. One called off sooner than a
+// connection may take to come up, as where its client went away, says nothing of the host.
 func (p *push) unheard() {
 	h := p.link.host
-	h.silent = h.silent || h.heard < p.began
+	h.silent = h.silent || h.heard < p.began && p.router.loop.Now()-p.began > p.router.connect
 }
 
 // late gives up a push whose time is over.
