--- a/balance/balance.go
+++ b/balance/balance.go
@@ -744,6 +744,10 @@
 			op.ranHost, op.ranAt = h, op.pushed
 		}
 	}
+	twice := o == Rejected && op.wrong != nil // two agree, so it is the op that is wrong
+	if o == Rejected {
+		op.wrong = h
+	}
 	switch {
 	case op.state == settled:
 	case last || op.state == streaming:
@@ -753,14 +757,12 @@
 		b.lead(op)
 	case b.now >= op.Due-tick:
 		b.giveUp(op)
-	case o == Rejected && op.wrong != nil: // two agree, so it is the op that is wrong
+	case twice:
 		b.giveUp(op)
-	case o == Rejected:
-		op.wrong, op.failed = h, h
-		b.route(op)
 	case op.fetch != nil && b.mayPush(op): // the origin failed the fetch; its waiters wait on
 		b.offer(g, op)
-	case (o == Spoilt || o == Stale || o == Cancelled && h.answered > op.pushed) && h.fail <= failFrom: // a good host: it may hold the key, others miss
+	// A good host, which may hold the key while others would miss.
+	case h.fail <= failFrom && (o == Spoilt || o == Stale || o == Cancelled && h.answered > op.pushed):
 		b.route(op)
 	default:
 		op.failed = h
@@ -847,7 +849,8 @@
 	g.pain += (pain - g.pain) * g.step
 	if g == &b.origin {
 		step := math.Min(calmStep*math.Max(1, float64(b.Group)/crowdGroup), latStep) // each sees its part
-		if g.pain < g.calm || g.limit <= math.Max(g.floor, 1) {                      // so little out is what calm is
+		// With so little out, what is seen is what calm is.
+		if g.pain < g.calm || g.limit <= math.Max(g.floor, 1) {
 			step = latStep
 		}
 		g.calm += (g.pain - g.calm) * step
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -769,6 +769,13 @@
 	x.end("right", Rejected, 5)
 	x.end("right", Served, 5)
 	x.ask("next", 0, "page", 500, false)
+	s := start()
+	s.Aside = true
+	x = open(s, "a", "o") // a fetch that the origin holds for wrong once waited for itself
+	x.ask("fetch", 0, "page", 500, false)
+	for _, o := range []Outcome{Missed, Rejected, Rejected} {
+		x.end("fetch", o, 5)
+	}
 	// Output:
 	// 0 push wrong to c
 	//    0 push wrong to d
@@ -777,6 +784,10 @@
 	//    0 push right to d
 	//    0 right acked
 	//    0 push next to d
+	//    0 push fetch to a
+	//    0 push fetch to o
+	//    0 push fetch to o
+	//    0 nack fetch
 }
 
 // With every host failing at once, then well again: each op is settled once, and service comes back.
--- a/internal/routing/client.go
+++ b/internal/routing/client.go
@@ -47,6 +47,7 @@
 	line     []*op            // commands in the order in which they came, until their answers are passed on
 	proven   bool             // an op has come
 	waits    bool             // the timer is for the rest of a command
+	left     bool             // it is out of the books
 	rest     *list.Element    // its place among those with nothing open, or nil
 	ending   transport.Reason // why the connection ends behind the answers; empty while it goes on
 	patience transport.Timer  // until the rest of a command, or the first op, has to be there
@@ -87,7 +88,7 @@
 func (c *client) attend(took bool) {
 	c.router.atRest.remove(c)
 	switch {
-	case !c.proven || c.ending != "":
+	case c.left || !c.proven || c.ending != "":
 	case c.conn.Paused() || !c.half() && len(c.line) > 0: // it is for this side to go on
 		c.waits = false
 		c.router.loop.Stop(&c.patience)
@@ -243,6 +244,7 @@
 // leave takes the client's ops out of the books.
 func (c *client) leave() {
 	r := c.router
+	c.left = true
 	r.loop.Stop(&c.patience)
 	r.atRest.remove(c)
 	last := r.clients[len(r.clients)-1]
--- a/internal/routing/link_test.go
+++ b/internal/routing/link_test.go
@@ -69,3 +69,27 @@
 	// [b d e]
 	// [b d e]
 }
+
+// A client that is out of the books stays out, also where the command that ended it was read with others. One that came
+// back would be taken out twice, and another with it.
+func Example_left() {
+	loop, err := transport.NewLoop(256, 64<<20, slog.New(slog.DiscardHandler))
+	if err != nil {
+		fmt.Println(err)
+		return
+	}
+	r := &Router{loop: loop, restMost: 9}
+	for range 2 {
+		r.accept(loop.Dial("client", netip.AddrPort{}, nil))
+	}
+	first := r.clients[0]
+	first.proven = true
+	first.attend(false)
+	fmt.Println(len(r.clients), "clients,", r.atRest.Len(), "at rest")
+	first.leave()
+	first.attend(true)
+	fmt.Println(len(r.clients), "clients,", r.atRest.Len(), "at rest")
+	// Output:
+	// 2 clients, 1 at rest
+	// 1 clients, 0 at rest
+}
