A client's end in good order is one function, and 'between' asks 'half'

Found on rereading the change: leave() and Finish() stood together in six places, and between() spelled out half(). Behaviour as it was; all checks pass.

--- a/internal/routing/client.go
+++ b/internal/routing/client.go
@@ -65,7 +65,7 @@
 
 // between tells whether the connection stands between two commands, the last answers perhaps still to be written.
 func (c *client) between() bool {
-	return len(c.line) == 0 && !c.commands.Begun() && c.conn.In.Len() == 0
+	return len(c.line) == 0 && !c.half()
 }
 
 // use tells what the connection is good for, where sockets run short.
@@ -108,8 +108,7 @@
 func (r *Router) turnOver() {
 	if r.atRest.Len() > r.restMost {
 		c := r.atRest.Front().Value.(*client)
-		c.leave()
-		c.conn.Finish(transport.Surplus)
+		c.finish(transport.Surplus)
 	}
 }
 
@@ -133,11 +132,9 @@
 		c.conn.Pause(true)
 		c.take(&protocol.Command{Bad: protocol.ErrHalf})
 	case c.proven:
-		c.leave()
-		c.conn.Finish(transport.IdleTooLong)
+		c.finish(transport.IdleTooLong)
 	default:
-		c.leave()
-		c.conn.Finish(transport.Silent)
+		c.finish(transport.Silent)
 	}
 }
 
@@ -225,11 +222,9 @@
 		c.conn.Flush()
 		switch {
 		case c.ending != "" && len(c.line) == 0:
-			c.leave()
-			c.conn.Finish(c.ending)
+			c.finish(c.ending)
 		case c.router.stop.closing && c.between(): // a client without pauses would go on until the end is forced
-			c.leave()
-			c.conn.Finish(transport.Stopping)
+			c.finish(transport.Stopping)
 		case full: // commands that have come meanwhile are read on
 			c.router.loop.Later(c.conn)
 		default:
@@ -241,6 +236,12 @@
 // Ended implements transport.Owner.
 func (c *client) Ended(*transport.Conn, transport.Reason) { c.leave() }
 
+// finish takes the client out of the books and ends its connection in good order.
+func (c *client) finish(why transport.Reason) {
+	c.leave()
+	c.conn.Finish(why)
+}
+
 // leave takes the client's ops out of the books.
 func (c *client) leave() {
 	r := c.router
--- a/internal/routing/stop.go
+++ b/internal/routing/stop.go
@@ -38,8 +38,7 @@
 	r.stop.closing = true
 	for i := len(r.clients) - 1; i >= 0; i-- {
 		if c := r.clients[i]; c.idle() && (c.proven || now-c.conn.Began > stopGrace) {
-			c.leave()
-			c.conn.Finish(transport.Stopping)
+			c.finish(transport.Stopping)
 		}
 	}
 	if len(r.clients) == 0 {
