--- a/balance/balance.go
+++ b/balance/balance.go
@@ -149,7 +149,7 @@
 	at   float64
 	seq  int
 	op   *Op
-	push int // 0 for the op's end
+	push *Push // nil for the op's end
 }
 
 type dues struct {
@@ -169,7 +169,7 @@
 	return last
 }
 
-func (b *Balancer) look(at float64, op *Op, push int) {
+func (b *Balancer) look(at float64, op *Op, push *Push) {
 	b.dues.seq++
 	heap.Push(&b.dues, due{at, b.dues.seq, op, push})
 }
@@ -216,12 +216,12 @@
 		d := heap.Pop(&b.dues).(due)
 		switch {
 		case d.op.state == settled || d.op.state == streaming:
-		case d.push == 0 && d.op.fetch != nil && d.op.at != nil && b.now < b.end(d.op):
-			b.look(b.end(d.op), d.op, 0) // late for this op, but what it fetches is kept for others
-		case d.push == 0:
+		case d.push == nil && d.op.fetch != nil && d.op.out > 0 && b.now < b.end(d.op):
+			b.look(b.end(d.op), d.op, nil) // late for this op, but what it fetches is kept for others
+		case d.push == nil:
 			b.giveUp(d.op)
-		case d.push == d.op.pushes && d.op.state == out:
-			b.impatient(d.op)
+		case !d.push.over:
+			b.impatient(d.push)
 		}
 	}
 }
@@ -462,44 +462,53 @@
 	return nil
 }
 
+// mayHaveRun is the first push of op that has run, or may have, or may yet; nil where all provably never ran.
+func (op *Op) mayHaveRun() *Push {
+	for _, p := range op.tried {
+		if !p.never {
+			return p
+		}
+	}
+	return nil
+}
+
 // allowed tells whether a push of op to h keeps the promise on repeats.
 func allowed(op *Op, h *Host) bool {
-	if op.ranHost == nil || op.Category.Repeat == Redeliverable {
+	first := op.mayHaveRun()
+	if first == nil || op.Category.Repeat == Redeliverable {
 		return true
 	}
 	switch op.Category.Group {
 	case ZoneHosts:
-		return h.Zone == op.ranHost.Zone
+		return h.Zone == first.Host.Zone
 	case CellHosts:
-		return h.Cell == op.ranHost.Cell
+		return h.Cell == first.Host.Cell
 	}
 	return true
 }
 
-// mayPush tells whether any further push of op is allowed now.
+// mayPush tells whether any further push of op is allowed now, a second copy where one is out.
 func (b *Balancer) mayPush(op *Op) bool {
-	if op.at != nil || op.pushes >= b.MostPushes {
+	if op.out > 1 || op.out == 1 && !b.MayDuplicate || len(op.tried) >= b.MostPushes {
 		return false
 	}
-	if op.ranHost == nil || op.Category.Repeat == Redeliverable {
+	first := op.mayHaveRun()
+	if first == nil || op.Category.Repeat == Redeliverable {
 		return true
 	}
-	return op.Category.Repeat == Deduplicated && b.now < op.ranAt+op.Category.Window-b.Quantum
+	return op.Category.Repeat == Deduplicated && b.now < first.sent+op.Category.Window-b.Quantum
 }
 
 // mayNack tells whether the client may be told that a repeat is safe.
 func (b *Balancer) mayNack(op *Op) bool {
+	first := op.mayHaveRun()
 	switch {
-	case op.Category.Repeat == Redeliverable || op.ranHost == nil && op.at == nil:
+	case op.Category.Repeat == Redeliverable || first == nil:
 		return true
 	case op.Category.Repeat == AtMostOnce || op.Category.Group != AllHosts:
 		return false
 	}
-	first := op.ranAt
-	if op.ranHost == nil {
-		first = op.pushed
-	}
-	return b.now < first+op.Category.Window
+	return b.now < first.sent+op.Category.Window
 }
 
 // Arrive takes a new op.
@@ -527,7 +536,7 @@
 	if op.Category.Tardy == 0 { // a late answer is worth nothing and costs others theirs
 		end = math.Min(end, b.now+op.Category.Target)
 	}
-	b.look(end, op, 0)
+	b.look(end, op, nil)
 	b.route(op)
 }
 
@@ -542,7 +551,7 @@
 		b.giveUp(op)
 	case b.Aside && op.Write:
 		b.offer(&b.origin, op)
-	case b.Aside && (f != nil || op.pushes == b.MostPushes-1): // the last push is the origin's
+	case b.Aside && (f != nil || len(op.tried) == b.MostPushes-1): // the last push is the origin's
 		b.lead(op)
 	default:
 		b.offer(&b.fleet, op)
@@ -567,7 +576,7 @@
 	// With room for one or two, a line cannot sort: what is worth far less than an op turned away of late
 	// would take its place by chance.
 	if worth(op) < g.price {
-		b.giveUp(op)
+		b.drop(op)
 		return
 	}
 	b.move(op, held)
@@ -603,7 +612,7 @@
 		if h != nil {
 			b.push(g, op, h)
 		} else { // none but the host that failed it: it must not hold up the line behind it
-			b.giveUp(op)
+			b.drop(op)
 		}
 	}
 	if g == &b.fleet && len(b.ready) == 0 { // no list yet, or an empty one: hold while there is hope
@@ -660,13 +669,24 @@
 // turnAway gives up an op of a gate's line, and remembers what it was worth.
 func (b *Balancer) turnAway(g *gate, op *Op) {
 	g.price = math.Max(g.price, op.value*priceShare) // its own: few are worth what a fetch for many is
-	b.giveUp(op)
+	b.drop(op)
+}
+
+// drop gives up a push that an op was to have: the op ends with it, unless another is out.
+func (b *Balancer) drop(op *Op) {
+	if op.out == 0 {
+		b.giveUp(op)
+		return
+	}
+	b.move(op, out)
+	b.landed(op, false)
 }
 
 func (b *Balancer) push(g *gate, op *Op, h *Host) {
 	b.move(op, out)
-	op.at, op.pushed, op.gate, op.called, op.looked = h, b.now, g, false, false
-	op.pushes++
+	p := &Push{Op: op, Host: h, sent: b.now, gate: g}
+	op.tried = append(op.tried, p)
+	op.out++
 	h.out++
 	h.open, h.fresh, h.pushed = true, h.fresh || !h.open, b.now
 	g.out++
@@ -679,35 +699,40 @@
 	case b.warmth(h) < 1:
 		h.budget--
 	}
-	if b.MayCancel {
-		b.look(b.now+patience, op, op.pushes)
+	if b.MayCancel || b.MayDuplicate {
+		b.look(b.now+patience, op, p)
 	} else if c.Repeat == Redeliverable {
 		limit = math.Min(limit, patience)
 	}
-	b.port.Push(op, h, limit)
+	b.port.Push(p, limit)
 }
 
 // impatient looks at a push that has been out for unusually long. A host that has answered others since
 // is at work on a heavy op; one that has answered none is suspect, and the op tries its luck elsewhere.
-func (b *Balancer) impatient(op *Op) {
-	h := op.at
-	if h == nil || op.called || op.pushes >= b.MostPushes {
+func (b *Balancer) impatient(p *Push) {
+	op, h := p.Op, p.Host
+	if p.called || len(op.tried) >= b.MostPushes {
 		return
 	}
 	if c := op.Category; c.Repeat == AtMostOnce || c.Repeat == Deduplicated && c.Group != AllHosts {
 		return
 	}
-	if h.answered > op.pushed && !op.looked {
-		op.looked = true
-		b.look(b.now+secondLook*(b.now-op.pushed), op, op.pushes)
+	if h.answered > p.sent && !p.looked {
+		p.looked = true
+		b.look(b.now+secondLook*(b.now-p.sent), op, p)
 		return
 	}
-	op.called = true
-	b.port.Cancel(op)
+	p.called = true
+	b.port.Cancel(p)
 }
 
 // Streaming takes word that the answer has begun to flow: TTL and time-outs no longer hold.
-func (b *Balancer) Streaming(op *Op) { b.move(op, streaming) }
+func (b *Balancer) Streaming(p *Push) {
+	if p.Op.state < streaming {
+		p.Op.bound = p
+	}
+	b.move(p.Op, streaming)
+}
 
 // Left takes word that nobody waits for the op any more.
 func (b *Balancer) Left(op *Op) {
@@ -719,42 +744,45 @@
 	b.landed(op, false)
 }
 
-// callOff cancels a push whose answer nobody wants.
+// callOff cancels pushes whose answers nobody wants.
 func (b *Balancer) callOff(op *Op) {
-	if op.at != nil && b.MayCancel && !op.called {
-		op.called = true
-		b.port.Cancel(op)
+	for _, p := range op.tried {
+		if !p.over && b.MayCancel && !p.called {
+			p.called = true
+			b.port.Cancel(p)
+		}
 	}
 }
 
-// Ended takes the outcome of op's push. last tells that nothing more is owed for the op.
-func (b *Balancer) Ended(op *Op, o Outcome, spent float64, last bool) {
-	h, g := op.at, op.gate
-	if h == nil {
+// Ended takes the outcome of a push, and what its host told of its load, or nil. last tells that nothing more is
+// owed for the op.
+func (b *Balancer) Ended(p *Push, o Outcome, spent float64, last bool, r *Report) {
+	op, h, g := p.Op, p.Host, p.gate
+	if p.over {
 		return
 	}
-	op.at = nil
+	p.over = true
+	p.never = o == Refused || o == NoConn || o == NotSent || o == Missed
+	op.out--
 	h.out--
 	g.out--
-	b.learn(op, h, g, o, spent)
-	switch o {
-	case Refused, NoConn, NotSent, Missed:
-	default:
-		if op.ranHost == nil {
-			op.ranHost, op.ranAt = h, op.pushed
-		}
-	}
+	b.learn(p, o, spent)
 	twice := o == Rejected && op.wrong != nil // two agree, so it is the op that is wrong
 	if o == Rejected {
 		op.wrong = h
 	}
 	switch {
 	case op.state == settled:
-	case last || op.state == streaming:
+	case last || op.bound == p:
 		b.move(op, settled)
 		b.landed(op, o == Served)
-	case o == Missed && b.Aside && !h.Origin && b.mayPush(op):
+	case op.state == streaming || op.state == held: // bound to its other push, or that is on its way
+	case o == Missed && b.Aside && !h.Origin && op.fetch == nil && b.mayPush(op):
 		b.lead(op)
+	case op.out > 0: // its other push may be answered yet
+		if h.Origin {
+			b.landed(op, false)
+		}
 	case b.now >= op.Due-tick:
 		b.giveUp(op)
 	case twice:
@@ -762,7 +790,7 @@
 	case op.fetch != nil && b.mayPush(op): // the origin failed the fetch; its waiters wait on
 		b.offer(g, op)
 	// A good host, which may hold the key while others would miss.
-	case h.fail <= failFrom && (o == Spoilt || o == Stale || o == Cancelled && h.answered > op.pushed):
+	case h.fail <= failFrom && (o == Spoilt || o == Stale || o == Cancelled && h.answered > p.sent):
 		b.route(op)
 	default:
 		op.failed = h
@@ -772,7 +800,8 @@
 }
 
 // learn takes from an outcome what it tells of host and gate.
-func (b *Balancer) learn(op *Op, h *Host, g *gate, o Outcome, spent float64) {
+func (b *Balancer) learn(p *Push, o Outcome, spent float64) {
+	op, h, g := p.Op, p.Host, p.gate
 	c, bad, suspect, step := op.Category, false, h.fail > failFrom, failStep
 	// Pushes turned away are not counted: of a full fleet's they are half, and no measure of what it can do.
 	if (o == Served || o == Missed) && !h.Origin && b.warmth(h) == 1 {
@@ -811,7 +840,7 @@
 			b.slowed(h, refusedSlow)
 		}
 	case TimedOut, Cancelled:
-		bad = h.answered < op.pushed
+		bad = h.answered < p.sent
 		if g == &b.fleet && spent > c.lat && !suspect { // else only the quick would count as usual
 			c.dev += (spent - c.lat - c.dev) * latStep
 			c.lat += (spent - c.lat) * latStep
@@ -840,7 +869,7 @@
 	switch {
 	case o == Served:
 	// Its connection is dead or the op is heavy, as the host answers others; or the client went away first.
-	case (o == TimedOut || o == Cancelled) && h.answered > op.pushed,
+	case (o == TimedOut || o == Cancelled) && h.answered > p.sent,
 		o == Cancelled && op.state == settled && pain < g.goal:
 		return
 	default:
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -28,8 +28,8 @@
 		for i := range 1000 {
 			op := &Op{Key: fmt.Sprint("key", i), Category: x.Categories[0], Due: 1e6}
 			x.Arrive(op)
-			m[op.Key] = op.at
-			x.Ended(op, Served, 10, true)
+			m[op.Key] = at(op).Host
+			x.Ended(at(op), Served, 10, true, nil)
 		}
 		return m
 	}
@@ -74,7 +74,7 @@
 	for range ms {
 		x.after(1)
 		name := fmt.Sprint("op", x.t)
-		if x.ask(name, 0, name, 500, false).at != nil {
+		if x.ask(name, 0, name, 500, false).out > 0 {
 			x.end(name, Served, 10)
 		}
 	}
@@ -122,8 +122,8 @@
 			for i, x := range all {
 				x.after(500)
 				before := x.pushes["d"]
-				if op := x.ask(fmt.Sprint("op", t), 0, key(i+300*t), 500, false); op.at != nil {
-					x.Ended(op, Served, 10, true)
+				if op := x.ask(fmt.Sprint("op", t), 0, key(i+300*t), 500, false); op.out > 0 {
+					x.Ended(at(op), Served, 10, true, nil)
 				}
 				atD += x.pushes["d"] - before
 			}
@@ -248,12 +248,12 @@
 				x.after(20)
 				x.pushes["origin"] = 0
 				name := fmt.Sprint(sec, t, i)
-				if op := x.ask(name, 0, name, 500, false); op.at != nil && !op.at.Origin {
+				if op := x.ask(name, 0, name, 500, false); op.out > 0 && !at(op).Host.Origin {
 					x.end(name, Missed, 1)
 				}
 				for _, op := range x.ops {
-					if op.at != nil && op.at.Origin {
-						x.Ended(op, Refused, 1, false)
+					if op.out > 0 && at(op).Host.Origin {
+						x.Ended(at(op), Refused, 1, false, nil)
 					}
 				}
 				fetches += x.pushes["origin"]
@@ -344,9 +344,9 @@
 func Example_stream() {
 	x := open(start(), "a", "b")
 	op := x.ask("op", 0, "page", 200, false)
-	x.Streaming(op)
+	x.Streaming(at(op))
 	x.after(300)
-	x.Ended(op, Broken, 300, true)
+	x.Ended(at(op), Broken, 300, true, nil)
 	fmt.Println(op.Over())
 	// Output:
 	// 0 push op to a
@@ -406,11 +406,11 @@
 		x.silent = true
 		at := func(key string) string {
 			op := x.ask(key, 0, key, 500, false)
-			if op.at == nil {
+			if op.out == 0 {
 				x.Left(op)
 				return "none"
 			}
-			name := op.at.Name
+			name := at(op).Host.Name
 			x.end(key, Served, 1)
 			return name
 		}
@@ -511,8 +511,8 @@
 				took = 150
 			}
 			x.after(took)
-			called += op.pushes - 1
-			x.end("op", Served, x.t-op.pushed)
+			called += len(op.tried) - 1
+			x.end("op", Served, x.t-at(op).sent)
 		}
 		fmt.Println("called off:", called, "of 10 heavy ones")
 	}
@@ -579,7 +579,7 @@
 		x.silent = true
 		for range 40 {
 			x.after(100)
-			if x.ask("op", 0, "page", 500, false).at.Name == "c" {
+			if at(x.ask("op", 0, "page", 500, false)).Host.Name == "c" {
 				x.end("op", Refused, 1)
 			}
 			x.end("op", Served, 25)
@@ -602,7 +602,7 @@
 		name := fmt.Sprint("op", i)
 		outs = append(outs, x.ask(name, 0, name, 400, false))
 		for _, op := range outs {
-			if op.at != nil && op.at.Name < "c" {
+			if op.out > 0 && at(op).Host.Name < "c" {
 				x.end(op.Ref.(string), Served, 10)
 				served++
 			}
@@ -801,7 +801,7 @@
 			name := fmt.Sprint("op", s, i)
 			ops = append(ops, x.ask(name, 0, name, 300, false))
 			for _, op := range ops {
-				if op.at != nil && s >= 2 && x.t-op.pushed < 40 {
+				if op.out > 0 && s >= 2 && x.t-at(op).sent < 40 {
 					x.end(op.Ref.(string), Served, 10)
 					served++
 				}
@@ -847,11 +847,11 @@
 		if outs = append(outs, op); i%3 != 0 {
 			continue
 		}
-		for len(outs) > 0 && outs[0].at == nil {
+		for len(outs) > 0 && outs[0].out == 0 {
 			outs = outs[1:]
 		}
 		if len(outs) > 0 {
-			x.Ended(outs[0], Served, x.t-outs[0].pushed, true)
+			x.Ended(at(outs[0]), Served, x.t-at(outs[0]).sent, true, nil)
 			served[outs[0].Tenant]++
 		}
 	}
@@ -922,9 +922,9 @@
 			x.after(3)
 			name := fmt.Sprint("op", i)
 			op := x.ask(name, i%4, fmt.Sprint("key", i%17), 300, i%5 == 0)
-			for k := i; op.at != nil; k += 3 {
-				trace += op.at.Name
-				x.Ended(op, Outcome(k%10), 5, Outcome(k%10) == Served)
+			for k := i; op.out > 0; k += 3 {
+				trace += at(op).Host.Name
+				x.Ended(at(op), Outcome(k%10), 5, Outcome(k%10) == Served, nil)
 			}
 		}
 		return trace
--- a/balance/port.go
+++ b/balance/port.go
@@ -3,13 +3,13 @@
 // Port is what the module asks of the front it runs behind. A front answers nothing: what comes of a
 // request reaches the Balancer later, through its methods.
 type Port interface {
-	Push(op *Op, h *Host, limit float64) // send op to h; give the push up after limit ms
-	Cancel(op *Op)                       // call off the last push of op; its outcome still comes
-	Nack(op *Op, backoff float64)        // end op unserved, safe to repeat, in backoff ms at the earliest
-	DeadLetter(op *Op)                   // end op unserved, with no word on whether it ran
-	Wake(after float64)                  // call Woke after that many ms
-	Watch()                              // subscribe to the host list; List or ListFailed answers
-	HangUp(h *Host)                      // close the connections to h that carry nothing now
+	Push(p *Push, limit float64)  // send p.Op to p.Host; give the push up after limit ms
+	Cancel(p *Push)               // call a push off; its outcome still comes
+	Nack(op *Op, backoff float64) // end op unserved, safe to repeat, in backoff ms at the earliest
+	DeadLetter(op *Op)            // end op unserved, with no word on whether it ran
+	Wake(after float64)           // call Woke after that many ms
+	Watch()                       // subscribe to the host list; List or ListFailed answers
+	HangUp(h *Host)               // close the connections to h that carry nothing now
 }
 
 // Start is what an instance is told as it comes up.
@@ -24,10 +24,11 @@
 	OnRequest bool // the host list has to be asked for
 	ByWork    bool // benefit counts for each unit of work, not for each op
 
-	MostPushes int
-	MayCancel  bool
-	ConnIdle   float64 // ms after which an idle connection closes by itself
-	MaxBackoff float64 // ms, the longest advice a client heeds; 0 where none is given
+	MostPushes   int
+	MayCancel    bool
+	MayDuplicate bool    // two pushes of an op may be out at once
+	ConnIdle     float64 // ms after which an idle connection closes by itself
+	MaxBackoff   float64 // ms, the longest advice a client heeds; 0 where none is given
 
 	ColdShare   float64 // share of its capacity at which a host starts
 	ColdFor     float64 // ms until it is warm
@@ -150,18 +151,34 @@
 	hash    uint64
 	arrived float64
 	value   float64
-	pushes  int
-	at      *Host   // where a push is out, or nil
-	pushed  float64 // ms, time of the last push
-	ranAt   float64 // ms, first push that may have run
-	ranHost *Host   // and its host; nil while none may have run
+	tried   []*Push // all its pushes, the first in front
+	out     int     // pushes that are out: one, or two
 	failed  *Host   // last host that failed it
 	wrong   *Host   // host that held the op itself for wrong
-	gate    *gate   // whose place the push that is out takes
-	called  bool    // that push has been called off
-	looked  bool    // that push has been looked at, and left
+	bound   *Push   // the push whose answer flows
 	fetch   *fetch  // led by this op
 }
 
+// Push is one attempt at an op. The front gets it with the word to send and hands it back with its outcome.
+type Push struct {
+	Ref  any // the front's own handle; never read here
+	Op   *Op
+	Host *Host
+
+	sent   float64 // ms
+	gate   *gate   // whose place it takes
+	looked bool    // it has been looked at, and left
+	called bool    // it has been called off
+	over   bool    // its outcome has come
+	never  bool    // that proves that it never ran
+}
+
+// Report is what a host tells of its load with an answer, some time old and not exact. What it does not tell is
+// below 0.
+type Report struct {
+	Busy  float64 // share of its cores' time
+	Queue float64 // ops that wait
+}
+
 // Over tells that nothing more can come of the op: it is settled and no push is out.
-func (op *Op) Over() bool { return op.state == settled && op.at == nil }
+func (op *Op) Over() bool { return op.state == settled && op.out == 0 }
--- a/balance/trace_test.go
+++ b/balance/trace_test.go
@@ -14,7 +14,7 @@
 	ops    map[string]*Op
 	hosts  map[string]*Host
 	pushes map[string]int // by host
-	called []*Op          // whose push is called off
+	called []*Push        // called off
 }
 
 // rows: a redeliverable read, a deduplicated write, an at-most-once one, and one dropped by its zone alone.
@@ -72,8 +72,8 @@
 		next := math.Min(end, x.wake)
 		x.t = next
 		x.At(next)
-		for _, op := range x.called {
-			x.Ended(op, Cancelled, x.t-op.pushed, op.state == settled)
+		for _, p := range x.called {
+			x.Ended(p, Cancelled, x.t-p.sent, p.Op.state == settled, nil)
 		}
 		x.called = x.called[:0]
 		if next == x.wake && next < end {
@@ -92,11 +92,28 @@
 	return op
 }
 
+// at is the first push of op that is out, or nil.
+func at(op *Op) *Push {
+	for _, p := range op.tried {
+		if !p.over {
+			return p
+		}
+	}
+	return nil
+}
+
 // end reports the outcome of an op's push after ms.
 func (x *scene) end(name string, o Outcome, spent float64) {
-	op := x.ops[name]
-	x.Ended(op, o, spent, o == Served || op.state == settled)
-	if o == Served && !x.silent {
+	if p := at(x.ops[name]); p != nil {
+		x.over(p, o, spent)
+	}
+}
+
+// over reports the outcome of a push after ms.
+func (x *scene) over(p *Push, o Outcome, spent float64) {
+	name, late := p.Op.Ref, p.Op.state == settled
+	x.Ended(p, o, spent, o == Served || late, nil)
+	if o == Served && !late && !x.silent {
 		fmt.Printf("%4.0f %s acked\n", x.t, name)
 	}
 }
@@ -107,13 +124,13 @@
 	}
 }
 
-func (x *scene) Push(op *Op, h *Host, _ float64) {
-	x.pushes[h.Name]++
-	x.say("push %s to %s", op.Ref, h.Name)
+func (x *scene) Push(p *Push, _ float64) {
+	x.pushes[p.Host.Name]++
+	x.say("push %s to %s", p.Op.Ref, p.Host.Name)
 }
-func (x *scene) Cancel(op *Op) {
-	x.called = append(x.called, op)
-	x.say("cancel %s", op.Ref)
+func (x *scene) Cancel(p *Push) {
+	x.called = append(x.called, p)
+	x.say("cancel %s", p.Op.Ref)
 }
 
 func (x *scene) Nack(op *Op, wait float64) { x.say("nack %s", op.Ref) }
--- a/internal/routing/client.go
+++ b/internal/routing/client.go
@@ -24,7 +24,6 @@
 	client  *client
 	command *protocol.Command
 	reply   transport.Chain
-	push    *push // the one that is out
 	state   opState
 }
 
--- a/internal/routing/link.go
+++ b/internal/routing/link.go
@@ -18,6 +18,7 @@
 
 // push is one attempt at an op.
 type push struct {
+	*balance.Push
 	router  *Router
 	op      *op
 	link    *link
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -175,19 +175,18 @@
 	protocol.Terminating: balance.Draining, protocol.Terminated: balance.Gone}
 
 // Push implements balance.Port, as do the methods below.
-func (r *Router) Push(o *balance.Op, h *balance.Host, limit float64) {
-	op := o.Ref.(*op)
-	p := &push{router: r, op: op, began: r.loop.Now()}
+func (r *Router) Push(b *balance.Push, limit float64) {
+	p := &push{Push: b, router: r, op: b.Op.Ref.(*op), began: r.loop.Now()}
+	b.Ref = p
 	p.limit.Fire = p.late
-	op.push = p
 	r.loop.Set(&p.limit, limit)
-	h.Ref.(*host).link(r).carry(p, limit)
+	b.Host.Ref.(*host).link(r).carry(p, limit)
 }
 
-// Cancel calls the last push of an op off by closing its connection.
-func (r *Router) Cancel(o *balance.Op) {
-	p := o.Ref.(*op).push
-	if p == nil || p.state == over {
+// Cancel calls a push off by closing its connection.
+func (r *Router) Cancel(b *balance.Push) {
+	p := b.Ref.(*push)
+	if p.state == over {
 		return
 	}
 	p.outcome = balance.Cancelled
@@ -221,6 +220,5 @@
 
 // ended tells the balancer how a push ended.
 func (r *Router) ended(p *push, o balance.Outcome) {
-	p.op.push = nil
-	r.balancer.Ended(&p.op.Op, o, r.loop.Now()-p.began, p.op.state != open)
+	r.balancer.Ended(p.Push, o, r.loop.Now()-p.began, p.op.state != open, nil)
 }
--- a/internal/simwire/serve.go
+++ b/internal/simwire/serve.go
@@ -63,8 +63,8 @@
 	hosts      map[uint32]*balance.Host
 	ids        map[*balance.Host]uint32
 	ops        map[string]*balance.Op
-	rounds     map[*balance.Op]int // pushes sent so far
-	looked     float64             // ms, the time last given to the balancer
+	pushes     map[*balance.Op][]*balance.Push // by round
+	looked     float64                         // ms, the time last given to the balancer
 }
 
 func (s *server) answer(line []byte) error {
@@ -109,8 +109,8 @@
 		return s.at("ATTEMPT_END", e.AttemptEnd.I, func(d *door) error { return d.attemptEnd(e.AttemptEnd) })
 	case e.Headers != nil:
 		return s.at("HEADERS", e.Headers.I, func(d *door) error {
-			if op := d.ops[e.Headers.Corr]; op != nil {
-				d.balancer.Streaming(op)
+			if p := d.push(e.Headers); p != nil {
+				d.balancer.Streaming(p)
 			}
 			return nil
 		})
@@ -168,7 +168,7 @@
 		return fmt.Errorf("CONFIGURE.%w", err)
 	}
 	d := &door{server: s, i: *e.I, params: p, hosts: map[uint32]*balance.Host{}, looked: s.now,
-		ids: map[*balance.Host]uint32{}, ops: map[string]*balance.Op{}, rounds: map[*balance.Op]int{}}
+		ids: map[*balance.Host]uint32{}, ops: map[string]*balance.Op{}, pushes: map[*balance.Op][]*balance.Push{}}
 	begin, categories, tenants := p.Begin(e.Seed)
 	d.categories, d.tenants = categories, tenants
 	s.doors[*e.I] = d
@@ -263,36 +263,47 @@
 		return fmt.Errorf("corr: unknown op %q", e.Corr)
 	case e.Code == nil:
 		return errors.New("code: missing")
-	case e.Round != d.rounds[op]-1:
+	}
+	p := d.push(&e.headers)
+	if p == nil {
 		return nil
 	}
 	outcome, known := outcomes[*e.Code]
 	if !known {
 		outcome = balance.Unknown
 	}
-	d.balancer.Ended(op, outcome, float64(e.Spent)/1000, e.Last)
+	d.balancer.Ended(p, outcome, float64(e.Spent)/1000, e.Last, nil)
 	d.forget(e.Corr, op)
 	return nil
 }
 
+// push is the one of a round, or nil.
+func (d *door) push(e *headers) *balance.Push {
+	if all := d.pushes[d.ops[e.Corr]]; e.Round >= 0 && e.Round < len(all) {
+		return all[e.Round]
+	}
+	return nil
+}
+
 // forget drops an op of which nothing more can be heard.
 func (d *door) forget(corr string, op *balance.Op) {
 	if op.Over() {
 		delete(d.ops, corr)
-		delete(d.rounds, op)
+		delete(d.pushes, op)
 	}
 }
 
 func (d *door) act(a action) { d.actions = append(d.actions, a) }
 
 // Push implements balance.Port, as do the methods below.
-func (d *door) Push(op *balance.Op, h *balance.Host, limit float64) {
-	d.rounds[op]++
-	d.act(action{Send: &send{d.i, op.Ref.(string), d.ids[h], max(1, us(limit))}})
+func (d *door) Push(p *balance.Push, limit float64) {
+	p.Ref = len(d.pushes[p.Op])
+	d.pushes[p.Op] = append(d.pushes[p.Op], p)
+	d.act(action{Send: &send{d.i, p.Op.Ref.(string), d.ids[p.Host], max(1, us(limit))}})
 }
 
-func (d *door) Cancel(op *balance.Op) {
-	d.act(action{Undo: &undo{d.i, op.Ref.(string), d.rounds[op] - 1}})
+func (d *door) Cancel(p *balance.Push) {
+	d.act(action{Undo: &undo{d.i, p.Op.Ref.(string), p.Ref.(int)}})
 }
 
 func (d *door) Nack(op *balance.Op, backoff float64) {
