--- a/balance/balance.go
+++ b/balance/balance.go
@@ -48,13 +48,14 @@
 	fleetStep   = 0.2   // weight of a new latency in the hosts' gate's pain: about 5 ops, to see a jam build
 	originStep  = 0.1   // the same for the origin, whose answers vary more from one to the next
 	gatePause   = 100.0 // ms between two narrowings, so that the first can show
+	chanceGain  = 20.0  // answers in time after which a gate that lets out next to none lets out all again
 	lineLength  = 1.0   // ops held for each that a gate lets out: about two latencies of waiting
 	fleetFloor  = 2.0   // pushes a host, of all balancers, that the hosts' gate lets out at least
 	fleetStart  = 16.0  // pushes a host, of all balancers, that the hosts' gate starts with
 	originStart = 1.5   // fetches a host, of all balancers, that the origin's gate starts with
+	originOwn   = 4.0   // fetches that a balancer of many starts with all the same: its own ops tell of no other's
 	originFloor = 2.0   // fetches, of all balancers, that it lets out at least
 	fleetGain   = 1.0   // pushes a host, of all balancers, that the hosts' gate widens by in one latency
-	originGain  = 3.0   // fetches, of all balancers, that the origin's gate widens by in one latency
 
 	coldSafety = 0.5    // part of the tipping load that all may send a cold host in a span; two can lie close
 	rateSpan   = 2000.0 // ms over which the usual rate of pushes is averaged
@@ -130,8 +131,6 @@
 // gate lets a learned number of pushes out at once and holds the rest.
 type gate struct {
 	goal, limit float64
-	lucky       bool    // drawn to be open, where limit is under 1
-	drawn       float64 // ms, when it was
 	step        float64 // weight of a new latency in pain
 	floor       float64 // least that limit may sink to
 	gain        float64 // what limit gains in one latency
@@ -140,6 +139,7 @@
 	pain        float64 // smoothed latency over target
 	calm        float64 // pain when little waits: follows pain down at once, up slowly
 	cutAt       float64
+	worth       float64 // smoothed benefit of an op that comes to it
 	price       float64 // benefit under which an op is turned away at once; it sinks by and by
 	line        []*Op
 }
@@ -193,7 +193,7 @@
 	b.fleet = gate{goal: gateGoal, step: fleetStep, limit: math.Inf(1)}
 	b.origin = gate{goal: originGoal, step: originStep, pain: originGoal / 2, calm: originGoal / originRise,
 		floor: originFloor / float64(s.Group), limit: math.Inf(1),
-		gain: math.Min(1, originGain/float64(s.Group))}
+		gain: 1}
 	for _, c := range s.Categories {
 		c.lat, c.dev = c.Target/4, c.Target/8
 		b.origin.lat, b.origin.dev = max(b.origin.lat, c.lat), max(b.origin.dev, c.dev)
@@ -354,7 +354,7 @@
 	share := float64(len(b.ready)) / float64(b.Group)
 	b.fleet.floor, b.fleet.gain = fleetFloor*share, math.Min(1, fleetGain*share)
 	if math.IsInf(b.fleet.limit, 1) { // the first list
-		b.origin.limit = originStart * share
+		b.origin.limit = math.Max(originStart*share, originOwn)
 		b.fleet.limit = math.Max(1, fleetStart*share)
 	}
 	b.fleet.limit = math.Max(b.fleet.limit, b.fleet.floor)
@@ -575,7 +575,7 @@
 func (b *Balancer) offer(g *gate, op *Op) {
 	// With room for one or two, a line cannot sort: what is worth far less than an op turned away of late
 	// would take its place by chance.
-	if worth(op) < g.price {
+	if worth(op) < g.price || b.unlucky(g, op) {
 		b.drop(op)
 		return
 	}
@@ -631,16 +631,15 @@
 	}
 }
 
-// open tells whether a gate lets one more push out. Under a limit of one chance tells, once each latency:
-// were each of some hundred balancers to have one out at all times, they would keep a full origin full.
-func (b *Balancer) open(g *gate) bool {
-	if g.limit >= 1 {
-		return float64(g.out) < g.limit
-	}
-	if b.now >= g.drawn+g.lat {
-		g.lucky, g.drawn = b.rng.float() < g.limit, b.now
-	}
-	return g.out == 0 && g.lucky
+// open tells whether a gate lets one more push out.
+func (b *Balancer) open(g *gate) bool { return float64(g.out) < math.Max(g.limit, 1) }
+
+// unlucky tells whether chance turns an op away at a gate. A limit under one is the part of its ops that a balancer
+// lets out, more of those of more worth: were each of some hundred to have one out at all times, they would keep a
+// full origin full, and a place drawn now and then would leave most of those that see few ops without any.
+func (b *Balancer) unlucky(g *gate, op *Op) bool {
+	g.worth += (worth(op) - g.worth) * hostStep
+	return g.limit < 1 && b.rng.float()*g.worth >= g.limit*worth(op)
 }
 
 // target is the host that a gate's op goes to.
@@ -690,7 +689,6 @@
 	h.out++
 	h.open, h.fresh, h.pushed = true, h.fresh || !h.open, b.now
 	g.out++
-	g.lucky = false // one in the time drawn for
 	c, limit := op.Category, op.Due-b.now
 	patience := c.lat + patienceDevs*c.dev
 	switch {
@@ -892,7 +890,7 @@
 		g.limit = math.Max(g.floor, math.Min(g.limit, float64(g.out+1))*gateCut)
 		g.cutAt = b.now + gatePause
 	case g.pain < g.goal && float64(g.out+1) > g.limit/2:
-		g.limit += g.gain / g.limit
+		g.limit += g.gain / math.Max(g.limit, chanceGain)
 	}
 }
 
