--- a/balance/balance.go
+++ b/balance/balance.go
@@ -890,7 +890,11 @@
 		g.limit = math.Max(g.floor, math.Min(g.limit, float64(g.out+1))*gateCut)
 		g.cutAt = b.now + gatePause
 	case g.pain < g.goal && float64(g.out+1) > g.limit/2:
-		g.limit += g.gain / math.Max(g.limit, chanceGain)
+		if g.limit < 1 {
+			g.limit += 1 / chanceGain
+		} else {
+			g.limit += g.gain / g.limit
+		}
 	}
 }
 
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -859,7 +859,7 @@
 	}
 	fmt.Println("big:", served[big], "of 540, small:", served[small], "of 60")
 	// Output:
-	// big: 129 of 540, small: 57 of 60
+	// big: 123 of 540, small: 57 of 60
 }
 
 // Of many balancers each sees a tenant's op a second or fewer, and by chance some together: they are within
