--- a/balance/balance.go
+++ b/balance/balance.go
@@ -71,8 +71,7 @@
 	priceSpan  = 8000.0 // ms in which that is forgotten: one of many balancers turns few away
 
 	settleTicks = 2.0 // quanta before its TTL at which an op is settled, beside one tick
-	shareBurst  = 1.0 // s of its quota that a tenant may spend at once
-	shareLeast  = 8.0 // ops that it may at the least: at an op a second, chance alone sends some together
+	shareLeast  = 8.0 // ops that a tenant may be ahead of its part of those acked: chance sends some together
 )
 
 // state of an op.
@@ -100,6 +99,7 @@
 	sizes   float64 // sum of the ready hosts' sizes
 	origins []*Host
 	walks   int // made so far
+	served  int // ops acked
 	resting int
 	counted int     // pushes that warm hosts have answered since the last tick
 	rate    float64 // pushes a ms for each unit of warm size
@@ -199,8 +199,12 @@
 		b.origin.lat, b.origin.dev = max(b.origin.lat, c.lat), max(b.origin.dev, c.dev)
 		b.fleet.lat = b.origin.lat
 	}
+	quotas := 0.0
 	for _, t := range s.Tenants {
-		t.tokens, t.filled = math.Max(t.Quota*shareBurst/float64(s.Group), shareLeast), now
+		quotas += t.Quota
+	}
+	for _, t := range s.Tenants {
+		t.tokens, t.part = shareLeast, t.Quota/math.Max(quotas, 1)
 	}
 	if s.OnRequest {
 		b.ask()
@@ -519,9 +523,8 @@
 		op.value /= op.Category.lat
 	}
 	if t := op.Tenant; t != nil {
-		pace := t.Quota / 1000 / float64(b.Group)
-		t.tokens = math.Min(t.tokens+pace*(b.now-t.filled), math.Max(pace*shareBurst*1000, shareLeast))
-		t.filled = b.now
+		t.tokens = math.Min(t.tokens+t.part*float64(b.served-t.filled), shareLeast)
+		t.filled = b.served
 		if t.tokens >= 1 {
 			t.tokens--
 		} else {
@@ -772,6 +775,9 @@
 	switch {
 	case op.state == settled:
 	case last || op.bound == p:
+		if o == Served {
+			b.served++
+		}
 		b.move(op, settled)
 		b.landed(op, o == Served)
 	case op.state == streaming || op.state == held: // bound to its other push, or that is on its way
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -859,11 +859,11 @@
 	}
 	fmt.Println("big:", served[big], "of 540, small:", served[small], "of 60")
 	// Output:
-	// big: 123 of 540, small: 57 of 60
+	// big: 118 of 540, small: 59 of 60
 }
 
-// Of many balancers each sees a tenant's op a second or fewer, and by chance some together: they are within
-// the share all the same. One that sends three times its share is found out in time.
+// A tenant's share is reckoned from what this balancer gets acked: with a part of 1/100 of the quota one that carries far more
+// than its fellows once took all tenants for greedy. One that sends three times what the other does is found out in time.
 func Example_tenantOfMany() {
 	s := start()
 	s.Group = 100
@@ -877,6 +877,9 @@
 		if x.Arrive(op); op.value >= 1/op.Category.lat {
 			within[t]++
 		}
+		if p := at(op); p != nil {
+			x.Ended(p, Served, 5, true, nil)
+		}
 	}
 	for range 10 {
 		x.after(3000)
@@ -889,7 +892,7 @@
 	}
 	fmt.Println("fair:", within[fair], "of 30, heavy:", within[heavy], "of 90")
 	// Output:
-	// fair: 30 of 30, heavy: 35 of 90
+	// fair: 30 of 30, heavy: 66 of 90
 }
 
 // A host takes so many connections. When one cannot be made, idle ones are given back sooner, so that others
--- a/balance/port.go
+++ b/balance/port.go
@@ -72,7 +72,9 @@
 type Tenant struct {
 	Quota float64 // ops a second within its share, over all balancers
 
-	tokens, filled float64 // ops left of the share, and when that was reckoned
+	tokens float64 // ops left of its part of what this balancer gets acked
+	part   float64 // of all quotas
+	filled int     // ops acked when tokens was reckoned
 }
 
 // Status of a host as the list tells it.
