--- a/balance/balance.go
+++ b/balance/balance.go
@@ -36,7 +36,11 @@
 	restCost    = 20.0   // times what a failed connect took that a host rests at most
 	restShare   = 0.8    // part of the hosts that may rest at once; beyond it the evidence is in doubt
 
-	secondLook   = 1.0 // first waits after which a push that was left is called off all the same
+	secondLook = 1.0                // first waits after which a push that was left is called off all the same
+	poolStep   = 0.1                // part of the keys that walk the whole cycle for each late fetch: the origin is short
+	poolFall   = 0.01               // part of these that keep to their zone again for each answer: some hundred answers
+	zoneHash   = 0x9e3779b97f4a7c15 // odd; tells a key's part in this from its place on the cycle
+
 	patienceDevs = 5.0 // mean deviations above the usual latency at which a push is looked at
 
 	gateGoal    = 0.5   // smoothed latency over target above which a gate narrows: most answers just in time
@@ -98,8 +102,9 @@
 	unit    float64 // size that gets pointsPerHost places
 	sizes   float64 // sum of the ready hosts' sizes
 	origins []*Host
-	walks   int // made so far
-	served  int // ops acked
+	walks   int     // made so far
+	served  int     // ops acked
+	pool    float64 // part of the keys that keep to no zone
 	resting int
 	counted int     // pushes that warm hosts have answered since the last tick
 	rate    float64 // pushes a ms for each unit of warm size
@@ -450,6 +455,8 @@
 		return cmp.Compare(p.hash, h)
 	})
 	b.walks++
+	near := b.near(op)
+	var spill *Host
 	left := len(b.ready) // each host is judged once: where most are full its other points cost too much
 	for i := 0; i < len(b.cycle) && left > 0; i++ {
 		p := b.cycle[(from+i)%len(b.cycle)]
@@ -460,10 +467,25 @@
 		h.walked = b.walks
 		left--
 		if h != op.failed && allowed(op, h) && !b.full(h, mean) && b.afford(h) {
+			if near && (h.Zone == b.Zone) != (op.failed == nil) {
+				if spill == nil {
+					spill = h
+				}
+				continue
+			}
 			return h
 		}
 	}
-	return nil
+	return spill
+}
+
+// near tells whether op keeps to the hosts of its balancer's zone as long as one has room, and walks on to another zone
+// from one that failed it or had none: its first host there is where that zone's balancers keep the key.
+func (b *Balancer) near(op *Op) bool {
+	if b.Zone < 0 || b.Zones < 2 || b.CrossCost*(1-1/float64(b.Zones)) <= b.FetchCost {
+		return false
+	}
+	return float64(op.hash*zoneHash>>11)/(1<<53) >= b.pool
 }
 
 // mayHaveRun is the first push of op that has run, or may have, or may yet; nil where all provably never ran.
@@ -826,6 +848,7 @@
 		}
 		g.lat += (spent - g.lat) * latStep
 		h.answered = b.now
+		b.pool -= b.pool * poolFall
 	case Missed:
 		h.answered = b.now
 	case Failed, Broken:
@@ -879,6 +902,9 @@
 	default:
 		pain = math.Max(pain, 2*g.goal)
 	}
+	if g == &b.origin && pain > g.goal {
+		b.pool = math.Min(1, b.pool+poolStep)
+	}
 	g.pain += (pain - g.pain) * g.step
 	if g == &b.origin {
 		step := math.Min(calmStep*math.Max(1, float64(b.Group)/crowdGroup), latStep) // each sees its part
--- a/balance/port.go
+++ b/balance/port.go
@@ -35,6 +35,10 @@
 	TipMultiple float64 // sent this many times what it can do
 	TipFor      float64 // for this many ms, a cold host falls over
 
+	Zone, Zones int     // this balancer's zone, below 0 where it is in none, and how many there are
+	CrossCost   float64 // price of a push into another zone
+	FetchCost   float64 // price of a fetch from the origin
+
 	ExcessBenefit float64 // part of its benefit that an op over its tenant's share keeps
 }
 
--- a/internal/params/params.go
+++ b/internal/params/params.go
@@ -33,20 +33,26 @@
 	Discovery     string  `json:"discovery"`
 	ExcessBenefit float64 `json:"excessBenefit"`
 	Models        []string
+	Zone          string `json:"zone"`
 	Zones         []string
-	Guarantees    struct {
+	Costs         struct {
+		CrossZone float64 `json:"crossZone"`
+		Origin    float64 `json:"origin"`
+	} `json:"costs"`
+	Guarantees struct {
 		ColdShare   float64 `json:"coldShare"`
 		ColdFor     float64 `json:"coldUs"`
 		TipMultiple float64 `json:"tipMultiple"`
 		FallFor     float64 `json:"fallUs"`
 	} `json:"guarantees"`
 	Limits struct {
-		Cancelling bool    `json:"cancelling"`
-		MostPushes int     `json:"mostPushes"`
-		ConnIdle   float64 `json:"connIdleUs"`
-		Connect    float64 `json:"connectTimeoutUs"`
-		RetryAfter bool    `json:"retryAfter"`
-		MaxBackoff float64 `json:"maxRetryAfterUs"`
+		Cancelling   bool    `json:"cancelling"`
+		MostPushes   int     `json:"mostPushes"`
+		MayDuplicate bool    `json:"mayDuplicate"`
+		ConnIdle     float64 `json:"connIdleUs"`
+		Connect      float64 `json:"connectTimeoutUs"`
+		RetryAfter   bool    `json:"retryAfter"`
+		MaxBackoff   float64 `json:"maxRetryAfterUs"`
 	} `json:"limits"`
 	Specifics struct {
 		Mode       string `json:"mode"`
@@ -115,10 +121,13 @@
 		Seed: seed, Group: p.GroupSize, Quantum: p.Quantum / 1000,
 		Aside: p.Specifics.Mode == "aside", OnRequest: p.Discovery == "on_request",
 		ByWork: p.BenefitBy == "work", MostPushes: p.Limits.MostPushes, MayCancel: p.Limits.Cancelling,
-		ConnIdle:  p.Limits.ConnIdle / 1000,
-		ColdShare: p.Guarantees.ColdShare, ColdFor: p.Guarantees.ColdFor / 1000,
+		MayDuplicate: p.Limits.MayDuplicate,
+		ConnIdle:     p.Limits.ConnIdle / 1000,
+		ColdShare:    p.Guarantees.ColdShare, ColdFor: p.Guarantees.ColdFor / 1000,
 		TipMultiple: p.Guarantees.TipMultiple, TipFor: p.Guarantees.FallFor / 1000,
 		ExcessBenefit: p.ExcessBenefit,
+		Zone:          slices.Index(p.Zones, p.Zone), Zones: len(p.Zones),
+		CrossCost: p.Costs.CrossZone, FetchCost: p.Costs.Origin,
 	}
 	if s.ConnIdle <= 0 { // not told: they stay open
 		s.ConnIdle = math.Inf(1)
