--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -859,7 +859,7 @@
 	}
 	fmt.Println("big:", served[big], "of 540, small:", served[small], "of 60")
 	// Output:
-	// big: 118 of 540, small: 59 of 60
+	// big: 117 of 540, small: 59 of 60
 }
 
 // A tenant's share is reckoned from what this balancer gets acked: with a part of 1/100 of the quota one that carries far more
