--- a/balance/balance.go
+++ b/balance/balance.go
@@ -41,6 +41,10 @@
 	poolFall   = 0.01               // part of these that keep to their zone again for each answer: some hundred answers
 	zoneHash   = 0x9e3779b97f4a7c15 // odd; tells a key's part in this from its place on the cycle
 
+	copyDevs  = 3.0 // mean deviations above the usual latency at which a second copy is sent
+	copyShare = 0.1 // second copies an op: more would be much of a slow fleet's load
+	copyBurst = 3.0 // that may be sent together
+
 	patienceDevs = 5.0 // mean deviations above the usual latency at which a push is looked at
 
 	gateGoal    = 0.5   // smoothed latency over target above which a gate narrows: most answers just in time
@@ -104,6 +108,7 @@
 	origins []*Host
 	walks   int     // made so far
 	served  int     // ops acked
+	copies  float64 // second copies that may be sent
 	pool    float64 // part of the keys that keep to no zone
 	resting int
 	counted int     // pushes that warm hosts have answered since the last tick
@@ -553,6 +558,7 @@
 			op.value *= b.ExcessBenefit
 		}
 	}
+	b.copies = math.Min(b.copies+copyShare, copyBurst)
 	end := b.end(op)
 	if end <= b.now { // a last try with next to no time left could be lost between two looks
 		b.giveUp(op)
@@ -722,9 +728,14 @@
 	case b.warmth(h) < 1:
 		h.budget--
 	}
-	if b.MayCancel || b.MayDuplicate {
+	switch {
+	case b.MayDuplicate && (h.Origin || op.out > 1): // one origin, and two pushes at most
+	case b.MayDuplicate:
+		patience = c.lat + copyDevs*c.dev
+		b.look(b.now+math.Min(patience, math.Max(c.lat, c.Target-2*c.lat)), op, p)
+	case b.MayCancel:
 		b.look(b.now+patience, op, p)
-	} else if c.Repeat == Redeliverable {
+	case c.Repeat == Redeliverable:
 		limit = math.Min(limit, patience)
 	}
 	b.port.Push(p, limit)
@@ -734,6 +745,10 @@
 // is at work on a heavy op; one that has answered none is suspect, and the op tries its luck elsewhere.
 func (b *Balancer) impatient(p *Push) {
 	op, h := p.Op, p.Host
+	if b.MayDuplicate {
+		b.copy(p)
+		return
+	}
 	if p.called || len(op.tried) >= b.MostPushes {
 		return
 	}
@@ -749,6 +764,22 @@
 	b.port.Cancel(p)
 }
 
+// copy sends a second copy of an op whose push has been out for unusually long, and leaves the first where it is: what
+// comes first counts. A host that has answered nobody since is suspect. Copies are a part of the ops at most: where all
+// hosts are slow each op would have one, and all be twice as slow.
+func (b *Balancer) copy(p *Push) {
+	op, h := p.Op, p.Host
+	if h.answered < p.sent {
+		b.blame(h, TimedOut, b.now-p.sent, failStep)
+	}
+	if op.state != out || op.out > 1 || b.copies < 1 || !b.mayPush(op) {
+		return
+	}
+	b.copies--
+	op.failed = h
+	b.offer(&b.fleet, op)
+}
+
 // Streaming takes word that the answer has begun to flow: TTL and time-outs no longer hold.
 func (b *Balancer) Streaming(p *Push) {
 	if p.Op.state < streaming {
