--- a/balance/balance.go
+++ b/balance/balance.go
@@ -45,6 +45,9 @@
 	copyShare = 0.1 // second copies an op: more would be much of a slow fleet's load
 	copyBurst = 3.0 // that may be sent together
 
+	cells    = 1024   // of counts of ops by key: few of an instance's keys share one
+	heatHalf = 5000.0 // ms between two halvings of these counts: a busy key lasts for some seconds
+
 	patienceDevs = 5.0 // mean deviations above the usual latency at which a push is looked at
 
 	gateGoal    = 0.5   // smoothed latency over target above which a gate narrows: most answers just in time
@@ -106,8 +109,11 @@
 	unit    float64 // size that gets pointsPerHost places
 	sizes   float64 // sum of the ready hosts' sizes
 	origins []*Host
-	walks   int     // made so far
-	served  int     // ops acked
+	walks   int            // made so far
+	served  int            // ops acked
+	heat    [cells]float64 // recent ops by key, halved now and then
+	heatAll float64
+	cooled  float64 // ms, when they were
 	copies  float64 // second copies that may be sent
 	pool    float64 // part of the keys that keep to no zone
 	resting int
@@ -256,6 +262,13 @@
 		b.rate += (float64(b.counted)/span/warm - b.rate) * math.Min(1, span/rateSpan)
 	}
 	b.counted = 0
+	if b.now-b.cooled > heatHalf {
+		b.cooled = b.now
+		b.heatAll /= 2
+		for i := range b.heat {
+			b.heat[i] /= 2
+		}
+	}
 	b.countResting()
 	b.hangUp()
 	switch {
@@ -460,7 +473,10 @@
 		return cmp.Compare(p.hash, h)
 	})
 	b.walks++
-	near := b.near(op)
+	near, pass := b.near(op), 0
+	if spread := b.spread(op); spread > 1 {
+		pass = int(b.rng.float() * spread)
+	}
 	var spill *Host
 	left := len(b.ready) // each host is judged once: where most are full its other points cost too much
 	for i := 0; i < len(b.cycle) && left > 0; i++ {
@@ -478,12 +494,27 @@
 				}
 				continue
 			}
-			return h
+			if spill == nil {
+				spill = h
+			}
+			if pass--; pass < 0 {
+				return h
+			}
 		}
 	}
 	return spill
 }
 
+// spread is over how many hosts, in parts, a key's ops have to go so that none gets more than the bound allows of what
+// this balancer sends. With more hosts than ops out the bound never binds, and a busy key would be one host's at all
+// balancers. It counts recent ops, less the one that chance alone would bring.
+func (b *Balancer) spread(op *Op) float64 {
+	if !b.MayDuplicate {
+		return 0
+	}
+	return (b.heat[op.hash%cells] - 1) / b.heatAll * float64(len(b.ready)) / overMean
+}
+
 // near tells whether op keeps to the hosts of its balancer's zone as long as one has room, and walks on to another zone
 // from one that failed it or had none: its first host there is where that zone's balancers keep the key.
 func (b *Balancer) near(op *Op) bool {
@@ -558,6 +589,8 @@
 			op.value *= b.ExcessBenefit
 		}
 	}
+	b.heat[op.hash%cells]++
+	b.heatAll++
 	b.copies = math.Min(b.copies+copyShare, copyBurst)
 	end := b.end(op)
 	if end <= b.now { // a last try with next to no time left could be lost between two looks
