--- a/balance/balance.go
+++ b/balance/balance.go
@@ -28,6 +28,7 @@
 
 	crowdGroup  = 3.0    // balancers at which twice the usual latency counts twice; more see less each
 	refusedSlow = 4.0    // what a push turned away counts as, in usual latencies: a full host is a crowded one
+	crowdPart   = 2.0    // part
 	crowdSlack  = 0.25   // usual latencies above those of all hosts that chance explains
 	failFrom    = 0.25   // smoothed failures above which a host is suspect: one fresh failure does it
 	failStep    = 0.3    // weight of a fresh failure, just over failFrom
@@ -441,7 +442,7 @@
 // full tells whether a host has no room by the bounded-load rule: its count against its bound. Trouble
 // changes the count: a resting host is full, a suspect one with anything out, a slow one early, and the
 // earlier the more balancers there are.
-func (b *Balancer) full(h *Host, mean float64) bool {
+func (b *Balancer) full(op *Op, h *Host, mean float64) bool {
 	count, bound := float64(h.out), math.Max(math.Ceil(overMean*mean), floorCount)
 	if float64(b.resting) <= restShare*float64(len(b.ready)) {
 		switch {
@@ -449,6 +450,11 @@
 			return true
 		case h.fail > failFrom:
 			bound = 1
+		case b.MayDuplicate:
+			if excess := (h.slow - b.usual - crowdSlack) * crowdPart; excess > 0 &&
+				float64((op.hash^h.points[0])*zoneHash>>11)/(1<<53) < excess/(1+excess) {
+				return true
+			}
 		case h.slow > 1:
 			// Others' ops show in a host's latency alone. With a dozen balancers the floor of two each would
 			// let two dozen ops crowd a host before any of them saw it full.
@@ -487,7 +493,7 @@
 		}
 		h.walked = b.walks
 		left--
-		if h != op.failed && allowed(op, h) && !b.full(h, mean) && b.afford(h) {
+		if h != op.failed && allowed(op, h) && !b.full(op, h, mean) && b.afford(h) {
 			if near && (h.Zone == b.Zone) != (op.failed == nil) {
 				if spill == nil {
 					spill = h
