--- a/internal/params/params.go
+++ b/internal/params/params.go
@@ -54,9 +54,19 @@
 		RetryAfter   bool    `json:"retryAfter"`
 		MaxBackoff   float64 `json:"maxRetryAfterUs"`
 	} `json:"limits"`
+	Load struct {
+		Fields []string `json:"fields"`
+		How    string   `json:"how"`
+	} `json:"report"`
+	Blend struct {
+		Availability *float64 `json:"availability"`
+		Wanted       *float64 `json:"ninesWanted"`
+	} `json:"blend"`
 	Specifics struct {
-		Mode       string `json:"mode"`
-		OriginKind *int   `json:"originKind"`
+		Mode         string  `json:"mode"`
+		OriginKind   *int    `json:"originKind"`
+		FallMultiple float64 `json:"originFallMultiple"`
+		FallFor      float64 `json:"originFallUs"`
 	} `json:"specifics"`
 }
 
@@ -101,6 +111,9 @@
 			return p, fmt.Errorf("%s.group: unknown %q", at, c.Group)
 		}
 	}
+	if err := p.mixed(); err != nil {
+		return p, err
+	}
 	for i, t := range p.Projects {
 		if t.Name == "" || t.Quota < 0 {
 			return p, fmt.Errorf("params.projects[%d]: name %q, quotaPerS %v", i, t.Name, t.Quota)
@@ -109,6 +122,60 @@
 	return p, nil
 }
 
+// mixed names what does not go together: a deployment's shape follows from its parameters alone.
+func (p Params) mixed() error {
+	told := p.Load.How == "answers" || p.Load.How == "probe"
+	switch {
+	case p.Limits.MayDuplicate && p.Limits.MostPushes < 2:
+		return fmt.Errorf("params.limits.mayDuplicate: second copies, but limits.mostPushes is %d", p.Limits.MostPushes)
+	case !told && p.Load.How != "none" && p.Load.How != "":
+		return fmt.Errorf("params.report.how: unknown %q", p.Load.How)
+	case told && len(p.Load.Fields) == 0:
+		return fmt.Errorf("params.report.fields: none, but report.how is %q", p.Load.How)
+	case !told && len(p.Load.Fields) > 0:
+		return fmt.Errorf("params.report.how: %q, but report.fields names some", p.Load.How)
+	case p.Specifics.FallMultiple < 0:
+		return fmt.Errorf("params.specifics.originFallMultiple: %v, want 0 or more", p.Specifics.FallMultiple)
+	case p.Specifics.FallMultiple > 0 && p.Specifics.FallFor <= 0:
+		return fmt.Errorf("params.specifics.originFallUs: %v, but originFallMultiple is set", p.Specifics.FallFor)
+	case p.Blend.Wanted != nil && *p.Blend.Wanted <= 0:
+		return fmt.Errorf("params.blend.ninesWanted: %v, want above 0", *p.Blend.Wanted)
+	case p.Blend.Wanted != nil && p.Blend.Availability == nil:
+		return fmt.Errorf("params.blend.ninesWanted: set without blend.availability")
+	case p.Blend.Wanted == nil && p.Blend.Availability != nil && *p.Blend.Availability > 0:
+		return fmt.Errorf("params.blend.availability: set without blend.ninesWanted")
+	case p.Zone != "" && len(p.Zones) > 0 && !slices.Contains(p.Zones, p.Zone):
+		return fmt.Errorf("params.zone: %q is not among zones", p.Zone)
+	case p.Costs.CrossZone < 0 || p.Costs.Origin < 0:
+		return fmt.Errorf("params.costs: crossZone %v, origin %v, want 0 or more", p.Costs.CrossZone, p.Costs.Origin)
+	}
+	for i, f := range p.Load.Fields {
+		if _, known := loads[f]; !known || slices.Contains(p.Load.Fields[:i], f) {
+			return fmt.Errorf("params.report.fields[%d]: %q, unknown or named twice", i, f)
+		}
+	}
+	return nil
+}
+
+// loads are the names that a report's values may have, with where they go; nil for those that are not read.
+var loads = map[string]func(*balance.Report) *float64{
+	"busy": func(r *balance.Report) *float64 { return &r.Busy }, "q": func(r *balance.Report) *float64 { return &r.Queue },
+	"rif": nil, "lat_ms": nil, "rate": nil, "fail_rate": nil, "x0": nil, "x1": nil}
+
+// Report takes a value of a host's report under its name into r, or into a new one where r is nil. What is not asked for,
+// or makes no sense, is passed over.
+func (p Params) Report(r *balance.Report, name string, value float64) *balance.Report {
+	at := loads[name]
+	if at == nil || !slices.Contains(p.Load.Fields, name) || !(value >= 0) || math.IsInf(value, 1) {
+		return r
+	}
+	if r == nil {
+		r = &balance.Report{Busy: -1, Queue: -1}
+	}
+	*at(r) = value
+	return r
+}
+
 // IsOrigin tells whether hosts of a machine kind are origins.
 func (p Params) IsOrigin(shape string) bool {
 	k := p.Specifics.OriginKind
--- a/internal/simwire/serve.go
+++ b/internal/simwire/serve.go
@@ -272,11 +272,26 @@
 	if !known {
 		outcome = balance.Unknown
 	}
-	d.balancer.Ended(p, outcome, float64(e.Spent)/1000, e.Last, nil)
+	d.balancer.Ended(p, outcome, float64(e.Spent)/1000, e.Last, d.report(e.Stats))
 	d.forget(e.Corr, op)
 	return nil
 }
 
+// report reads a row of a host's load. One that is not as the start has it costs nothing but itself.
+func (d *door) report(row json.RawMessage) *balance.Report {
+	var values []*float64
+	if len(row) == 0 || json.Unmarshal(row, &values) != nil || len(values) != len(d.params.Load.Fields) {
+		return nil
+	}
+	var r *balance.Report
+	for k, v := range values {
+		if v != nil {
+			r = d.params.Report(r, d.params.Load.Fields[k], *v)
+		}
+	}
+	return r
+}
+
 // push is the one of a round, or nil.
 func (d *door) push(e *headers) *balance.Push {
 	if all := d.pushes[d.ops[e.Corr]]; e.Round >= 0 && e.Round < len(all) {
--- a/internal/simwire/wire.go
+++ b/internal/simwire/wire.go
@@ -82,6 +82,8 @@
 	Code  *int  `json:"code"`
 	Spent int64 `json:"spentUs"`
 	Last  bool  `json:"last"`
+
+	Stats json.RawMessage `json:"serverStats"`
 }
 
 type clientLeft struct {
