--- a/balance/balance.go
+++ b/balance/balance.go
@@ -29,6 +29,8 @@
 	crowdGroup  = 3.0    // balancers at which twice the usual latency counts twice; more see less each
 	refusedSlow = 4.0    // what a push turned away counts as, in usual latencies: a full host is a crowded one
 	crowdPart   = 2.0    // part
+	busyAll     = 0.85   // part of their cores' time that hosts say is taken, on the whole, from which on there is no room
+	refusedFrom = 0.25   // part of pushes turned away from which on ops make way, and all do at twice that
 	crowdSlack  = 0.25   // usual latencies above those of all hosts that chance explains
 	failFrom    = 0.25   // smoothed failures above which a host is suspect: one fresh failure does it
 	failStep    = 0.3    // weight of a fresh failure, just over failFrom
@@ -112,6 +114,8 @@
 	origins []*Host
 	walks   int            // made so far
 	served  int            // ops acked
+	busy    float64        // smoothed part of their cores' time that hosts say is taken
+	refused float64        // smoothed part of pushes that hosts had no room for
 	heat    [cells]float64 // recent ops by key, halved now and then
 	heatAll float64
 	cooled  float64 // ms, when they were
@@ -860,6 +864,9 @@
 	h.out--
 	g.out--
 	b.learn(p, o, spent)
+	if r != nil && r.Busy >= 0 && !h.Origin {
+		b.busy += (r.Busy - b.busy) * latStep
+	}
 	twice := o == Rejected && op.wrong != nil // two agree, so it is the op that is wrong
 	if o == Rejected {
 		op.wrong = h
@@ -881,7 +888,7 @@
 		}
 	case b.now >= op.Due-tick:
 		b.giveUp(op)
-	case twice:
+	case twice, o == Refused && !h.Origin && b.crowded(op):
 		b.giveUp(op)
 	case op.fetch != nil && b.mayPush(op): // the origin failed the fetch; its waiters wait on
 		b.offer(g, op)
@@ -895,6 +902,13 @@
 	b.pump(g)
 }
 
+// crowded tells whether an op that a host had no room for is to be given up. Where most hosts have none, walking on fills
+// those that have and ends at the origin, and few of those that walk are served: a part of the ops makes way, more of
+// those of less worth.
+func (b *Balancer) crowded(op *Op) bool {
+	return b.busy > busyAll && b.origin.pain > b.origin.goal && b.rng.float()*worth(op) < (b.refused-refusedFrom)/refusedFrom*b.fleet.worth
+}
+
 // learn takes from an outcome what it tells of host and gate.
 func (b *Balancer) learn(p *Push, o Outcome, spent float64) {
 	op, h, g := p.Op, p.Host, p.gate
@@ -907,6 +921,13 @@
 		h.fresh = false
 		b.keep = math.Min(b.keep*keepGrow, b.ConnIdle)
 	}
+	if g == &b.fleet && len(op.tried) > 1 && (o == Served || o == Missed || o == Refused) {
+		step := latStep
+		b.refused -= b.refused * step
+		if o == Refused {
+			b.refused += step
+		}
+	}
 	switch o {
 	case Served:
 		if g == &b.fleet {
