--- a/balance/balance.go
+++ b/balance/balance.go
@@ -210,7 +210,7 @@
 // New makes the balancer of one instance at time now.
 func New(s Start, port Port, now float64) *Balancer {
 	b := &Balancer{Start: s, port: port, now: now, rng: pcg(s.Seed), ticked: now,
-		fetches: map[string]*fetch{}, askWait: askFirst, usual: 1, keep: s.ConnIdle}
+		fetches: map[string]*fetch{}, askWait: askFirst, usual: 1, keep: s.ConnIdle, copies: copyBurst}
 	b.rng.float() // seeds that lie close give numbers that lie close at first
 	b.fleet = gate{goal: gateGoal, step: fleetStep, limit: math.Inf(1)}
 	b.origin = gate{goal: originGoal, step: originStep, pain: originGoal / 2, calm: originGoal / originRise,
--- a/cmd/larchthread/main_test.go
+++ b/cmd/larchthread/main_test.go
@@ -14,6 +14,7 @@
 	"os/exec"
 	"path/filepath"
 	"regexp"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -43,6 +44,7 @@
 	path    string // of the configuration
 	log     bytes.Buffer
 	limits  string
+	sets    string // settings in place of the usual ones
 	logTo   io.Writer
 	closers []io.Closer
 }
@@ -180,7 +182,7 @@
 // write writes the configuration.
 func (f *fleet) write(discovery string) {
 	text := fmt.Sprintf(`{"name":"n1","listen":%q,"discovery":%q,"seed":"7","limits":%s,"known":%s,"settings":%s}`,
-		f.listen, discovery, f.limits, list(1, true, f.members...), settings)
+		f.listen, discovery, f.limits, list(1, true, f.members...), f.sets)
 	if !json.Valid([]byte(text)) {
 		panic(text)
 	}
@@ -198,6 +200,9 @@
 	if f.limits == "" {
 		f.limits = `{"cores":1,"memory_mb":192,"sockets":1024}`
 	}
+	if f.sets == "" {
+		f.sets = settings
+	}
 	f.path = filepath.Join(os.TempDir(), fmt.Sprintf("larchthread-test-%d.json", os.Getpid()))
 	f.write(f.discovery("discovery"))
 	f.process = exec.Command(os.Args[0])
@@ -472,6 +477,152 @@
 	//   x: mg k v O1 Pc=read,d=..
 }
 
+// twice has second copies allowed, and the load of hosts reported.
+var twice = strings.NewReplacer(`"cancelling":true`, `"cancelling":true,"mayDuplicate":true`,
+	`"groupSize"`, `"report":{"how":"answers","fields":["busy","q"]},"groupSize"`).Replace(settings)
+
+// heardSorted prints what has been noted since the last time, in order of the alphabet and with all hosts under one name:
+// two pushes of an op are heard by two of them, in either order.
+func (f *fleet) heardSorted() {
+	f.mu.Lock()
+	for i, n := range f.notes {
+		f.notes[i] = strings.Replace(n, "x2:", "x:", 1)
+	}
+	slices.Sort(f.notes)
+	f.mu.Unlock()
+	f.heard()
+}
+
+// copied starts a fleet of two cache hosts. The first push for each key gets what first says, the others a hit after a
+// while.
+func copied(first func(words []string) string) *fleet {
+	f := &fleet{sets: twice}
+	var seen sync.Map
+	say := func(words []string) string {
+		if _, again := seen.LoadOrStore(words[1], true); !again {
+			return first(words)
+		}
+		time.Sleep(50 * time.Millisecond)
+		return hit(words)
+	}
+	f.host("x", say)
+	f.host("x2", say)
+	f.start()
+	return f
+}
+
+// Where second copies are allowed, a push that is out for long stays out while a copy goes to another host. The first whole
+// answer is the client's, the other is read off, and its connection used again; an op that must not run twice has no copy.
+func Example_copies() {
+	for _, op := range []string{"both v O1 Pc=read", "hang v O2 Pc=read", "fails v O3 Pc=read", "once v O4 Pc=once"} {
+		f := copied(func(words []string) string {
+			switch words[1] {
+			case "fails":
+				time.Sleep(130 * time.Millisecond)
+				return "SERVER_ERROR failed\r\n"
+			case "both":
+				time.Sleep(250 * time.Millisecond)
+				return hit(words)
+			}
+			return ""
+		})
+		c := f.client()
+		c.say(1, "mg "+op+",d=350\r\n")
+		time.Sleep(200 * time.Millisecond)
+		f.heardSorted()
+		if !strings.HasPrefix(op, "once") {
+			c.say(1, "") // the value; behind it comes no second answer
+		}
+		c.say(2, "mg other v O9 Pc=read,d=590\r\n")
+		f.stop()
+	}
+	// Output:
+	// VA 5 O1
+	//   x: mg both v O1 Pc=read,d=..
+	//   x: mg both v O1 Pc=read,d=..
+	// value
+	// VA 5 O9
+	// value
+	// VA 5 O2
+	//   x: connection closed
+	//   x: mg hang v O2 Pc=read,d=..
+	//   x: mg hang v O2 Pc=read,d=..
+	// value
+	// VA 5 O9
+	// value
+	// VA 5 O3
+	//   x: mg fails v O3 Pc=read,d=..
+	//   x: mg fails v O3 Pc=read,d=..
+	// value
+	// VA 5 O9
+	// value
+	// SERVER_ERROR failed
+	//   x: connection closed
+	//   x: mg once v O4 Pc=once,d=..
+	// VA 5 O9
+	// value
+}
+
+// A client that leaves with two pushes out has both called off; at a planned end an op with two out is answered.
+func Example_copiesEnd() {
+	var seen atomic.Int32
+	f := copied(func([]string) string { seen.Add(1); return "" })
+	defer f.stop()
+	gone := f.client()
+	io.WriteString(gone, "mg slow v O1 Pc=read,d=590\r\n")
+	for seen.Load() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	time.Sleep(115 * time.Millisecond) // the copy is out, and takes 50 ms
+	gone.Close()
+	time.Sleep(100 * time.Millisecond)
+	f.heardSorted()
+	c := f.client()
+	io.WriteString(c, "mg end v O2 Pc=read,d=590\r\n")
+	time.Sleep(120 * time.Millisecond)
+	f.process.Process.Signal(syscall.SIGTERM)
+	c.say(2, "")
+	f.process.Wait()
+	fmt.Println("ended in good order:", f.process.ProcessState.Success())
+	// Output:
+	//   x: connection closed
+	//   x: connection closed
+	//   x: mg slow v O1 Pc=read,d=..
+	//   x: mg slow v O1 Pc=read,d=..
+	// VA 5 O2
+	// value
+	// ended in good order: true
+}
+
+// A load report that is garbage costs nothing but itself.
+func Example_garbledReport() {
+	f := &fleet{sets: twice}
+	f.host("a", miss)
+	reports := []string{"busy=0.5,q=2", "busy=,q", "=,=,,busy=NaN,q=-3", "busy=1e999,\u00ff=4", strings.Repeat("q=1,", 99)}
+	f.origin(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("X-Server-Load", reports[0])
+		reports = reports[1:]
+		fetch(w, r)
+	})
+	f.start()
+	defer f.stop()
+	c := f.client()
+	for i := range len(reports) {
+		c.say(2, fmt.Sprintf("mg k%d v O%d Pc=read,d=590\r\n", i, i))
+	}
+	// Output:
+	// VA 7 O0
+	// fetched
+	// VA 7 O1
+	// fetched
+	// VA 7 O2
+	// fetched
+	// VA 7 O3
+	// fetched
+	// VA 7 O4
+	// fetched
+}
+
 // A watch goes on after each answer; a draining host gets nothing more; after a failure a new watch begins.
 func Example_watch() {
 	f := &fleet{}
--- /dev/null
+++ b/internal/params/params_test.go
@@ -0,0 +1,53 @@
+package params
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+)
+
+const usual = `{"categories":[{"name":"read","targetLatencyUs":1,"repeat":"retryable"}],"groupSize":1,"discovery":"pushed",` +
+	`"zones":["a","b"],"zone":"a","costs":{"crossZone":0.1},"report":{"how":"none","fields":[]},` +
+	`"limits":{"mostPushes":3},"specifics":{"originFallMultiple":0},"blend":{"whole":1},"newer":1}`
+
+// Settings that do not go together are refused, with the key at fault. What is not known is ignored.
+func ExampleRead() {
+	read := func(pairs ...string) {
+		p, err := Read(json.RawMessage(strings.NewReplacer(pairs...).Replace(usual)))
+		begin, _, _ := p.Begin(1)
+		fmt.Println(begin.MayDuplicate, err)
+	}
+	read()
+	read(`"mostPushes":3`, `"mostPushes":2,"mayDuplicate":true`)
+	read(`"mostPushes":3`, `"mostPushes":1,"mayDuplicate":true`)
+	read(`"how":"none"`, `"how":"answers"`)
+	read(`"fields":[]`, `"fields":["busy"]`)
+	read(`"how":"none"`, `"how":"shouting"`)
+	read(`"how":"none","fields":[]`, `"how":"probe","fields":["busy","busy"]`)
+	read(`"how":"none","fields":[]`, `"how":"answers","fields":["q","mood"]`)
+	read(`"whole"`, `"ninesWanted":3,"whole"`)
+	read(`"whole"`, `"availability":0.4,"whole"`)
+	read(`"whole"`, `"availability":0.4,"ninesWanted":0,"whole"`)
+	read(`"whole"`, `"availability":0.4,"ninesWanted":3,"whole"`)
+	read(`Multiple":0`, `Multiple":2.5`)
+	read(`Multiple":0`, `Multiple":-1`)
+	read(`"zone":"a"`, `"zone":"c"`)
+	read(`"crossZone":0.1`, `"crossZone":-1`)
+	// Output:
+	// false <nil>
+	// true <nil>
+	// true params.limits.mayDuplicate: second copies, but limits.mostPushes is 1
+	// false params.report.fields: none, but report.how is "answers"
+	// false params.report.how: "none", but report.fields names some
+	// false params.report.how: unknown "shouting"
+	// false params.report.fields[1]: "busy", unknown or named twice
+	// false params.report.fields[1]: "mood", unknown or named twice
+	// false params.blend.ninesWanted: set without blend.availability
+	// false params.blend.availability: set without blend.ninesWanted
+	// false params.blend.ninesWanted: 0, want above 0
+	// false <nil>
+	// false params.specifics.originFallUs: 0, but originFallMultiple is set
+	// false params.specifics.originFallMultiple: -1, want 0 or more
+	// false params.zone: "c" is not among zones
+	// false params.costs: crossZone -1, origin 0, want 0 or more
+}
--- a/internal/protocol/answer.go
+++ b/internal/protocol/answer.go
@@ -28,6 +28,8 @@
 	Close   bool // the other side closes the connection behind it
 	Bare    bool // it came in a form that tells no id
 
+	Load []Attr // what the host tells of its load: names and values, as they came
+
 	Complaint string // the line, where a host says that a command is not as it should be
 }
 
--- a/internal/protocol/command.go
+++ b/internal/protocol/command.go
@@ -19,6 +19,7 @@
 	keyMost   = 250      // bytes of a key, as memcache has it
 	ttlMost   = 1e9      // ms for which a client may wait, eleven days: more is a fault of the client
 	headMost  = 64       // lines of a response's head: a dozen are usual
+	loadMost  = 16       // values of a load report: there are eight names
 	bodyMost  = 8 << 20  // bytes of a body: a list of tens of thousands of hosts
 )
 
--- a/internal/protocol/http.go
+++ b/internal/protocol/http.go
@@ -31,6 +31,7 @@
 	NotRun bool   // the origin says that the op never ran
 	Close  bool   // the connection closes behind it
 	Body   transport.Chain
+	Load   []Attr // the load report
 }
 
 // Responses reads HTTP/1.1 responses from the bytes of a connection.
@@ -197,12 +198,25 @@
 		if strings.EqualFold(value, "close") {
 			r.answer.Close = true
 		}
+	case "X-Server-Load":
+		r.answer.Load = loads(value)
 	case "X-Not-Processed":
 		r.answer.NotRun = value == "1"
 	}
 	return r.count()
 }
 
+// loads reads a load report. What is no name with a value is left out: a report that can't be read costs nothing but
+// itself.
+func loads(text string) (all []Attr) {
+	for pair := range strings.SplitSeq(text, ",") {
+		if name, value, found := strings.Cut(strings.TrimSpace(pair), "="); found && name != "" && len(all) < loadMost {
+			all = append(all, Attr{name, value})
+		}
+	}
+	return all
+}
+
 // Fetched reads the origin's answers.
 type Fetched struct {
 	Write     bool // whether the push on the connection is a write
@@ -225,7 +239,7 @@
 func (f *Fetched) Free() { f.responses.Free() }
 
 func (f *Fetched) answer(r *Response) *Answer {
-	a := &Answer{Kind: Failure, ID: r.ID, Close: r.Close, Bare: r.ID == ""}
+	a := &Answer{Kind: Failure, ID: r.ID, Close: r.Close, Bare: r.ID == "", Load: r.Load}
 	switch {
 	case r.Status == http.StatusOK && f.Write:
 		a.Kind, a.Receipt = Receipt, string(r.Body.Bytes())
--- a/internal/routing/link.go
+++ b/internal/routing/link.go
@@ -48,6 +48,18 @@
 	h.silent = h.silent || h.heard < p.began && p.router.loop.Now()-p.began > p.router.connect
 }
 
+// callOff ends a push by closing its connection. The balancer hears of it in the next round.
+func (p *push) callOff(why transport.Reason) {
+	p.outcome = balance.Cancelled
+	if !p.sent() {
+		p.outcome = balance.NotSent
+	}
+	p.move(over)
+	p.link.close(why)
+	p.router.calledOff = append(p.router.calledOff, p)
+	p.router.loop.Again()
+}
+
 // late gives up a push whose time is over.
 func (p *push) late() {
 	outcome := balance.TimedOut
@@ -100,7 +112,7 @@
 	}
 	l.conn = r.loop.Dial(kind, h.address, l)
 	l.conn.Use = func() transport.Use {
-		if l.push != nil {
+		if l.push != nil && l.push.op.state == open { // a second push whose op has its answer makes room
 			return transport.Needed
 		}
 		return transport.Idle
@@ -169,6 +181,10 @@
 
 // Ended implements transport.Owner.
 func (l *link) Ended(c *transport.Conn, why transport.Reason) {
+	if why == transport.Shed && l.push != nil {
+		l.push.callOff(why)
+		return
+	}
 	o := balance.Broken
 	switch {
 	case why == transport.OutOfSockets:
@@ -213,7 +229,7 @@
 	if a.Complaint != "" {
 		l.router.log.Warn("host complains", "peer", l.host.Name, "op", op.command.ID, "answer", a.Complaint)
 	}
-	l.router.ended(p, outcomes[a.Kind])
+	l.router.ended(p, outcomes[a.Kind], a.Load...)
 }
 
 var outcomes = map[protocol.Kind]balance.Outcome{protocol.Value: balance.Served, protocol.Receipt: balance.Served,
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -9,6 +9,7 @@
 	"log/slog"
 	"net/netip"
 	"slices"
+	"strconv"
 	"sync/atomic"
 
 	"larchthread/balance"
@@ -185,19 +186,10 @@
 
 // Cancel calls a push off by closing its connection.
 func (r *Router) Cancel(b *balance.Push) {
-	p := b.Ref.(*push)
-	if p.state == over {
-		return
+	if p := b.Ref.(*push); p.state != over {
+		p.unheard()
+		p.callOff(transport.CalledOff)
 	}
-	p.outcome = balance.Cancelled
-	if !p.sent() {
-		p.outcome = balance.NotSent
-	}
-	p.unheard()
-	p.move(over)
-	p.link.close(transport.CalledOff)
-	r.calledOff = append(r.calledOff, p)
-	r.loop.Again()
 }
 
 func (r *Router) Nack(o *balance.Op, backoff float64) {
@@ -218,7 +210,13 @@
 
 func (r *Router) HangUp(h *balance.Host) { h.Ref.(*host).hangUp(transport.HungUp) }
 
-// ended tells the balancer how a push ended.
-func (r *Router) ended(p *push, o balance.Outcome) {
-	r.balancer.Ended(p.Push, o, r.loop.Now()-p.began, p.op.state != open, nil)
+// ended tells the balancer how a push ended, and what its host told of its load, if anything.
+func (r *Router) ended(p *push, o balance.Outcome, load ...protocol.Attr) {
+	var report *balance.Report
+	for _, a := range load {
+		if v, err := strconv.ParseFloat(a.Value, 64); err == nil {
+			report = r.params.Report(report, a.Name, v)
+		}
+	}
+	r.balancer.Ended(p.Push, o, r.loop.Now()-p.began, p.op.state != open, report)
 }
