--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -939,3 +939,268 @@
 	// Output:
 	// true true
 }
+
+// twice lets two pushes of an op be out.
+func twice() *scene {
+	s := start()
+	s.MayDuplicate, s.MostPushes = true, 4
+	return open(s, "a", "b", "c", "d")
+}
+
+// A push that is out for long stays out, and a second copy goes to another host. The first good answer is the op's; the
+// other still teaches. What must not run twice has no copy, and neither has a deduplicated op whose group is one host's.
+func Example_copy() {
+	x := twice()
+	for row, name := range []string{"read", "put", "once", "zoned"} {
+		x.ask(name, row, "page", 500, false)
+	}
+	x.after(101)
+	first, second := x.ops["read"].tried[0], x.ops["read"].tried[1]
+	x.over(second, Served, 1)
+	x.over(first, Served, 101)
+	fmt.Println("both over:", x.ops["read"].Over(), "learned:", second.Host.answered == x.t, first.Host.answered == x.t)
+	// Output:
+	// 0 push read to c
+	//    0 push put to c
+	//    0 push once to a
+	//    0 push zoned to a
+	//   50 push read to b
+	//   50 push put to d
+	//  101 read acked
+	// both over: true learned: true true
+}
+
+// Where all hosts are slow, copies stay a part of the ops.
+func Example_copiesOfSlowFleet() {
+	x := twice()
+	x.silent = true
+	var outs []*Op
+	for i := range 400 {
+		x.after(5)
+		outs = append(outs, x.ask(fmt.Sprint("op", i), 0, fmt.Sprint("key", i), 900, false))
+		for _, op := range outs {
+			for _, p := range slices.Clone(op.tried) {
+				if !p.over && x.t-p.sent > 300 {
+					x.over(p, Served, x.t-p.sent)
+				}
+			}
+		}
+		outs = slices.DeleteFunc(outs, (*Op).Over)
+	}
+	copies := 0
+	for _, op := range x.ops {
+		copies += max(0, len(op.tried)-1)
+	}
+	fmt.Println("copies of 400 ops:", copies)
+	// Output:
+	// copies of 400 ops: 7
+}
+
+// The rules ask all pushes of an op. With one still out, a deduplicated op may be nacked inside its window and not after
+// it; the last push allowed has no copy; a host that began to drain gets none; a client with little time left is answered.
+func Example_rulesOfTwo() {
+	x := twice()
+	x.ask("in its window", 1, "page", 200, false)
+	x.ask("past it", 1, "atlas", 450, false)
+	x.after(450)
+	fmt.Println()
+	s := start()
+	s.MayDuplicate, s.MostPushes = true, 1
+	x = open(s, "a", "b")
+	x.ask("last push", 0, "page", 200, false)
+	x.after(200)
+	fmt.Println()
+	x = open(func() Start { s.MostPushes = 4; return s }(), "a", "b")
+	x.ask("drained", 0, "page", 150, false)
+	x.tell("a", Draining, 0)
+	x.tell("b", Draining, 0)
+	x.after(200)
+	// Output:
+	// 0 push in its window to c
+	//    0 push past it to b
+	//   50 push in its window to d
+	//   50 push past it to a
+	//  190 nack in its window
+	//  190 cancel in its window
+	//  190 cancel in its window
+	//  440 dead-letter past it
+	//  440 cancel past it
+	//  440 cancel past it
+	// 
+	//    0 push last push to a
+	//  190 nack last push
+	//  190 cancel last push
+	// 
+	//    0 push drained to a
+	//  140 nack drained
+	//  140 cancel drained
+}
+
+// A copy that misses is fetched from the origin while the first push is out; that one's miss fetches nothing more. When the
+// origin fails the fetch, the first is waited for.
+func Example_copyMisses() {
+	s := start()
+	s.MayDuplicate, s.MostPushes, s.Aside = true, 4, true
+	for _, fetched := range []Outcome{Served, Failed} {
+		x := open(s, "a", "b", "origin")
+		op := x.ask("op", 0, "page", 500, false)
+		x.after(101)
+		x.over(op.tried[1], Missed, 1)
+		if fetched == Served {
+			x.over(op.tried[0], Missed, 102)
+		}
+		x.over(op.tried[2], fetched, 20)
+		x.over(op.tried[0], Served, 130)
+		fmt.Println("over:", op.Over())
+	}
+	// Output:
+	// 0 push op to a
+	//   50 push op to b
+	//  101 push op to origin
+	//  101 op acked
+	// over: true
+	//    0 push op to a
+	//   50 push op to b
+	//  101 push op to origin
+	//  101 op acked
+	// over: true
+}
+
+// zones opens a balancer of the first of two zones; the hosts in upper case stand in its zone.
+func zones(s Start, names ...string) *scene {
+	s.Zone, s.Zones, s.CrossCost, s.Aside = 0, 2, 0.03, true
+	x := boot(s)
+	for _, n := range names {
+		x.hosts[n] = &Host{Name: n, Origin: n[0] == 'o'}
+		zone := 1
+		if n < "a" {
+			zone = 0
+		}
+		x.List([]Entry{{x.hosts[n], Listing{Zone: zone, Size: 1}}}, false, false)
+	}
+	return x
+}
+
+// Where crossing zones costs more than a fetch, keys keep to their balancer's zone; an op that fails there goes to the
+// other zone's first host. While fetches come late keys are pooled over all zones again.
+func Example_zones() {
+	x := zones(start(), "A", "B", "c", "d", "origin")
+	x.silent = true
+	near := func(ops int) int {
+		x.pushes = map[string]int{}
+		for i := range ops {
+			name := fmt.Sprint("op", i)
+			x.ask(name, 0, name, 900, false)
+			x.end(name, Served, 5)
+		}
+		return x.pushes["A"] + x.pushes["B"]
+	}
+	fmt.Println("in the zone:", near(400), "of 400")
+	x.ask("fails", 0, "page", 500, false)
+	x.end("fails", Failed, 1)
+	fmt.Println("then to", at(x.ops["fails"]).Host.Name)
+	for i := range 12 {
+		name := fmt.Sprint("miss", i)
+		x.ask(name, 0, name, 900, false)
+		x.end(name, Missed, 1)
+		x.after(90)
+		x.end(name, Served, 90)
+	}
+	fmt.Println("with late fetches:", near(40), "of 40")
+	// Output:
+	// in the zone: 400 of 400
+	// then to c
+	// with late fetches: 26 of 40
+}
+
+// A key that has a large part of a balancer's ops goes to several hosts, the others to one each, though no balancer of
+// three hundred ever has two ops out.
+func Example_busyKey() {
+	s := start()
+	s.MayDuplicate = true
+	var names []string
+	for i := range 40 {
+		names = append(names, fmt.Sprint("h", i))
+	}
+	hosts := map[bool]map[string]map[string]bool{false: {}, true: {}}
+	for _, x := range group(300, s, names...) {
+		for i := range 30 {
+			x.after(200)
+			key := "busy"
+			if i%5 > 0 {
+				key = fmt.Sprint("key", i%7)
+			}
+			op := x.ask("op", 0, key, 500, false)
+			if hosts[i > 15][key] == nil {
+				hosts[i > 15][key] = map[string]bool{}
+			}
+			hosts[i > 15][key][at(op).Host.Name] = true
+			x.end("op", Served, 20)
+		}
+	}
+	fmt.Println("at first", len(hosts[false]["busy"]), "later", len(hosts[true]["busy"]))
+	// Output:
+	// at first 5 later 6
+}
+
+// A slow host loses a part of its keys, and all balancers agree on which: they move to where others look for them, too.
+func Example_slowHostOfMany() {
+	s := start()
+	s.MayDuplicate = true
+	moved := map[string]int{}
+	all := group(40, s, "a", "b", "c", "d")
+	for _, x := range all {
+		x.hosts["c"].slow = 2
+		for i := range 60 {
+			key := fmt.Sprint("key", i)
+			home := x.ask(key, 0, key, 500, false)
+			if h := at(home).Host.Name; h != "c" {
+				moved[key+h]++
+			}
+			x.end(key, Served, 30)
+			x.hosts["c"].slow = 2
+		}
+	}
+	agreed := 0
+	for _, n := range moved {
+		if n == len(all) {
+			agreed++
+		}
+	}
+	fmt.Println("keys not at c:", agreed, "of them agreed on by all:", agreed == len(moved))
+	// Output:
+	// keys not at c: 56 of them agreed on by all: true
+}
+
+// Where hosts say that they are busy, turn away what walks on, and the origin is late, ops make way at the first refusal.
+// Without reports, or with hosts that have time, they walk on.
+func Example_giveWay() {
+	for _, busy := range []float64{-1, 0.5, 0.99} {
+		s := start()
+		s.Aside = true
+		x := open(s, "a", "b", "c", "origin")
+		x.silent = true
+		for i := range 100 {
+			name := fmt.Sprint("op", i)
+			op := x.ask(name, 0, name, 500, false)
+			for n := 0; op.out > 0; n++ {
+				p := at(op)
+				o := []Outcome{Refused, Refused, Missed}[min(n, 2)]
+				if p.Host.Origin {
+					x.after(60)
+					o = Served
+				}
+				x.Ended(p, o, x.t-p.sent, o == Served, &Report{Busy: busy, Queue: -1})
+			}
+		}
+		pushes := 0
+		for i := 50; i < 100; i++ {
+			pushes += len(x.ops[fmt.Sprint("op", i)].tried)
+		}
+		fmt.Printf("busy %.2f: %d pushes for the last 50 ops\n", busy, pushes)
+	}
+	// Output:
+	// busy -1.00: 150 pushes for the last 50 ops
+	// busy 0.50: 150 pushes for the last 50 ops
+	// busy 0.99: 50 pushes for the last 50 ops
+}
--- a/internal/simwire/serve_test.go
+++ b/internal/simwire/serve_test.go
@@ -90,3 +90,38 @@
 	// line 3: simTimeUs: missing
 	// line 1: invalid character 'o' in literal null (expecting 'u')
 }
+
+// Outcomes may come for either of two pushes, twice, or late, and load reports in any state: the op is served by the first
+// good answer, and nothing else comes of the rest.
+func ExampleServe_twoRounds() {
+	two := strings.NewReplacer(`"cancelling":true`, `"cancelling":true,"mayDuplicate":true`, `"groupSize"`,
+		`"report":{"how":"answers","fields":["busy","rate"]},"groupSize"`, `"host":12,"shape":"origin"`, `"host":12,"shape":"box"`)
+	end := func(round, code int, last bool, stats string) string {
+		return fmt.Sprintf(`{"ATTEMPT_END":{"i":0,"corr":"r1","roundNo":%d,"host":11,"code":%d,"spentUs":1000,"last":%t,`+
+			`"serverStats":%s}}`, round, code, last, stats)
+	}
+	in := []string{two.Replace(up),
+		`{"KNOCK":{"i":0,"corr":"r1","qos":"read","targetKey":"k","dropDeadUs":400000,"update":false}}`}
+	for range 60 {
+		in = append(in, `{"ALARM":{"i":0,"ctx":0}}`)
+	}
+	for _, stats := range []string{`null`, `[]`, `[1]`, `[1,2,3]`, `[null,7]`, `[-1,5]`, `[1e999,0]`, `"busy"`, `{"busy":1}`} {
+		in = append(in, end(7, 1, false, stats), end(-1, 1, false, stats))
+	}
+	in = append(in, end(1, 4, false, `[0.5,9]`), end(1, 4, false, `[0.5,9]`), end(0, 1, true, `[0.5,null]`))
+	var out strings.Builder
+	var lines strings.Builder
+	for i, e := range in {
+		fmt.Fprintf(&lines, "{\"simTimeUs\":%d,\"input\":[%s]}\n", i*1000, e)
+	}
+	fmt.Println(Serve(strings.NewReader(lines.String()), &out))
+	for _, line := range strings.Split(out.String(), "\n") {
+		if strings.Contains(line, "SEND") || strings.Contains(line, "REJECT") {
+			fmt.Println(line)
+		}
+	}
+	// Output:
+	// <nil>
+	// {"actions":[{"SEND":{"i":0,"corr":"r1","host":11,"capUs":399000}}]}
+	// {"actions":[{"SEND":{"i":0,"corr":"r1","host":12,"capUs":349000}},{"AFTER":{"i":0,"fromNowUs":10000,"ctx":0}}]}
+}
