--- a/balance/balance.go
+++ b/balance/balance.go
@@ -39,10 +39,14 @@
 	restCost    = 20.0   // times what a failed connect took that a host rests at most
 	restShare   = 0.8    // part of the hosts that may rest at once; beyond it the evidence is in doubt
 
-	secondLook = 1.0                // first waits after which a push that was left is called off all the same
-	poolStep   = 0.1                // part of the keys that walk the whole cycle for each late fetch: the origin is short
-	poolFall   = 0.01               // part of these that keep to their zone again for each answer: some hundred answers
-	zoneHash   = 0x9e3779b97f4a7c15 // odd; tells a key's part in this from its place on the cycle
+	secondLook    = 1.0 // first waits after which a push that was left is called off all the same
+	farStep       = 0.1 // weight of a new report in its zone's: 10 answers
+	farSlack      = 0.1 // by how much more the own zone's hosts have to be busy for keys to leave it
+	busyNearLeast = 0.6 // and so busy at the least: below, they have room
+
+	poolStep = 0.1                // part of the keys that walk the whole cycle for each late fetch: the origin is short
+	poolFall = 0.01               // part of these that keep to their zone again for each answer: some hundred answers
+	zoneHash = 0x9e3779b97f4a7c15 // odd; tells a key's part in this from its place on the cycle
 
 	copyDevs  = 3.0 // mean deviations above the usual latency at which a second copy is sent
 	copyShare = 0.1 // second copies an op: more would be much of a slow fleet's load
@@ -107,34 +111,35 @@
 	now  float64
 	rng  pcg
 
-	hosts   []*Host // listed cache hosts, by name
-	ready   []*Host // those that may be pushed to
-	cycle   []point
-	unit    float64 // size that gets pointsPerHost places
-	sizes   float64 // sum of the ready hosts' sizes
-	origins []*Host
-	walks   int            // made so far
-	served  int            // ops acked
-	busy    float64        // smoothed part of their cores' time that hosts say is taken
-	refused float64        // smoothed part of pushes that hosts had no room for
-	heat    [cells]float64 // recent ops by key, halved now and then
-	heatAll float64
-	cooled  float64 // ms, when they were
-	copies  float64 // second copies that may be sent
-	pool    float64 // part of the keys that keep to no zone
-	resting int
-	counted int     // pushes that warm hosts have answered since the last tick
-	rate    float64 // pushes a ms for each unit of warm size
-	ticked  float64
-	fetches map[string]*fetch
-	fleet   gate
-	origin  gate
-	dues    dues
-	usual   float64 // smoothed over all hosts, what slow is smoothed of for each
-	keep    float64 // ms for which an idle connection is kept
-	asking  bool    // a call for the list is out
-	askAt   float64 // ms, when it was made, or else when the next is due
-	askWait float64 // ms that the next failure puts the call off
+	hosts             []*Host // listed cache hosts, by name
+	ready             []*Host // those that may be pushed to
+	cycle             []point
+	unit              float64 // size that gets pointsPerHost places
+	sizes             float64 // sum of the ready hosts' sizes
+	origins           []*Host
+	walks             int            // made so far
+	served            int            // ops acked
+	busy              float64        // smoothed part of their cores' time that hosts say is taken
+	busyNear, busyFar float64        // the same in the own zone, and in others
+	refused           float64        // smoothed part of pushes that hosts had no room for
+	heat              [cells]float64 // recent ops by key, halved now and then
+	heatAll           float64
+	cooled            float64 // ms, when they were
+	copies            float64 // second copies that may be sent
+	pool              float64 // part of the keys that keep to no zone
+	resting           int
+	counted           int     // pushes that warm hosts have answered since the last tick
+	rate              float64 // pushes a ms for each unit of warm size
+	ticked            float64
+	fetches           map[string]*fetch
+	fleet             gate
+	origin            gate
+	dues              dues
+	usual             float64 // smoothed over all hosts, what slow is smoothed of for each
+	keep              float64 // ms for which an idle connection is kept
+	asking            bool    // a call for the list is out
+	askAt             float64 // ms, when it was made, or else when the next is due
+	askWait           float64 // ms that the next failure puts the call off
 }
 
 // point is a host's place on the cycle.
@@ -210,7 +215,7 @@
 // New makes the balancer of one instance at time now.
 func New(s Start, port Port, now float64) *Balancer {
 	b := &Balancer{Start: s, port: port, now: now, rng: pcg(s.Seed), ticked: now,
-		fetches: map[string]*fetch{}, askWait: askFirst, usual: 1, keep: s.ConnIdle, copies: copyBurst}
+		fetches: map[string]*fetch{}, askWait: askFirst, usual: 1, keep: s.ConnIdle, copies: copyBurst, busyFar: 1}
 	b.rng.float() // seeds that lie close give numbers that lie close at first
 	b.fleet = gate{goal: gateGoal, step: fleetStep, limit: math.Inf(1)}
 	b.origin = gate{goal: originGoal, step: originStep, pain: originGoal / 2, calm: originGoal / originRise,
@@ -866,7 +871,7 @@
 	g.out--
 	b.learn(p, o, spent)
 	if r != nil && r.Busy >= 0 && !h.Origin {
-		b.busy += (r.Busy - b.busy) * latStep
+		b.reported(h, r.Busy)
 	}
 	twice := o == Rejected && op.wrong != nil // two agree, so it is the op that is wrong
 	if o == Rejected {
@@ -903,6 +908,20 @@
 	b.pump(g)
 }
 
+// reported takes how busy a host says it is. Where those of the own zone are busier than the others, keys walk the whole
+// cycle: a zone may have more traffic than its hosts can carry.
+func (b *Balancer) reported(h *Host, busy float64) {
+	b.busy += (busy - b.busy) * latStep
+	if h.Zone != b.Zone {
+		b.busyFar += (busy - b.busyFar) * farStep
+		return
+	}
+	b.busyNear += (busy - b.busyNear) * farStep
+	if b.busyNear > math.Max(b.busyFar+farSlack, busyNearLeast) {
+		b.pool = math.Min(1, b.pool+poolStep/2)
+	}
+}
+
 // crowded tells whether an op that a host had no room for is to be given up. Where most hosts have none, walking on fills
 // those that have and ends at the origin, and few of those that walk are served: a part of the ops makes way, more of
 // those of less worth.
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -1026,11 +1026,11 @@
 	//  440 dead-letter past it
 	//  440 cancel past it
 	//  440 cancel past it
-	// 
+	//
 	//    0 push last push to a
 	//  190 nack last push
 	//  190 cancel last push
-	// 
+	//
 	//    0 push drained to a
 	//  140 nack drained
 	//  140 cancel drained
