--- a/balance/balance.go
+++ b/balance/balance.go
@@ -22,7 +22,7 @@
 	overMean      = 1.5   // 1+ε, the talk's example factor
 	floorCount    = 2     // pushes; below this a host is never full
 	sweepEvery    = 100.0 // ms between two looks at all hosts: a small part of what warming, rests and idle times last
-	tick          = 10.0  // ms, period of the one timer: a small part of any target latency
+	tick          = 10.0  // ms, period of the one timer while ops are held, and part of each margin: little beside a target
 
 	latStep  = 0.05 // weight of a new latency in a category's average: about 20 ops
 	hostStep = 0.2  // weight of a new outcome in a host's averages: about 5 ops, few reach it a second
@@ -131,6 +131,7 @@
 	resting           int
 	counted           int     // pushes that warm hosts have answered since the last tick
 	rate              float64 // pushes a ms for each unit of warm size
+	wakeAt            float64 // ms, when the timer calls next
 	ticked            float64
 	fetches           map[string]*fetch
 	fleet             gate
@@ -200,6 +201,7 @@
 func (b *Balancer) look(at float64, op *Op, push *Push) {
 	b.dues.seq++
 	heap.Push(&b.dues, due{at, b.dues.seq, op, push})
+	b.arm(at)
 }
 
 // pcg is a permuted congruential generator (PCG-XSH-RR).
@@ -237,7 +239,8 @@
 	if s.OnRequest {
 		b.ask()
 	}
-	port.Wake(tick)
+	b.wakeAt = math.Inf(1)
+	b.arm(now + tick)
 	return b
 }
 
@@ -260,7 +263,9 @@
 
 // Woke is the timer's call: all periodic work.
 func (b *Balancer) Woke() {
-	b.port.Wake(tick)
+	if b.now < b.wakeAt-settleTicks*b.Quantum { // an earlier call has taken this one's place
+		return
+	}
 	if b.now-b.ticked >= sweepEvery {
 		b.sweep(b.now - b.ticked)
 	}
@@ -274,6 +279,26 @@
 		b.expire(g)
 		b.pump(g)
 	}
+	next := b.ticked + sweepEvery
+	for len(b.dues.all) > 0 && (b.dues.all[0].op.state == settled || b.dues.all[0].push != nil && b.dues.all[0].push.over) {
+		heap.Pop(&b.dues)
+	}
+	if len(b.dues.all) > 0 {
+		next = math.Min(next, b.dues.all[0].at)
+	}
+	if len(b.fleet.line)+len(b.origin.line) > 0 {
+		next = math.Min(next, b.now+tick)
+	}
+	b.wakeAt = math.Inf(1)
+	b.arm(math.Max(next, b.now+tick/10))
+}
+
+// arm has the timer call at a time, if it would not before.
+func (b *Balancer) arm(at float64) {
+	if at < b.wakeAt {
+		b.wakeAt = at
+		b.port.Wake(at - b.now)
+	}
 }
 
 // sweep looks at all hosts. A thousand balancers that did so at each tick took more CPU than their ops.
@@ -694,6 +719,7 @@
 	}
 	b.move(op, held)
 	g.line = append(g.line, op)
+	b.arm(b.now + tick)
 	b.pump(g)
 }
 
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -316,12 +316,12 @@
 	// 0 push read to c
 	//    0 push once to c
 	//    0 nack late
-	//   90 cancel read
-	//   90 push read to a
-	//  190 nack read
-	//  190 cancel read
-	//  190 dead-letter once
-	//  190 cancel once
+	//   88 cancel read
+	//   88 push read to a
+	//  188 nack read
+	//  188 cancel read
+	//  188 dead-letter once
+	//  188 cancel once
 }
 
 // Where a late answer is worth nothing an op is settled at its target latency, and its push called off.
@@ -369,9 +369,9 @@
 	x.after(60000)
 	// Output:
 	// 0 watch
-	//  870 watch
-	// 2780 watch
-	// 10930 watch
+	//  900 watch
+	// 2800 watch
+	// 11100 watch
 }
 
 // With no host listed an op is held while there is hope.
@@ -388,10 +388,10 @@
 	// 50 push op0 to a
 	//   50 push op1 to a
 	//  130 nack op2
-	//  140 cancel op0
-	//  140 cancel op1
-	//  140 nack op0
-	//  140 nack op1
+	//  138 cancel op0
+	//  138 cancel op1
+	//  138 nack op0
+	//  138 nack op1
 }
 
 // Odd lists stop no routing to hosts that are known to be ready: changes to hosts never listed, a host listed
@@ -495,8 +495,8 @@
 	//    0 push heavy to b
 	//    0 push light to b
 	//   20 light acked
-	//   90 cancel hung
-	//   90 push hung to d
+	//   88 cancel hung
+	//   88 push hung to d
 }
 
 // One op in three is heavy, and on hosts that have answered no other since. What is called off counts as usual
@@ -635,7 +635,7 @@
 	x.list(true, "a", "b")
 	// Output:
 	// 0 watch
-	// 5790 watch
+	// 5900 watch
 	// 8000 push op to c
 	//    0 push peer's to c
 	// 8000 push op to a
@@ -656,7 +656,7 @@
 	// Output:
 	// 0 watch
 	//  100 watch
-	//  680 watch
+	//  700 watch
 }
 
 // A single spoilt answer says little of a host: the op goes there again, for it may hold the key. A host of which many
@@ -732,8 +732,8 @@
 	// 0 push stuck to c
 	//   60 push other to c
 	//   60 other acked
-	//  180 cancel stuck
-	//  180 push stuck to c
+	//  175 cancel stuck
+	//  175 push stuck to c
 	//  210 stuck acked
 }
 
@@ -859,7 +859,7 @@
 	}
 	fmt.Println("big:", served[big], "of 540, small:", served[small], "of 60")
 	// Output:
-	// big: 117 of 540, small: 59 of 60
+	// big: 119 of 540, small: 59 of 60
 }
 
 // A tenant's share is reckoned from what this balancer gets acked: with a part of 1/100 of the quota one that carries far more
@@ -993,7 +993,7 @@
 	}
 	fmt.Println("copies of 400 ops:", copies)
 	// Output:
-	// copies of 400 ops: 8
+	// copies of 400 ops: 9
 }
 
 // The rules ask all pushes of an op. With one still out, a deduplicated op may be nacked inside its window and not after
@@ -1020,20 +1020,20 @@
 	//    0 push past it to b
 	//   50 push in its window to d
 	//   50 push past it to a
-	//  190 nack in its window
-	//  190 cancel in its window
-	//  190 cancel in its window
-	//  440 dead-letter past it
-	//  440 cancel past it
-	//  440 cancel past it
-	//
+	//  188 nack in its window
+	//  188 cancel in its window
+	//  188 cancel in its window
+	//  438 dead-letter past it
+	//  438 cancel past it
+	//  438 cancel past it
+	// 
 	//    0 push last push to a
-	//  190 nack last push
-	//  190 cancel last push
-	//
+	//  188 nack last push
+	//  188 cancel last push
+	// 
 	//    0 push drained to a
-	//  140 nack drained
-	//  140 cancel drained
+	//  138 nack drained
+	//  138 cancel drained
 }
 
 // A copy that misses is fetched from the origin while the first push is out; that one's miss fetches nothing more. When the
--- a/internal/simwire/serve_test.go
+++ b/internal/simwire/serve_test.go
@@ -123,5 +123,5 @@
 	// Output:
 	// <nil>
 	// {"actions":[{"SEND":{"i":0,"corr":"r1","host":11,"capUs":399000}}]}
-	// {"actions":[{"SEND":{"i":0,"corr":"r1","host":12,"capUs":349000}},{"AFTER":{"i":0,"fromNowUs":10000,"ctx":0}}]}
+	// {"actions":[{"SEND":{"i":0,"corr":"r1","host":12,"capUs":349000}},{"AFTER":{"i":0,"fromNowUs":49000,"ctx":0}}]}
 }
