--- a/balance/balance.go
+++ b/balance/balance.go
@@ -408,6 +408,7 @@
 		// Sizes have no unit. A power of two near their mean is the same at balancers whose lists differ.
 		b.unit = math.Exp2(math.Round(math.Log2(b.sizes / float64(len(b.ready)))))
 	}
+	left := false
 	var added []point
 	for _, h := range all {
 		n := 0
@@ -417,28 +418,27 @@
 		if h.moved = h.placed != n; !h.moved {
 			continue
 		}
+		left = left || h.placed > 0
 		if h.placed = n; n > 0 && len(h.points) != n {
 			h.points = h.points[:0]
 			for i := range n {
 				h.points = append(h.points, xxhash.Sum64String(h.Name+"/"+strconv.Itoa(i)))
 			}
 		}
-		for i := range n {
-			added = append(added, point{h.points[i], i, h})
+		for i, p := range h.points[:n] {
+			added = append(added, point{p, i, h})
 		}
 	}
-	b.cycle = slices.DeleteFunc(b.cycle, func(p point) bool { return p.host.moved })
+	if left {
+		b.cycle = slices.DeleteFunc(b.cycle, func(p point) bool { return p.host.moved })
+	}
 	slices.SortFunc(added, func(x, y point) int { return cmp.Compare(x.hash, y.hash) })
-	i, j := len(b.cycle)-1, len(added)-1
+	end := len(b.cycle)
 	b.cycle = append(b.cycle, added...)
-	for k := len(b.cycle) - 1; j >= 0; k-- { // merged from the back
-		if i >= 0 && b.cycle[i].hash > added[j].hash {
-			b.cycle[k] = b.cycle[i]
-			i--
-		} else {
-			b.cycle[k] = added[j]
-			j--
-		}
+	for j := len(added) - 1; j >= 0; j-- { // merged from the back, in runs
+		from, _ := slices.BinarySearchFunc(b.cycle[:end], added[j].hash, byHash)
+		copy(b.cycle[from+j+1:], b.cycle[from:end])
+		b.cycle[from+j], end = added[j], from
 	}
 	for _, h := range b.ready {
 		b.join(h)
@@ -458,6 +458,8 @@
 	b.pump(&b.fleet)
 }
 
+func byHash(p point, hash uint64) int { return cmp.Compare(p.hash, hash) }
+
 // join lets a host stand on the cycle with as many of its points as it is warm.
 func (b *Balancer) join(h *Host) { h.active = int(math.Ceil(float64(len(h.points)) * b.warmth(h))) }
 
@@ -543,9 +545,7 @@
 		return nil
 	}
 	mean := float64(b.fleet.out+1) / float64(len(b.ready))
-	from, _ := slices.BinarySearchFunc(b.cycle, op.hash, func(p point, h uint64) int {
-		return cmp.Compare(p.hash, h)
-	})
+	from, _ := slices.BinarySearchFunc(b.cycle, op.hash, byHash)
 	b.walks++
 	near, pass := b.near(op), 0
 	if spread := b.spread(op); spread > 1 {
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -1026,11 +1026,11 @@
 	//  438 dead-letter past it
 	//  438 cancel past it
 	//  438 cancel past it
-	// 
+	//
 	//    0 push last push to a
 	//  188 nack last push
 	//  188 cancel last push
-	// 
+	//
 	//    0 push drained to a
 	//  138 nack drained
 	//  138 cancel drained
