--- a/balance/balance.go
+++ b/balance/balance.go
@@ -952,8 +952,14 @@
 		}
 	case b.now >= op.Due-tick:
 		b.giveUp(op)
-	case twice, o == Refused && !h.Origin && b.crowded(op):
+	case twice:
 		b.giveUp(op)
+	case o == Refused && !h.Origin && b.crowded(op):
+		if b.origin.pain > b.origin.goal || !b.Aside || !b.mayPush(op) {
+			b.giveUp(op)
+		} else {
+			b.lead(op)
+		}
 	case op.fetch != nil && b.mayPush(op): // the origin failed the fetch; its waiters wait on
 		b.offer(g, op)
 	// A good host, which may hold the key while others would miss.
@@ -984,7 +990,7 @@
 // those that have and ends at the origin, and few of those that walk are served: a part of the ops makes way, more of
 // those of less worth.
 func (b *Balancer) crowded(op *Op) bool {
-	return b.busy > busyAll && b.origin.pain > b.origin.goal && b.rng.float()*worth(op) < (b.refused-refusedFrom)/refusedFrom*b.fleet.worth
+	return b.busy > busyAll && b.rng.float()*worth(op) < (b.refused-refusedFrom)/refusedFrom*b.fleet.worth
 }
 
 // learn takes from an outcome what it tells of host and gate.
