--- a/balance/balance.go
+++ b/balance/balance.go
@@ -31,7 +31,7 @@
 	refusedSlow = 4.0    // what a push turned away counts as, in usual latencies: a full host is a crowded one
 	crowdPart   = 2.0    // part
 	busyAll     = 0.85   // part of their cores' time that hosts say is taken, on the whole, from which on there is no room
-	refusedFrom = 0.25   // part of pushes turned away from which on ops make way, and all do at twice that
+	refusedFrom = 0.25   // part of those that walked on turned away as well from which on ops make way, all at twice that
 	crowdSlack  = 0.25   // usual latencies above those of all hosts that chance explains
 	failFrom    = 0.25   // smoothed failures above which a host is suspect: one fresh failure does it
 	failStep    = 0.3    // weight of a fresh failure, just over failFrom
