--- a/balance/balance.go
+++ b/balance/balance.go
@@ -115,6 +115,8 @@
 	hosts             []*Host // listed cache hosts, by name
 	ready             []*Host // those that may be pushed to
 	cycle             []point
+	slots             []*Host // hosts that stand on it, or have and are still listed
+	coldUntil         float64 // ms, when the last of them is warm
 	unit              float64 // size that gets pointsPerHost places
 	sizes             float64 // sum of the ready hosts' sizes
 	origins           []*Host
@@ -144,11 +146,12 @@
 	askWait           float64 // ms that the next failure puts the call off
 }
 
-// point is a host's place on the cycle.
+// point is a host's place on the cycle. It holds no pointer: there are tens of thousands, which the collector would
+// follow one by one, and each move of one would have to tell it.
 type point struct {
 	hash uint64
-	nth  int // it counts while the host has more than nth active
-	host *Host
+	slot int32 // the host's place in slots
+	nth  int32 // it counts while the host has more than nth active
 }
 
 // fetch is a key on its way from the origin for the op that leads it; others of the key wait for it.
@@ -305,11 +308,13 @@
 func (b *Balancer) sweep(span float64) {
 	b.ticked = b.now
 	warm := b.sizes
-	for _, h := range b.ready {
-		if b.warmth(h) < 1 {
-			warm -= h.Size
+	if b.now < b.coldUntil+sweepEvery {
+		for _, h := range b.ready {
+			if b.warmth(h) < 1 {
+				warm -= h.Size
+			}
+			b.join(h)
 		}
-		b.join(h)
 	}
 	if warm > 0 {
 		b.rate += (float64(b.counted)/span/warm - b.rate) * math.Min(1, span/rateSpan)
@@ -419,6 +424,13 @@
 			continue
 		}
 		left = left || h.placed > 0
+		if h.points == nil { // it has no slot yet, or was gone
+			if h.slot = int32(slices.Index(b.slots, nil)); h.slot < 0 {
+				h.slot = int32(len(b.slots))
+				b.slots = append(b.slots, nil)
+			}
+			b.slots[h.slot] = h
+		}
 		if h.placed = n; n > 0 && len(h.points) != n {
 			h.points = h.points[:0]
 			for i := range n {
@@ -426,11 +438,16 @@
 			}
 		}
 		for i, p := range h.points[:n] {
-			added = append(added, point{p, i, h})
+			added = append(added, point{p, h.slot, int32(i)})
 		}
 	}
 	if left {
-		b.cycle = slices.DeleteFunc(b.cycle, func(p point) bool { return p.host.moved })
+		b.cycle = slices.DeleteFunc(b.cycle, func(p point) bool { return b.slots[p.slot].moved })
+	}
+	for _, h := range all { // gone for good, as far as is known: its slot is the next one's
+		if gone(h) && h.points != nil {
+			b.slots[h.slot], h.points = nil, nil
+		}
 	}
 	slices.SortFunc(added, func(x, y point) int { return cmp.Compare(x.hash, y.hash) })
 	end := len(b.cycle)
@@ -441,6 +458,7 @@
 		b.cycle[from+j], end = added[j], from
 	}
 	for _, h := range b.ready {
+		b.coldUntil = math.Max(b.coldUntil, h.UpSince+b.ColdFor)
 		b.join(h)
 		h.slow = math.Max(h.slow, 1)
 	}
@@ -555,8 +573,8 @@
 	left := len(b.ready) // each host is judged once: where most are full its other points cost too much
 	for i := 0; i < len(b.cycle) && left > 0; i++ {
 		p := b.cycle[(from+i)%len(b.cycle)]
-		h := p.host
-		if h.walked == b.walks || p.nth >= h.active {
+		h := b.slots[p.slot]
+		if h.walked == b.walks || int(p.nth) >= h.active {
 			continue
 		}
 		h.walked = b.walks
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -1221,7 +1221,7 @@
 	y := open(start(), left...)
 	same := len(x.cycle) == len(y.cycle)
 	for i := range x.cycle {
-		same = same && x.cycle[i].hash == y.cycle[i].hash && x.cycle[i].host.Name == y.cycle[i].host.Name
+		same = same && x.cycle[i].hash == y.cycle[i].hash && x.slots[x.cycle[i].slot].Name == y.slots[y.cycle[i].slot].Name
 	}
 	looks, last := 0, x.ticked
 	for range 100 {
--- a/balance/port.go
+++ b/balance/port.go
@@ -99,6 +99,7 @@
 	Listing // as last listed
 
 	points           []uint64 // hashes of all its places on the cycle
+	slot             int32    // its place among those that stand on the cycle
 	placed           int      // so many of them it has there
 	moved            bool     // that has changed with the last list
 	active           int      // so many of them stand on the cycle now
