--- a/balance/balance.go
+++ b/balance/balance.go
@@ -29,7 +29,7 @@
 
 	crowdGroup  = 3.0    // balancers at which twice the usual latency counts twice; more see less each
 	refusedSlow = 4.0    // what a push turned away counts as, in usual latencies: a full host is a crowded one
-	crowdPart   = 2.0    // part
+	crowdPart   = 2.0    // times its excess, to one, that a slow host loses of its keys: half of them at half over the usual
 	busyAll     = 0.85   // part of their cores' time that hosts say is taken, on the whole, from which on there is no room
 	refusedFrom = 0.25   // part of those that walked on turned away as well from which on ops make way, all at twice that
 	crowdSlack  = 0.25   // usual latencies above those of all hosts that chance explains
@@ -59,15 +59,12 @@
 	patienceDevs = 5.0 // mean deviations above the usual latency at which a push is looked at
 
 	gateGoal    = 0.5   // smoothed latency over target above which a gate narrows: most answers just in time
-	originGoal  = 0.25  // the same for the origin, whose latency comes on top of a miss; at the least
-	originMost  = 0.4   // and at the most, whatever its calm latency
-	originRise  = 1.4   // times its calm latency at which an origin of long service counts as crowded
-	calmStep    = 0.002 // weight of a new latency above the calm one: it forgets in about 500 fetches
+	originGoal  = 0.3   // the same for the origin, whose latency comes on top of a miss
 	gateCut     = 0.85  // factor of one narrowing
 	fleetStep   = 0.2   // weight of a new latency in the hosts' gate's pain: about 5 ops, to see a jam build
 	originStep  = 0.1   // the same for the origin, whose answers vary more from one to the next
 	gatePause   = 100.0 // ms between two narrowings, so that the first can show
-	chancePain  = 0.6   // smoothed latency over target above which a gate turns ops away by chance, with none or one out
+	chancePain  = 0.5   // smoothed latency over target above which a gate turns ops away by chance, with none or one out
 	chanceGain  = 20.0  // answers in time after which a gate that lets out next to none lets out all again
 	lineLength  = 1.0   // ops held for each that a gate lets out: about two latencies of waiting
 	fleetFloor  = 2.0   // pushes a host, of all balancers, that the hosts' gate lets out at least
@@ -87,9 +84,6 @@
 	askLongest = 4000.0 // ms, the longest such wait
 	askAnswer  = 5000.0 // ms after which an unanswered call counts as failed
 
-	priceShare = 0.25   // part of the benefit of an op turned away under which others are, too
-	priceSpan  = 8000.0 // ms in which that is forgotten: one of many balancers turns few away
-
 	settleTicks = 2.0 // quanta before its TTL at which an op is settled, beside one tick
 	shareLeast  = 8.0 // ops that a tenant may be ahead of its part of those acked: chance sends some together
 )
@@ -169,10 +163,8 @@
 	lat, dev    float64 // ms, smoothed latency and its mean deviation
 	out         int
 	pain        float64 // smoothed latency over target
-	calm        float64 // pain when little waits: follows pain down at once, up slowly
 	cutAt       float64
 	worth       float64 // smoothed benefit of an op that comes to it
-	price       float64 // benefit under which an op is turned away at once; it sinks by and by
 	line        []*Op
 }
 
@@ -224,7 +216,7 @@
 		fetches: map[string]*fetch{}, askWait: askFirst, usual: 1, keep: s.ConnIdle, copies: copyBurst, busyFar: 1}
 	b.rng.float() // seeds that lie close give numbers that lie close at first
 	b.fleet = gate{goal: gateGoal, step: fleetStep, limit: math.Inf(1)}
-	b.origin = gate{goal: originGoal, step: originStep, pain: originGoal / 2, calm: originGoal / originRise,
+	b.origin = gate{goal: originGoal, step: originStep, pain: originGoal / 2,
 		floor: originFloor / float64(s.Group), limit: math.Inf(1),
 		gain: 1}
 	for _, c := range s.Categories {
@@ -320,9 +312,6 @@
 		b.rate += (float64(b.counted)/span/warm - b.rate) * math.Min(1, span/rateSpan)
 	}
 	b.counted = 0
-	for _, g := range []*gate{&b.fleet, &b.origin} {
-		g.price -= g.price * math.Min(1, span/priceSpan)
-	}
 	if b.now-b.cooled > heatHalf {
 		b.cooled = b.now
 		b.heatAll /= 2
@@ -729,9 +718,7 @@
 
 // offer puts op in line at a gate.
 func (b *Balancer) offer(g *gate, op *Op) {
-	// With room for one or two, a line cannot sort: what is worth far less than an op turned away of late
-	// would take its place by chance.
-	if worth(op) < g.price || b.unlucky(g, op) {
+	if b.unlucky(g, op) {
 		b.drop(op)
 		return
 	}
@@ -784,7 +771,7 @@
 		}
 		op := g.line[least]
 		g.line = slices.Delete(g.line, least, least+1)
-		b.turnAway(g, op)
+		b.drop(op)
 	}
 }
 
@@ -816,17 +803,11 @@
 func (b *Balancer) expire(g *gate) {
 	for _, op := range slices.Clone(g.line) {
 		if op.state == held && b.now+op.Category.lat > op.arrived+op.Category.Target {
-			b.turnAway(g, op)
+			b.drop(op)
 		}
 	}
 }
 
-// turnAway gives up an op of a gate's line, and remembers what it was worth.
-func (b *Balancer) turnAway(g *gate, op *Op) {
-	g.price = math.Max(g.price, op.value*priceShare) // its own: few are worth what a fetch for many is
-	b.drop(op)
-}
-
 // drop gives up a push that an op was to have: the op ends with it, unless another is out.
 func (b *Balancer) drop(op *Op) {
 	if op.out == 0 {
@@ -1099,15 +1080,6 @@
 		b.pool = math.Min(1, b.pool+poolStep)
 	}
 	g.pain += (pain - g.pain) * g.step
-	if g == &b.origin {
-		step := math.Min(calmStep*math.Max(1, float64(b.Group)/crowdGroup), latStep) // each sees its part
-		// With so little out, what is seen is what calm is.
-		if g.pain < g.calm || g.limit <= math.Max(g.floor, 1) {
-			step = latStep
-		}
-		g.calm += (g.pain - g.calm) * step
-		g.goal = math.Min(math.Max(originGoal, originRise*g.calm), originMost)
-	}
 	switch {
 	// Timely answers do not narrow it: where an op a second comes by, one heavy op is smoothed over for long,
 	// and would be paid for again with each answer after it.
