--- a/balance/balance.go
+++ b/balance/balance.go
@@ -21,17 +21,17 @@
 	pointsPerHost = 100   // places on the cycle of a host of usual size; evens shares out to about a tenth
 	overMean      = 1.5   // 1+ε, the talk's example factor
 	floorCount    = 2     // pushes; below this a host is never full
-	sweepEvery    = 100.0 // ms between two looks at all hosts: a small part of what warming, rests and idle times last
-	tick          = 10.0  // ms, period of the one timer while ops are held, and part of each margin: little beside a target
+	sweepEvery    = 100.0 // ms between two looks at all hosts: little beside warming, rests and idle times
+	tick          = 10.0  // ms, the timer's period while ops are held, and part of each margin
 
 	latStep  = 0.05 // weight of a new latency in a category's average: about 20 ops
 	hostStep = 0.2  // weight of a new outcome in a host's averages: about 5 ops, few reach it a second
 
 	crowdGroup  = 3.0    // balancers at which twice the usual latency counts twice; more see less each
 	refusedSlow = 4.0    // what a push turned away counts as, in usual latencies: a full host is a crowded one
-	crowdPart   = 2.0    // times its excess, to one, that a slow host loses of its keys: half of them at half over the usual
-	busyAll     = 0.85   // part of their cores' time that hosts say is taken, on the whole, from which on there is no room
-	refusedFrom = 0.25   // part of those that walked on turned away as well from which on ops make way, all at twice that
+	crowdPart   = 2.0    // to one, how a slow host's excess becomes the part of its keys that it loses
+	busyAll     = 0.85   // part of their cores' time that all hosts say is taken where there is no room
+	refusedFrom = 0.25   // part turned away of pushes that walked on where ops make way; at twice that all
 	crowdSlack  = 0.25   // usual latencies above those of all hosts that chance explains
 	failFrom    = 0.25   // smoothed failures above which a host is suspect: one fresh failure does it
 	failStep    = 0.3    // weight of a fresh failure, just over failFrom
@@ -45,8 +45,8 @@
 	farSlack      = 0.1 // by how much more the own zone's hosts have to be busy for keys to leave it
 	busyNearLeast = 0.6 // and so busy at the least: below, they have room
 
-	poolStep = 0.1                // part of the keys that walk the whole cycle for each late fetch: the origin is short
-	poolFall = 0.01               // part of these that keep to their zone again for each answer: some hundred answers
+	poolStep = 0.1                // part of the keys that a late fetch puts on the whole cycle
+	poolFall = 0.01               // part of these that an answer takes back
 	zoneHash = 0x9e3779b97f4a7c15 // odd; tells a key's part in this from its place on the cycle
 
 	copyDevs  = 3.0 // mean deviations above the usual latency at which a second copy is sent
@@ -64,17 +64,17 @@
 	fleetStep   = 0.2   // weight of a new latency in the hosts' gate's pain: about 5 ops, to see a jam build
 	originStep  = 0.1   // the same for the origin, whose answers vary more from one to the next
 	gatePause   = 100.0 // ms between two narrowings, so that the first can show
-	chancePain  = 0.5   // smoothed latency over target above which a gate turns ops away by chance, with none or one out
+	chancePain  = 0.5   // smoothed latency over target above which a gate turns ops away by chance
 	chanceGain  = 20.0  // answers in time after which a gate that lets out next to none lets out all again
 	lineLength  = 1.0   // ops held for each that a gate lets out: about two latencies of waiting
 	fleetFloor  = 2.0   // pushes a host, of all balancers, that the hosts' gate lets out at least
 	fleetStart  = 16.0  // pushes a host, of all balancers, that the hosts' gate starts with
 	originStart = 1.5   // fetches a host, of all balancers, that the origin's gate starts with
-	originOwn   = 4.0   // fetches that a balancer of many starts with all the same: its own ops tell of no other's
+	originOwn   = 4.0   // fetches that the origin's gate starts with at the least: own ops tell of no other's
 	originFloor = 2.0   // fetches, of all balancers, that it lets out at least
 	fleetGain   = 1.0   // pushes a host, of all balancers, that the hosts' gate widens by in one latency
 
-	coldSafety = 0.5    // part of the tipping load that all may send a cold host in a span; two can lie close
+	coldSafety = 0.5    // part of the tipping load that all may send a cold host in a span; two can touch
 	rateSpan   = 2000.0 // ms over which the usual rate of pushes is averaged
 
 	keepCut  = 0.8 // factor of the time idle connections are kept, when one cannot be made
@@ -140,8 +140,8 @@
 	askWait           float64 // ms that the next failure puts the call off
 }
 
-// point is a host's place on the cycle. It holds no pointer: there are tens of thousands, which the collector would
-// follow one by one, and each move of one would have to tell it.
+// point is a host's place on the cycle. It holds no pointer: there are tens of thousands for the collector to
+// follow.
 type point struct {
 	hash uint64
 	slot int32 // the host's place in slots
@@ -275,12 +275,13 @@
 		b.pump(g)
 	}
 	next := b.ticked + sweepEvery
-	for len(b.dues.all) > 0 && (b.dues.all[0].op.state == settled || b.dues.all[0].push != nil && b.dues.all[0].push.over) {
+	for len(b.dues.all) > 0 {
+		if d := b.dues.all[0]; d.op.state != settled && (d.push == nil || !d.push.over) {
+			next = math.Min(next, d.at)
+			break
+		}
 		heap.Pop(&b.dues)
 	}
-	if len(b.dues.all) > 0 {
-		next = math.Min(next, b.dues.all[0].at)
-	}
 	if len(b.fleet.line)+len(b.origin.line) > 0 {
 		next = math.Min(next, b.now+tick)
 	}
@@ -383,8 +384,8 @@
 	b.layOut()
 }
 
-// layOut puts the ready hosts on the cycle. A host's places depend on its name and size alone. Only what has changed is
-// hashed and sorted: where a thousand balancers hear of each change, sorting all points took most of their CPU.
+// layOut puts the ready hosts on the cycle, at places that depend on a host's name and size alone. Only what has
+// changed is hashed and sorted: a thousand balancers that sorted all points took most of their CPU for it.
 func (b *Balancer) layOut() {
 	gone := func(h *Host) bool { return h.Status == Gone }
 	all := slices.Clone(b.hosts)
@@ -586,8 +587,8 @@
 	return spill
 }
 
-// spread is over how many hosts, in parts, a key's ops have to go so that none gets more than the bound allows of what
-// this balancer sends. With more hosts than ops out the bound never binds, and a busy key would be one host's at all
+// spread is over how many hosts a key's ops have to go so that none gets more than the bound allows of what this
+// balancer sends. With more hosts than ops out the bound never binds, and a busy key would be one host's at all
 // balancers. It counts recent ops, less the one that chance alone would bring.
 func (b *Balancer) spread(op *Op) float64 {
 	if !b.MayDuplicate {
@@ -596,8 +597,8 @@
 	return (b.heat[op.hash%cells] - 1) / b.heatAll * float64(len(b.ready)) / overMean
 }
 
-// near tells whether op keeps to the hosts of its balancer's zone as long as one has room, and walks on to another zone
-// from one that failed it or had none: its first host there is where that zone's balancers keep the key.
+// near tells whether op keeps to its balancer's zone while a host there has room. From one that failed it, it goes
+// to another zone's first host: there that zone's balancers keep the key.
 func (b *Balancer) near(op *Op) bool {
 	if b.Zone < 0 || b.Zones < 2 || b.CrossCost*(1-1/float64(b.Zones)) <= b.FetchCost {
 		return false
@@ -605,7 +606,7 @@
 	return float64(op.hash*zoneHash>>11)/(1<<53) >= b.pool
 }
 
-// mayHaveRun is the first push of op that has run, or may have, or may yet; nil where all provably never ran.
+// mayHaveRun is the first push of op that has run, may have, or may yet; nil where all provably never ran.
 func (op *Op) mayHaveRun() *Push {
 	for _, p := range op.tried {
 		if !p.never {
@@ -778,9 +779,9 @@
 // open tells whether a gate lets one more push out.
 func (b *Balancer) open(g *gate) bool { return float64(g.out) < math.Max(g.limit, 1) }
 
-// unlucky tells whether chance turns an op away at a gate. A limit under one is the part of its ops that a balancer
-// lets out, more of those of more worth: were each of some hundred to have one out at all times, they would keep a
-// full origin full, and a place drawn now and then would leave most of those that see few ops without any.
+// unlucky tells whether chance turns an op away. A limit under one is the part of its ops that a balancer lets out,
+// more of those of more worth: were each of some hundred to have one out at all times, they would keep a full
+// origin full, and a place drawn now and then would leave most of those that see few ops without any.
 func (b *Balancer) unlucky(g *gate, op *Op) bool {
 	g.worth += (worth(op) - g.worth) * hostStep
 	return g.limit < 1 && b.rng.float()*g.worth >= g.limit*worth(op)
@@ -870,9 +871,9 @@
 	b.port.Cancel(p)
 }
 
-// copy sends a second copy of an op whose push has been out for unusually long, and leaves the first where it is: what
-// comes first counts. A host that has answered nobody since is suspect. Copies are a part of the ops at most: where all
-// hosts are slow each op would have one, and all be twice as slow.
+// copy sends a second copy of an op whose push has been out for unusually long, which stays: what comes first
+// counts. A host that has answered nobody since is suspect. Copies are a part of the ops: where all hosts are slow
+// each op would have one, and all be twice as slow.
 func (b *Balancer) copy(p *Push) {
 	op, h := p.Op, p.Host
 	if h.answered < p.sent {
@@ -914,8 +915,8 @@
 	}
 }
 
-// Ended takes the outcome of a push, and what its host told of its load, or nil. last tells that nothing more is
-// owed for the op.
+// Ended takes the outcome of a push, and its host's load report or nil. last tells that nothing more is owed for
+// the op.
 func (b *Balancer) Ended(p *Push, o Outcome, spent float64, last bool, r *Report) {
 	op, h, g := p.Op, p.Host, p.gate
 	if p.over {
@@ -971,8 +972,8 @@
 	b.pump(g)
 }
 
-// reported takes how busy a host says it is. Where those of the own zone are busier than the others, keys walk the whole
-// cycle: a zone may have more traffic than its hosts can carry.
+// reported takes how busy a host says it is. Where those of the own zone are busier than the others keys walk the
+// whole cycle: a zone may have more traffic than its hosts can carry.
 func (b *Balancer) reported(h *Host, busy float64) {
 	b.busy += (busy - b.busy) * latStep
 	if h.Zone != b.Zone {
@@ -985,9 +986,8 @@
 	}
 }
 
-// crowded tells whether an op that a host had no room for is to be given up. Where most hosts have none, walking on fills
-// those that have and ends at the origin, and few of those that walk are served: a part of the ops makes way, more of
-// those of less worth.
+// crowded tells whether an op that a host had no room for is to walk no further. Where most hosts have none, walking
+// on fills those that have, and few are served: a part of the ops makes way, more of those of less worth.
 func (b *Balancer) crowded(op *Op) bool {
 	return b.busy > busyAll && b.rng.float()*worth(op) < (b.refused-refusedFrom)/refusedFrom*b.fleet.worth
 }
--- a/balance/port.go
+++ b/balance/port.go
@@ -182,8 +182,7 @@
 	never  bool    // that proves that it never ran
 }
 
-// Report is what a host tells of its load with an answer, some time old and not exact. What it does not tell is
-// below 0.
+// Report is what a host tells of its load with an answer, some time old and not exact; below 0 what it does not.
 type Report struct {
 	Busy  float64 // share of its cores' time
 	Queue float64 // ops that wait
