--- a/balance/balance.go
+++ b/balance/balance.go
@@ -53,8 +53,9 @@
 	copyShare = 0.1 // second copies an op: more would be much of a slow fleet's load
 	copyBurst = 3.0 // that may be sent together
 
-	cells    = 1024   // of counts of ops by key: few of an instance's keys share one
-	heatHalf = 5000.0 // ms between two halvings of these counts: a busy key lasts for some seconds
+	cells      = 1024   // of counts of ops by key: few of an instance's keys share one
+	spreadBusy = 0.9    // part of its cores' time that a busy key's host may have taken, where hosts tell
+	heatHalf   = 5000.0 // ms between two halvings of these counts: a busy key lasts for some seconds
 
 	patienceDevs = 5.0 // mean deviations above the usual latency at which a push is looked at
 
@@ -594,7 +595,11 @@
 	if !b.MayDuplicate {
 		return 0
 	}
-	return (b.heat[op.hash%cells] - 1) / b.heatAll * float64(len(b.ready)) / overMean
+	bound := overMean
+	if b.busy > 0 { // hosts tell how much more they can take
+		bound = math.Max(bound, spreadBusy/b.busy)
+	}
+	return (b.heat[op.hash%cells] - 1) / b.heatAll * float64(len(b.ready)) / bound
 }
 
 // near tells whether op keeps to its balancer's zone while a host there has room. From one that failed it, it goes
@@ -879,6 +884,11 @@
 	if h.answered < p.sent {
 		b.blame(h, TimedOut, b.now-p.sent, failStep)
 	}
+	if h.answered > p.sent && !p.looked {
+		p.looked = true
+		b.look(b.now+(b.now-p.sent)/2, op, p)
+		return
+	}
 	if op.state != out || op.out > 1 || b.copies < 1 || !b.mayPush(op) {
 		return
 	}
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -969,7 +969,7 @@
 	}
 	fmt.Println("copies of 400 ops:", copies)
 	// Output:
-	// copies of 400 ops: 10
+	// copies of 400 ops: 8
 }
 
 // The rules ask all pushes of an op. With one still out, a deduplicated op may be nacked inside its window and not after
