--- a/balance/balance.go
+++ b/balance/balance.go
@@ -73,7 +73,6 @@
 	originStart = 1.5   // fetches a host, of all balancers, that the origin's gate starts with
 	originOwn   = 4.0   // fetches that the origin's gate starts with at the least: own ops tell of no other's
 	originFloor = 2.0   // fetches, of all balancers, that it lets out at least
-	fleetGain   = 1.0   // pushes a host, of all balancers, that the hosts' gate widens by in one latency
 
 	coldSafety = 0.5    // part of the tipping load that all may send a cold host in a span; two can touch
 	rateSpan   = 2000.0 // ms over which the usual rate of pushes is averaged
@@ -160,7 +159,6 @@
 	goal, limit float64
 	step        float64 // weight of a new latency in pain
 	floor       float64 // least that limit may sink to
-	gain        float64 // what limit gains in one latency
 	lat, dev    float64 // ms, smoothed latency and its mean deviation
 	out         int
 	pain        float64 // smoothed latency over target
@@ -218,8 +216,7 @@
 	b.rng.float() // seeds that lie close give numbers that lie close at first
 	b.fleet = gate{goal: gateGoal, step: fleetStep, limit: math.Inf(1)}
 	b.origin = gate{goal: originGoal, step: originStep, pain: originGoal / 2,
-		floor: originFloor / float64(s.Group), limit: math.Inf(1),
-		gain: 1}
+		floor: originFloor / float64(s.Group), limit: math.Inf(1)}
 	for _, c := range s.Categories {
 		c.lat, c.dev = c.Target/4, c.Target/8
 		b.origin.lat, b.origin.dev = max(b.origin.lat, c.lat), max(b.origin.dev, c.dev)
@@ -457,7 +454,7 @@
 		return
 	}
 	share := float64(len(b.ready)) / float64(b.Group)
-	b.fleet.floor, b.fleet.gain = fleetFloor*share, math.Min(1, fleetGain*share)
+	b.fleet.floor = fleetFloor * share
 	if math.IsInf(b.fleet.limit, 1) { // the first list
 		b.origin.limit = math.Max(originStart*share, originOwn)
 		b.fleet.limit = math.Max(1, fleetStart*share)
@@ -1104,7 +1101,7 @@
 		if g.limit < 1 {
 			g.limit += 1 / chanceGain
 		} else {
-			g.limit += g.gain / g.limit
+			g.limit += 1 / g.limit
 		}
 	}
 }
