--- a/balance/balance.go
+++ b/balance/balance.go
@@ -256,7 +256,7 @@
 
 // Woke is the timer's call: all periodic work.
 func (b *Balancer) Woke() {
-	if b.now < b.wakeAt-settleTicks*b.Quantum { // an earlier call has taken this one's place
+	if b.now < b.wakeAt-tick/10 { // an earlier call has taken this one's place
 		return
 	}
 	if b.now-b.ticked >= sweepEvery {
@@ -291,7 +291,7 @@
 func (b *Balancer) arm(at float64) {
 	if at < b.wakeAt {
 		b.wakeAt = at
-		b.port.Wake(at - b.now)
+		b.port.Wake(math.Max(at-b.now, 0))
 	}
 }
 
@@ -382,8 +382,8 @@
 	b.layOut()
 }
 
-// layOut puts the ready hosts on the cycle, at places that depend on a host's name and size alone. Only what has
-// changed is hashed and sorted: a thousand balancers that sorted all points took most of their CPU for it.
+// layOut puts the ready hosts on the cycle, at places that depend on a host's name and size alone. Only what
+// has changed is hashed and sorted: a thousand balancers that sorted all points took most of their CPU.
 func (b *Balancer) layOut() {
 	gone := func(h *Host) bool { return h.Status == Gone }
 	all := slices.Clone(b.hosts)
@@ -585,9 +585,9 @@
 	return spill
 }
 
-// spread is over how many hosts a key's ops have to go so that none gets more than the bound allows of what this
-// balancer sends. With more hosts than ops out the bound never binds, and a busy key would be one host's at all
-// balancers. It counts recent ops, less the one that chance alone would bring.
+// spread is over how many hosts a key's ops have to go so that none gets more than the bound allows of what
+// this balancer sends. With more hosts than ops out the bound never binds, and a busy key would be one host's
+// at all balancers. It counts recent ops, less the one that chance alone would bring.
 func (b *Balancer) spread(op *Op) float64 {
 	if !b.MayDuplicate {
 		return 0
@@ -599,8 +599,8 @@
 	return (b.heat[op.hash%cells] - 1) / b.heatAll * float64(len(b.ready)) / bound
 }
 
-// near tells whether op keeps to its balancer's zone while a host there has room. From one that failed it, it goes
-// to another zone's first host: there that zone's balancers keep the key.
+// near tells whether op keeps to its balancer's zone while a host there has room. From one that failed it, it
+// goes to another zone's first host: there that zone's balancers keep the key.
 func (b *Balancer) near(op *Op) bool {
 	if b.Zone < 0 || b.Zones < 2 || b.CrossCost*(1-1/float64(b.Zones)) <= b.FetchCost {
 		return false
@@ -696,7 +696,7 @@
 func (b *Balancer) route(op *Op) {
 	switch f := b.fetches[op.Key]; {
 	case !b.mayPush(op) || b.now+op.Category.lat/2 > op.Due: // none allowed, or answered in time
-		b.giveUp(op)
+		b.drop(op)
 	case b.Aside && op.Write:
 		b.offer(&b.origin, op)
 	case b.Aside && (f != nil || len(op.tried) == b.MostPushes-1): // the last push is the origin's
@@ -744,17 +744,12 @@
 func (b *Balancer) pump(g *gate) {
 	g.line = slices.DeleteFunc(g.line, func(op *Op) bool { return op.state != held })
 	for len(g.line) > 0 && b.open(g) {
-		best := 0
-		for i, op := range g.line {
-			if worth(op) > worth(g.line[best]) {
-				best = i
-			}
-		}
-		op := g.line[best]
+		op := slices.MaxFunc(g.line, func(x, y *Op) int { return cmp.Compare(worth(x), worth(y)) })
 		h := b.target(g, op)
 		if h == nil && op.failed == nil {
 			break
 		}
+		best := slices.Index(g.line, op)
 		g.line = slices.Delete(g.line, best, best+1)
 		if h != nil {
 			b.push(g, op, h)
@@ -781,9 +776,9 @@
 // open tells whether a gate lets one more push out.
 func (b *Balancer) open(g *gate) bool { return float64(g.out) < math.Max(g.limit, 1) }
 
-// unlucky tells whether chance turns an op away. A limit under one is the part of its ops that a balancer lets out,
-// more of those of more worth: were each of some hundred to have one out at all times, they would keep a full
-// origin full, and a place drawn now and then would leave most of those that see few ops without any.
+// unlucky tells whether chance turns an op away. A limit under one is the part of its ops that it lets out, and
+// more of those of more worth: one out at each of some hundred balancers would keep a full origin full, and a
+// place drawn now and then would leave most of those that see few ops without any.
 func (b *Balancer) unlucky(g *gate, op *Op) bool {
 	g.worth += (worth(op) - g.worth) * hostStep
 	return g.limit < 1 && b.rng.float()*g.worth >= g.limit*worth(op)
@@ -795,7 +790,7 @@
 		return b.walk(op)
 	}
 	for _, h := range b.origins {
-		if h.Status == Ready && b.now >= h.restUntil {
+		if h.Status == Ready && b.now >= h.restUntil && allowed(op, h) {
 			return h
 		}
 	}
@@ -874,8 +869,8 @@
 }
 
 // copy sends a second copy of an op whose push has been out for unusually long, which stays: what comes first
-// counts. A host that has answered nobody since is suspect. Copies are a part of the ops: where all hosts are slow
-// each op would have one, and all be twice as slow.
+// counts. A host that has answered nobody since is suspect. Copies are a part of the ops: where all hosts are
+// slow each op would have one, and all be twice as slow.
 func (b *Balancer) copy(p *Push) {
 	op, h := p.Op, p.Host
 	if h.answered < p.sent {
@@ -922,8 +917,7 @@
 	}
 }
 
-// Ended takes the outcome of a push, and its host's load report or nil. last tells that nothing more is owed for
-// the op.
+// Ended takes the outcome of a push, and its host's load report or nil. last: nothing more is owed for it.
 func (b *Balancer) Ended(p *Push, o Outcome, spent float64, last bool, r *Report) {
 	op, h, g := p.Op, p.Host, p.gate
 	if p.over {
@@ -936,7 +930,7 @@
 	g.out--
 	b.learn(p, o, spent)
 	if r != nil && r.Busy >= 0 && !h.Origin {
-		b.reported(h, r.Busy)
+		b.reported(h, math.Min(r.Busy, 1))
 	}
 	twice := o == Rejected && op.wrong != nil // two agree, so it is the op that is wrong
 	if o == Rejected {
@@ -957,9 +951,7 @@
 		if h.Origin {
 			b.landed(op, false)
 		}
-	case b.now >= op.Due-tick:
-		b.giveUp(op)
-	case twice:
+	case twice || b.now >= op.Due-tick:
 		b.giveUp(op)
 	case o == Refused && !h.Origin && b.crowded(op):
 		if b.origin.pain > b.origin.goal || !b.Aside || !b.mayPush(op) {
@@ -979,8 +971,8 @@
 	b.pump(g)
 }
 
-// reported takes how busy a host says it is. Where those of the own zone are busier than the others keys walk the
-// whole cycle: a zone may have more traffic than its hosts can carry.
+// reported takes how busy a host says it is. Where those of the own zone are busier than the others keys walk
+// the whole cycle: a zone may have more traffic than its hosts can carry.
 func (b *Balancer) reported(h *Host, busy float64) {
 	b.busy += (busy - b.busy) * latStep
 	if h.Zone != b.Zone {
@@ -993,8 +985,8 @@
 	}
 }
 
-// crowded tells whether an op that a host had no room for is to walk no further. Where most hosts have none, walking
-// on fills those that have, and few are served: a part of the ops makes way, more of those of less worth.
+// crowded tells whether an op that a host had no room for is to walk no further. Where most hosts have none,
+// walking on fills those that have, and few are served: a part makes way, more of those of less worth.
 func (b *Balancer) crowded(op *Op) bool {
 	return b.busy > busyAll && b.rng.float()*worth(op) < (b.refused-refusedFrom)/refusedFrom*b.fleet.worth
 }
@@ -1144,7 +1136,7 @@
 			next := waiters[0]
 			waiters = waiters[1:]
 			if !b.mayPush(next) {
-				b.giveUp(next)
+				b.drop(next)
 				continue
 			}
 			next.fetch = &fetch{waiters: waiters, value: f.value - op.value}
--- a/balance/port.go
+++ b/balance/port.go
@@ -182,7 +182,7 @@
 	never  bool    // that proves that it never ran
 }
 
-// Report is what a host tells of its load with an answer, some time old and not exact; below 0 what it does not.
+// Report is what a host tells of its load with an answer, old and not exact; below 0 what it does not.
 type Report struct {
 	Busy  float64 // share of its cores' time
 	Queue float64 // ops that wait
