--- a/balance/balance.go
+++ b/balance/balance.go
@@ -66,7 +66,7 @@
 	originStep  = 0.1   // the same for the origin, whose answers vary more from one to the next
 	gatePause   = 100.0 // ms between two narrowings, so that the first can show
 	chancePain  = 0.5   // smoothed latency over target above which a gate turns ops away by chance
-	chanceGain  = 20.0  // answers in time after which a gate that lets out next to none lets out all again
+	chanceGain  = 6.0   // answers in time after which a gate that lets out next to none lets out all again
 	lineLength  = 1.0   // ops held for each that a gate lets out: about two latencies of waiting
 	fleetFloor  = 2.0   // pushes a host, of all balancers, that the hosts' gate lets out at least
 	fleetStart  = 16.0  // pushes a host, of all balancers, that the hosts' gate starts with
@@ -776,9 +776,9 @@
 // open tells whether a gate lets one more push out.
 func (b *Balancer) open(g *gate) bool { return float64(g.out) < math.Max(g.limit, 1) }
 
-// unlucky tells whether chance turns an op away. A limit under one is the part of its ops that it lets out, and
-// more of those of more worth: one out at each of some hundred balancers would keep a full origin full, and a
-// place drawn now and then would leave most of those that see few ops without any.
+// unlucky tells whether chance turns an op away. A limit under one is the part of its ops that it lets out, more
+// of those of more worth: one out at each of some hundred balancers would keep a full origin full, and places
+// drawn now and then would leave most of those that see few ops without any.
 func (b *Balancer) unlucky(g *gate, op *Op) bool {
 	g.worth += (worth(op) - g.worth) * hostStep
 	return g.limit < 1 && b.rng.float()*g.worth >= g.limit*worth(op)
