--- a/balance/balance.go
+++ b/balance/balance.go
@@ -776,7 +776,7 @@
 // open tells whether a gate lets one more push out.
 func (b *Balancer) open(g *gate) bool { return float64(g.out) < math.Max(g.limit, 1) }
 
-// unlucky tells whether chance turns an op away. A limit under one is the part of its ops that it lets out, more
+// unlucky tells whether chance turns an op away. A limit under one is the part of ops that go out, and more
 // of those of more worth: one out at each of some hundred balancers would keep a full origin full, and places
 // drawn now and then would leave most of those that see few ops without any.
 func (b *Balancer) unlucky(g *gate, op *Op) bool {
