--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -1228,9 +1228,115 @@
 		}
 		fmt.Printf("%2.0f s: limit %.2f, fetches %d of 4\n", x.t/1000, x.origin.limit, x.pushes["origin"]-fetches)
 	}
+	x.ask("well", 0, "page", 300, false)
+	x.end("well", Missed, 1)
+	x.origin.limit = 0.25
+	x.end("well", Served, 10)
+	fmt.Println("a timely answer doubles it:", x.origin.limit == 0.5)
 	// Output:
 	// 4 s: limit 0.29, fetches 2 of 4
 	//  8 s: limit 0.57, fetches 2 of 4
 	// 12 s: limit 0.86, fetches 3 of 4
 	// 16 s: limit 1.00, fetches 3 of 4
+	// a timely answer doubles it: true
+}
+
+// Hosts of the own zone that say they are busier than the others lose their claim on its keys: a zone may have more traffic
+// than its hosts can carry.
+func Example_zonesByReport() {
+	x := zones(start(), "A", "B", "c", "d", "origin")
+	x.silent = true
+	for i := range 60 {
+		name := fmt.Sprint("op", i)
+		op := x.ask(name, 0, name, 900, false)
+		x.Ended(at(op), Failed, 1, false, &Report{Busy: 0.9, Queue: -1})
+		x.Ended(at(op), Served, 1, true, &Report{Busy: 0.2, Queue: -1})
+		x.after(400)
+	}
+	fmt.Println("keys that keep to no zone:", x.pool > 0.8)
+	// Output:
+	// keys that keep to no zone: true
+}
+
+// An origin that takes somewhat longer than its goal narrows the gates of many to one fetch each and no further: at calm times
+// a balancer's few fetches are often late by chance, and turning ops away for them lost nine in ten of what was lost.
+func Example_calmGate() {
+	s := start()
+	s.Group, s.Aside = 400, true
+	x := open(s, "a", "b", "origin")
+	x.silent = true
+	for _, took := range []float64{45, 90} {
+		for i := range 40 {
+			name := fmt.Sprint("op", took, i)
+			x.ask(name, 0, name, 900, false)
+			x.end(name, Missed, 1)
+			x.after(took)
+			x.end(name, Served, took)
+		}
+		fmt.Println(took, "ms: ops turned away by chance:", x.origin.limit < 1)
+	}
+	// Output:
+	// 45 ms: ops turned away by chance: false
+	// 90 ms: ops turned away by chance: true
+}
+
+// An op whose copy waits for a fetch and may have no further push is not given up: its first push is still out.
+func Example_waitingCopy() {
+	s := start()
+	s.MayDuplicate, s.MostPushes, s.Aside = true, 3, true
+	x := open(s, "a", "b", "origin")
+	x.ask("op", 0, "page", 500, false)
+	x.after(30)
+	x.ask("leads", 0, "page", 500, false)
+	x.end("leads", Missed, 1)
+	x.after(60)
+	x.over(x.ops["op"].tried[1], Missed, 1)
+	x.ops["op"].tried = append(x.ops["op"].tried, x.ops["op"].tried[1]) // one more that never ran: none is left
+	x.end("leads", Served, 20)
+	x.end("op", Served, 80)
+	// Output:
+	// 0 push op to a
+	//   30 push leads to a
+	//   30 push leads to origin
+	//   75 push op to b
+	//   90 leads acked
+	//   90 op acked
+}
+
+// A deduplicated op that may have run stays with its zone's hosts, also when its last push would be the origin's.
+func Example_zoneOfOrigin() {
+	s := start()
+	s.MostPushes, s.Aside = 2, true
+	x := open(s, "a", "origin")
+	x.ask("op", 3, "page", 500, false)
+	x.end("op", Failed, 5)
+	// Output:
+	// 0 push op to a
+	//    0 dead-letter op
+}
+
+// A push whose host has answered others since may be a heavy op: its copy, which would be as heavy, comes half as long later.
+// And where hosts have time to spare a busy key goes to fewer of them.
+func Example_sparing() {
+	x := twice()
+	x.ask("heavy", 0, "page", 500, false)
+	x.after(30)
+	x.ask("light", 0, "page", 500, false)
+	x.end("light", Served, 10)
+	x.after(60)
+	for range 9 {
+		x.heat[x.ops["heavy"].hash%cells]++
+		x.heatAll++
+	}
+	for _, x.busy = range []float64{0, 0.9, 0.3} {
+		fmt.Printf("busy %.1f: over %.1f hosts\n", x.busy, x.spread(x.ops["heavy"]))
+	}
+	// Output:
+	// 0 push heavy to c
+	//   30 push light to c
+	//   30 light acked
+	//   75 push heavy to a
+	// busy 0.0: over 2.4 hosts
+	// busy 0.9: over 2.4 hosts
+	// busy 0.3: over 1.2 hosts
 }
