--- a/balance/balance.go
+++ b/balance/balance.go
@@ -40,16 +40,17 @@
 	restCost    = 20.0   // times what a failed connect took that a host rests at most
 	restShare   = 0.8    // part of the hosts that may rest at once; beyond it the evidence is in doubt
 
-	secondLook    = 1.0 // first waits after which a push that was left is called off all the same
+	secondLook    = 1.0 // first waits more after which a push that was left is called off all the same
 	farStep       = 0.1 // weight of a new report in its zone's: 10 answers
 	farSlack      = 0.1 // by how much more the own zone's hosts have to be busy for keys to leave it
 	busyNearLeast = 0.6 // and so busy at the least: below, they have room
 
 	poolStep = 0.1                // part of the keys that a late fetch puts on the whole cycle
 	poolFall = 0.01               // part of these that an answer takes back
-	zoneHash = 0x9e3779b97f4a7c15 // odd; tells a key's part in this from its place on the cycle
+	partHash = 0x9e3779b97f4a7c15 // odd; tells a key's part in something from its place on the cycle
 
 	copyDevs  = 3.0 // mean deviations above the usual latency at which a second copy is sent
+	copyLook  = 0.5 // first waits more after which it is where the host answers others: the op may be heavy
 	copyShare = 0.1 // second copies an op: more would be much of a slow fleet's load
 	copyBurst = 3.0 // that may be sent together
 
@@ -118,14 +119,14 @@
 	served            int            // ops acked
 	busy              float64        // smoothed part of their cores' time that hosts say is taken
 	busyNear, busyFar float64        // the same in the own zone, and in others
-	refused           float64        // smoothed part of pushes that hosts had no room for
+	refused           float64        // smoothed part turned away of the pushes of ops that walked on
 	heat              [cells]float64 // recent ops by key, halved now and then
 	heatAll           float64
 	cooled            float64 // ms, when they were
 	copies            float64 // second copies that may be sent
 	pool              float64 // part of the keys that keep to no zone
 	resting           int
-	counted           int     // pushes that warm hosts have answered since the last tick
+	counted           int     // pushes that warm hosts have answered since the last look at all
 	rate              float64 // pushes a ms for each unit of warm size
 	wakeAt            float64 // ms, when the timer calls next
 	ticked            float64
@@ -175,6 +176,9 @@
 	push *Push // nil for the op's end
 }
 
+// void tells whether there is nothing left to look at.
+func (d due) void() bool { return d.op.state == settled || d.push != nil && d.push.over }
+
 type dues struct {
 	all []due
 	seq int
@@ -243,12 +247,12 @@
 	for len(b.dues.all) > 0 && b.dues.all[0].at <= now {
 		d := heap.Pop(&b.dues).(due)
 		switch {
-		case d.op.state == settled || d.op.state == streaming:
+		case d.void() || d.op.state == streaming:
 		case d.push == nil && d.op.fetch != nil && d.op.out > 0 && b.now < b.end(d.op):
 			b.look(b.end(d.op), d.op, nil) // late for this op, but what it fetches is kept for others
 		case d.push == nil:
 			b.giveUp(d.op)
-		case !d.push.over:
+		default:
 			b.impatient(d.push)
 		}
 	}
@@ -273,13 +277,12 @@
 		b.pump(g)
 	}
 	next := b.ticked + sweepEvery
-	for len(b.dues.all) > 0 {
-		if d := b.dues.all[0]; d.op.state != settled && (d.push == nil || !d.push.over) {
-			next = math.Min(next, d.at)
-			break
-		}
+	for len(b.dues.all) > 0 && b.dues.all[0].void() {
 		heap.Pop(&b.dues)
 	}
+	if len(b.dues.all) > 0 {
+		next = math.Min(next, b.dues.all[0].at)
+	}
 	if len(b.fleet.line)+len(b.origin.line) > 0 {
 		next = math.Min(next, b.now+tick)
 	}
@@ -530,8 +533,8 @@
 		case h.fail > failFrom:
 			bound = 1
 		case b.MayDuplicate:
-			if excess := (h.slow - b.usual - crowdSlack) * crowdPart; excess > 0 &&
-				float64((op.hash^h.points[0])*zoneHash>>11)/(1<<53) < excess/(1+excess) {
+			excess := (h.slow - b.usual - crowdSlack) * crowdPart
+			if excess > 0 && part(op.hash^h.points[0]) < excess/(1+excess) {
 				return true
 			}
 		case h.slow > 1:
@@ -571,15 +574,12 @@
 		h.walked = b.walks
 		left--
 		if h != op.failed && allowed(op, h) && !b.full(op, h, mean) && b.afford(h) {
-			if near && (h.Zone == b.Zone) != (op.failed == nil) {
-				if spill == nil {
-					spill = h
-				}
-				continue
-			}
 			if spill == nil {
 				spill = h
 			}
+			if near && (h.Zone == b.Zone) != (op.failed == nil) {
+				continue
+			}
 			if pass--; pass < 0 {
 				return h
 			}
@@ -608,9 +608,12 @@
 	if b.Zone < 0 || b.Zones < 2 || b.CrossCost*(1-1/float64(b.Zones)) <= b.FetchCost {
 		return false
 	}
-	return float64(op.hash*zoneHash>>11)/(1<<53) >= b.pool
+	return part(op.hash) >= b.pool
 }
 
+// part spreads hashes over 0 to 1, whatever their places on the cycle.
+func part(hash uint64) float64 { return float64(hash*partHash>>11) / (1 << 53) }
+
 // mayHaveRun is the first push of op that has run, may have, or may yet; nil where all provably never ran.
 func (op *Op) mayHaveRun() *Push {
 	for _, p := range op.tried {
@@ -851,7 +854,7 @@
 // impatient looks at a push that has been out for unusually long. A host that has answered others since
 // is at work on a heavy op; one that has answered none is suspect, and the op tries its luck elsewhere.
 func (b *Balancer) impatient(p *Push) {
-	op, h := p.Op, p.Host
+	op := p.Op
 	if b.MayDuplicate {
 		b.copy(p)
 		return
@@ -862,13 +865,20 @@
 	if c := op.Category; c.Repeat == AtMostOnce || c.Repeat == Deduplicated && c.Group != AllHosts {
 		return
 	}
-	if h.answered > p.sent && !p.looked {
-		p.looked = true
-		b.look(b.now+secondLook*(b.now-p.sent), op, p)
-		return
+	if !b.lookAgain(p, secondLook) {
+		p.called = true
+		b.port.Cancel(p)
+	}
+}
+
+// lookAgain leaves a push whose host has answered others for some first waits more, once.
+func (b *Balancer) lookAgain(p *Push, waits float64) bool {
+	if p.Host.answered <= p.sent || p.looked {
+		return false
 	}
-	p.called = true
-	b.port.Cancel(p)
+	p.looked = true
+	b.look(b.now+waits*(b.now-p.sent), p.Op, p)
+	return true
 }
 
 // copy sends a second copy of an op whose push has been out for unusually long, which stays: what comes first
@@ -879,12 +889,7 @@
 	if h.answered < p.sent {
 		b.blame(h, TimedOut, b.now-p.sent, failStep)
 	}
-	if h.answered > p.sent && !p.looked {
-		p.looked = true
-		b.look(b.now+(b.now-p.sent)/2, op, p)
-		return
-	}
-	if op.state != out || op.out > 1 || b.copies < 1 || !b.mayPush(op) {
+	if b.lookAgain(p, copyLook) || op.state != out || op.out > 1 || b.copies < 1 || !b.mayPush(op) {
 		return
 	}
 	b.copies--
@@ -1007,10 +1012,9 @@
 		b.keep = math.Min(b.keep*keepGrow, b.ConnIdle)
 	}
 	if g == &b.fleet && len(op.tried) > 1 && (o == Served || o == Missed || o == Refused) {
-		step := latStep
-		b.refused -= b.refused * step
+		b.refused -= b.refused * latStep
 		if o == Refused {
-			b.refused += step
+			b.refused += latStep
 		}
 	}
 	switch o {
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -1166,7 +1166,7 @@
 					x.after(60)
 					o = Served
 				}
-				x.Ended(p, o, x.t-p.sent, o == Served, &Report{Busy: busy, Queue: -1})
+				x.Ended(p, o, x.t-p.sent, o == Served, &Report{Busy: busy})
 			}
 		}
 		pushes := 0
@@ -1249,8 +1249,8 @@
 	for i := range 60 {
 		name := fmt.Sprint("op", i)
 		op := x.ask(name, 0, name, 900, false)
-		x.Ended(at(op), Failed, 1, false, &Report{Busy: 0.9, Queue: -1})
-		x.Ended(at(op), Served, 1, true, &Report{Busy: 0.2, Queue: -1})
+		x.Ended(at(op), Failed, 1, false, &Report{Busy: 0.9})
+		x.Ended(at(op), Served, 1, true, &Report{Busy: 0.2})
 		x.after(400)
 	}
 	fmt.Println("keys that keep to no zone:", x.pool > 0.8)
--- a/balance/port.go
+++ b/balance/port.go
@@ -184,8 +184,7 @@
 
 // Report is what a host tells of its load with an answer, old and not exact; below 0 what it does not.
 type Report struct {
-	Busy  float64 // share of its cores' time
-	Queue float64 // ops that wait
+	Busy float64 // share of its cores' time
 }
 
 // Over tells that nothing more can come of the op: it is settled and no push is out.
--- a/cmd/larchthread/main_test.go
+++ b/cmd/larchthread/main_test.go
@@ -70,6 +70,15 @@
 	f.notes = nil
 }
 
+// oneName has the hosts x and x2 noted alike: which of them a key goes to first is of no matter.
+func (f *fleet) oneName() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for i, n := range f.notes {
+		f.notes[i] = strings.Replace(n, "x2:", "x:", 1)
+	}
+}
+
 func (f *fleet) serve(l net.Listener, each func(net.Conn)) {
 	f.closers = append(f.closers, l)
 	go func() {
@@ -296,6 +305,16 @@
 func hit(words []string) string  { return "VA 5 O{id}\r\nvalue\r\n" }
 func miss(words []string) string { return "EN O{id}\r\n" }
 
+// slowly takes so long for the key that is called slow.
+func slowly(took time.Duration) func([]string) string {
+	return func(words []string) string {
+		if words[1] == "slow" {
+			time.Sleep(took)
+		}
+		return hit(words)
+	}
+}
+
 func fetch(w http.ResponseWriter, r *http.Request) {
 	if r.Method == http.MethodPut {
 		io.WriteString(w, "receipt")
@@ -463,11 +482,7 @@
 	defer f.stop()
 	c := f.client()
 	c.say(2, "mg k v O1 Pc=read,d=590\r\n")
-	f.mu.Lock()
-	for i, n := range f.notes {
-		f.notes[i] = strings.Replace(n, "x2", "x", 1)
-	}
-	f.mu.Unlock()
+	f.oneName()
 	f.heard()
 	// Output:
 	// VA 5 O1
@@ -484,10 +499,8 @@
 // heardSorted prints what has been noted since the last time, in order of the alphabet and with all hosts under one name:
 // two pushes of an op are heard by two of them, in either order.
 func (f *fleet) heardSorted() {
+	f.oneName()
 	f.mu.Lock()
-	for i, n := range f.notes {
-		f.notes[i] = strings.Replace(n, "x2:", "x:", 1)
-	}
 	slices.Sort(f.notes)
 	f.mu.Unlock()
 	f.heard()
@@ -654,12 +667,7 @@
 // After SIGTERM what was taken is answered, new connections are served for a while, and the program ends by itself.
 func Example_stop() {
 	f := &fleet{}
-	f.host("a", func(words []string) string {
-		if words[1] == "slow" {
-			time.Sleep(100 * time.Millisecond)
-		}
-		return hit(words)
-	})
+	f.host("a", slowly(100*time.Millisecond))
 	f.start()
 	defer f.stop()
 	c, idle := f.client(), f.client()
@@ -1031,12 +1039,7 @@
 // that has fallen silent.
 func Example_leaver() {
 	f := &fleet{}
-	f.host("a", func(words []string) string {
-		if words[1] == "slow" {
-			time.Sleep(30 * time.Millisecond)
-		}
-		return hit(words)
-	})
+	f.host("a", slowly(30*time.Millisecond))
 	f.start()
 	defer f.stop()
 	c := f.client()
--- a/internal/params/params.go
+++ b/internal/params/params.go
@@ -150,30 +150,23 @@
 		return fmt.Errorf("params.costs: crossZone %v, origin %v, want 0 or more", p.Costs.CrossZone, p.Costs.Origin)
 	}
 	for i, f := range p.Load.Fields {
-		if _, known := loads[f]; !known || slices.Contains(p.Load.Fields[:i], f) {
+		if !slices.Contains(loads, f) || slices.Contains(p.Load.Fields[:i], f) {
 			return fmt.Errorf("params.report.fields[%d]: %q, unknown or named twice", i, f)
 		}
 	}
 	return nil
 }
 
-// loads are the names that a report's values may have, with where they go; nil for those that are not read.
-var loads = map[string]func(*balance.Report) *float64{
-	"busy": func(r *balance.Report) *float64 { return &r.Busy }, "q": func(r *balance.Report) *float64 { return &r.Queue },
-	"rif": nil, "lat_ms": nil, "rate": nil, "fail_rate": nil, "x0": nil, "x1": nil}
+// loads are the names that a report's values may have. Only busy is read.
+var loads = []string{"busy", "q", "rif", "lat_ms", "rate", "fail_rate", "x0", "x1"}
 
-// Report takes a value of a host's report under its name into r, or into a new one where r is nil. What is not asked for,
-// or makes no sense, is passed over.
+// Report takes a value of a host's report under its name, in place of what r holds. What is not asked for, or makes no
+// sense, is passed over.
 func (p Params) Report(r *balance.Report, name string, value float64) *balance.Report {
-	at := loads[name]
-	if at == nil || !slices.Contains(p.Load.Fields, name) || !(value >= 0) || math.IsInf(value, 1) {
+	if name != "busy" || !slices.Contains(p.Load.Fields, name) || !(value >= 0) || math.IsInf(value, 1) {
 		return r
 	}
-	if r == nil {
-		r = &balance.Report{Busy: -1, Queue: -1}
-	}
-	*at(r) = value
-	return r
+	return &balance.Report{Busy: value}
 }
 
 // IsOrigin tells whether hosts of a machine kind are origins.
--- a/internal/simwire/serve_test.go
+++ b/internal/simwire/serve_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"os"
 	"strings"
 )
@@ -15,13 +16,18 @@
 	`"upSinceUs":null}]}},{"ANNOUNCE":{"i":0,"slot":0,"serial":1,"scope":"Persisted"}}`
 
 func serve(events ...string) {
+	if err := play(os.Stdout, events...); err != nil {
+		fmt.Println(err)
+	}
+}
+
+// play serves events, one a millisecond.
+func play(out io.Writer, events ...string) error {
 	var in strings.Builder
 	for i, e := range events {
 		fmt.Fprintf(&in, "{\"simTimeUs\":%d,\"input\":[%s]}\n", i*1000, e)
 	}
-	if err := Serve(strings.NewReader(in.String()), os.Stdout); err != nil {
-		fmt.Println(err)
-	}
+	return Serve(strings.NewReader(in.String()), out)
 }
 
 // An op misses at its host, is fetched from the origin and is answered; the client that leaves later, and
@@ -96,25 +102,29 @@
 func ExampleServe_twoRounds() {
 	two := strings.NewReplacer(`"cancelling":true`, `"cancelling":true,"mayDuplicate":true`, `"groupSize"`,
 		`"report":{"how":"answers","fields":["busy","rate"]},"groupSize"`, `"host":12,"shape":"origin"`, `"host":12,"shape":"box"`)
-	end := func(round, code int, last bool, stats string) string {
-		return fmt.Sprintf(`{"ATTEMPT_END":{"i":0,"corr":"r1","roundNo":%d,"host":11,"code":%d,"spentUs":1000,"last":%t,`+
-			`"serverStats":%s}}`, round, code, last, stats)
+	knock := func(corr string) string {
+		return `{"KNOCK":{"i":0,"corr":"` + corr + `","qos":"read","targetKey":"k","dropDeadUs":400000,"update":false}}`
+	}
+	answer := func(corr string, round, code int, last bool, stats string) string {
+		return fmt.Sprintf(`{"ATTEMPT_END":{"i":0,"corr":%q,"roundNo":%d,"host":11,"code":%d,"spentUs":1000,"last":%t,`+
+			`"serverStats":%s}}`, corr, round, code, last, stats)
 	}
-	in := []string{two.Replace(up),
-		`{"KNOCK":{"i":0,"corr":"r1","qos":"read","targetKey":"k","dropDeadUs":400000,"update":false}}`}
+	end := func(round, code int, last bool, stats string) string { return answer("r1", round, code, last, stats) }
+	in := []string{two.Replace(up), knock("r1")}
 	for range 60 {
 		in = append(in, `{"ALARM":{"i":0,"ctx":0}}`)
 	}
-	for _, stats := range []string{`null`, `[]`, `[1]`, `[1,2,3]`, `[null,7]`, `[-1,5]`, `[1e999,0]`, `"busy"`, `{"busy":1}`} {
+	garbage := []string{`null`, `[]`, `[1]`, `[1,2,3]`, `[null,7]`, `[-1,5]`, `[1e999,0]`, `"busy"`, `{"busy":1}`}
+	for _, stats := range garbage {
 		in = append(in, end(7, 1, false, stats), end(-1, 1, false, stats))
 	}
+	for k, stats := range garbage { // and with the answer to a push that is out
+		corr := fmt.Sprint("g", k)
+		in = append(in, knock(corr), answer(corr, 0, 1, true, stats))
+	}
 	in = append(in, end(1, 4, false, `[0.5,9]`), end(1, 4, false, `[0.5,9]`), end(0, 1, true, `[0.5,null]`))
 	var out strings.Builder
-	var lines strings.Builder
-	for i, e := range in {
-		fmt.Fprintf(&lines, "{\"simTimeUs\":%d,\"input\":[%s]}\n", i*1000, e)
-	}
-	fmt.Println(Serve(strings.NewReader(lines.String()), &out))
+	fmt.Println(play(&out, in...))
 	for _, line := range strings.Split(out.String(), "\n") {
 		if strings.Contains(line, "SEND") || strings.Contains(line, "REJECT") {
 			fmt.Println(line)
@@ -124,4 +134,13 @@
 	// <nil>
 	// {"actions":[{"SEND":{"i":0,"corr":"r1","host":11,"capUs":399000}}]}
 	// {"actions":[{"SEND":{"i":0,"corr":"r1","host":12,"capUs":349000}},{"AFTER":{"i":0,"fromNowUs":49000,"ctx":0}}]}
+	// {"actions":[{"AFTER":{"i":0,"fromNowUs":10000,"ctx":0}},{"SEND":{"i":0,"corr":"g0","host":12,"capUs":320000}}]}
+	// {"actions":[{"SEND":{"i":0,"corr":"g1","host":12,"capUs":318000}}]}
+	// {"actions":[{"SEND":{"i":0,"corr":"g2","host":12,"capUs":316000}}]}
+	// {"actions":[{"SEND":{"i":0,"corr":"g3","host":12,"capUs":314000}}]}
+	// {"actions":[{"SEND":{"i":0,"corr":"g4","host":12,"capUs":312000}}]}
+	// {"actions":[{"SEND":{"i":0,"corr":"g5","host":12,"capUs":310000}}]}
+	// {"actions":[{"SEND":{"i":0,"corr":"g6","host":12,"capUs":308000}}]}
+	// {"actions":[{"SEND":{"i":0,"corr":"g7","host":12,"capUs":306000}}]}
+	// {"actions":[{"SEND":{"i":0,"corr":"g8","host":12,"capUs":304000}}]}
 }
--- a/internal/transport/timer.go
+++ b/internal/transport/timer.go
@@ -10,9 +10,6 @@
 	place int // in the order, from 1; 0 while it is not set
 }
 
-// On tells whether the timer is set.
-func (t *Timer) On() bool { return t.place > 0 }
-
 // timers is the one ordered structure of due times.
 type timers struct {
 	all []*Timer
