--- a/cmd/larchthread/main.go
+++ b/cmd/larchthread/main.go
@@ -12,6 +12,7 @@
 	"larchthread/internal/admin"
 	"larchthread/internal/params"
 	"larchthread/internal/routing"
+	"larchthread/internal/takeover"
 	"larchthread/internal/transport"
 )
 
@@ -33,7 +34,10 @@
 	if err != nil {
 		return err
 	}
-	debug.SetMemoryLimit(int64(told.MemoryMB * heapShare * (1 << 20)))
+	share := func(processes int) {
+		debug.SetMemoryLimit(int64(told.MemoryMB * heapShare * (1 << 20) / float64(processes)))
+	}
+	share(1)
 	debug.SetGCPercent(heapGrow)
 	sink := newSink(os.Stderr)
 	defer sink.close()
@@ -46,10 +50,9 @@
 	if err != nil {
 		return err
 	}
-	if told.Admin.IsValid() {
-		if err := admin.Serve(loop, log, told.Admin, router); err != nil {
-			return err
-		}
+	upgrade, err := open(told, loop, log, router, share)
+	if err != nil {
+		return err
 	}
 	signal.Ignore(syscall.SIGPIPE) // a log that nobody reads any more must not end the program
 	signals := make(chan os.Signal, 1)
@@ -71,5 +74,21 @@
 		}
 	}()
 	log.Info("serving", "listen", told.Listen.String(), "sockets", told.Sockets, "memory_mb", told.MemoryMB)
-	return loop.Run()
+	if err := loop.Run(); err != nil {
+		return err
+	}
+	return upgrade.End()
+}
+
+// open opens the doors. Without an operators' address there are no upgrades, and the clients' address is this process's
+// alone.
+func open(told *params.Told, loop *transport.Loop, log *slog.Logger, router *routing.Router, share func(int)) (
+	*takeover.Takeover, error) {
+	if !told.Admin.IsValid() {
+		return nil, router.Listen(told.Listen, false)
+	}
+	if err := admin.Serve(loop, log, told.Admin, router); err != nil {
+		return nil, err
+	}
+	return takeover.Begin(loop, log, router, told.Listen, os.TempDir(), share)
 }
--- a/cmd/larchthread/main_test.go
+++ b/cmd/larchthread/main_test.go
@@ -40,6 +40,7 @@
 	members []string
 	changed chan string // the answer to a watch
 	process *exec.Cmd
+	watched string // discovery's address
 	listen  string
 	admin   string // operators' address, where there is one
 	path    string // of the configuration
@@ -218,16 +219,9 @@
 		f.sets = settings
 	}
 	f.path = filepath.Join(os.TempDir(), fmt.Sprintf("larchthread-test-%d.json", os.Getpid()))
-	f.write(f.discovery("discovery"))
-	f.process = exec.Command(os.Args[0])
-	f.process.Env = append(os.Environ(), "LARCHTHREAD_SERVE=1", "RELAY_CONFIG="+f.path)
-	f.process.Stderr = &f.log
-	if f.logTo != nil {
-		f.process.Stderr = f.logTo
-	}
-	if err := f.process.Start(); err != nil {
-		panic(err)
-	}
+	f.watched = f.discovery("discovery")
+	f.write(f.watched)
+	f.process = f.run()
 	for range 500 {
 		if c, err := net.Dial("tcp", f.listen); err == nil {
 			c.Close()
@@ -241,6 +235,43 @@
 	f.mu.Unlock()
 }
 
+// run starts the program with the configuration as it stands.
+func (f *fleet) run() *exec.Cmd {
+	p := exec.Command(os.Args[0])
+	p.Env = append(os.Environ(), "LARCHTHREAD_SERVE=1", "RELAY_CONFIG="+f.path)
+	p.Stderr = &f.log
+	if f.logTo != nil {
+		p.Stderr = f.logTo
+	}
+	if err := p.Start(); err != nil {
+		panic(err)
+	}
+	return p
+}
+
+// beside starts a second process beside the running one, and returns once it says yes.
+func (f *fleet) beside() *exec.Cmd {
+	f.admin = freeAddress()
+	f.write(f.watched)
+	p := f.run()
+	for range 500 {
+		if f.call("GET", "/status", "") == "200 serving" {
+			return p
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	fmt.Println("no yes")
+	return p
+}
+
+// upgrade has a second process take the place of the running one, and prints how that ends.
+func (f *fleet) upgrade() {
+	old := f.process
+	f.process = f.beside()
+	old.Process.Signal(syscall.SIGTERM)
+	fmt.Println("the old one ends:", old.Wait())
+}
+
 // await waits until a note has come so many times.
 func (f *fleet) await(note string, times int) {
 	for range 500 {
@@ -1381,3 +1412,127 @@
 	// value
 	//   a: mg hot v O5 Pc=read,d=..
 }
+
+// load has clients send ops one after the other, on connections that they keep, until the returned function is called. That
+// prints whether many were served; what else comes is printed as it comes.
+func (f *fleet) load(clients int) func() {
+	var served atomic.Int64
+	var stop atomic.Bool
+	var all sync.WaitGroup
+	for i := range clients {
+		c := f.client()
+		all.Go(func() {
+			defer c.Close()
+			for n := 0; !stop.Load(); n++ {
+				c.SetDeadline(time.Now().Add(5 * time.Second))
+				fmt.Fprintf(c, "mg k%0*d v O%d-%d Pc=read,d=500\r\n", n%5, n, i, n)
+				line, _ := c.r.ReadString('\n')
+				if strings.HasPrefix(line, "VA 5 ") {
+					more, _ := c.r.ReadString('\n')
+					line += more
+				}
+				if line != fmt.Sprintf("VA 5 O%d-%d\r\nvalue\r\n", i, n) {
+					fmt.Printf("%q\n", line)
+					return
+				}
+				served.Add(1)
+				time.Sleep(time.Duration(i%3) * time.Millisecond)
+			}
+		})
+	}
+	return func() {
+		stop.Store(true)
+		all.Wait()
+		fmt.Println("served some hundreds:", served.Load() > 200)
+	}
+}
+
+// Three upgrades in a row under load: no op fails, no connection breaks, also one that stands in the middle of a command; and
+// a host taken out by hand before the first stays out, though the list names it as ready.
+func Example_upgrade() {
+	f := &fleet{admin: freeAddress()}
+	varied := func(words []string) string { // so that a stall of the test's is not taken for a host that hangs
+		time.Sleep(time.Duration(5+3*len(words[1])) * time.Millisecond)
+		return hit(words)
+	}
+	f.host("a", varied)
+	f.host("x", varied)
+	f.origin(fetch)
+	f.start()
+	defer f.stop()
+	fmt.Println(f.call("POST", "/maintenance/enter", "x"))
+	f.heard()
+	done := f.load(12)
+	half := f.client()
+	half.say(0, "ms k 4 O1 Pc=put,d=900\r\nab")
+	for range 3 {
+		f.upgrade()
+	}
+	half.say(1, "cd\r\n")
+	time.Sleep(50 * time.Millisecond)
+	done()
+	fmt.Println("x heard of it:", strings.Contains(strings.Join(f.notes, " "), "x: mg"))
+	f.notes = nil
+	fmt.Println(f.call("POST", "/maintenance/exit", "x"))
+	c := f.client()
+	for i := range 20 {
+		c.say(0, fmt.Sprintf("mg k%d v O%d Pc=read,d=500\r\n", i, i))
+		c.r.ReadString('\n')
+		c.r.ReadString('\n')
+	}
+	fmt.Println("x hears of it:", strings.Contains(strings.Join(f.notes, " "), "x: mg"))
+	// Output:
+	// 200 done
+	// the old one ends: <nil>
+	// the old one ends: <nil>
+	// the old one ends: <nil>
+	// HD O1 creceipt
+	// served some hundreds: true
+	// x heard of it: false
+	// 200 done
+	// x hears of it: true
+}
+
+// While two processes live, a word on maintenance to either binds both; a successor that dies leaves the old one as it was,
+// before its yes and after it; and where it can't be asked, the two share the address.
+func Example_upgradeThatFails() {
+	f := &fleet{admin: freeAddress()}
+	f.host("x", hit)
+	f.origin(fetch)
+	f.start()
+	defer f.stop()
+	first, old := f.admin, f.process
+	second := f.beside()
+	fmt.Println(f.call("POST", "/maintenance/enter", "x"))
+	f.admin, first = first, f.admin
+	fmt.Println(strings.Contains(f.call("GET", "/status/metrics", ""), "skipped_cache_hosts:1"))
+	fmt.Println(f.call("POST", "/maintenance/exit", "x"))
+	f.admin, first = first, f.admin
+	fmt.Println(strings.Contains(f.call("GET", "/status/metrics", ""), "skipped_cache_hosts:0"))
+	second.Process.Kill()
+	second.Wait()
+	f.process = old
+	c := f.client()
+	c.say(2, "mg k v O1 Pc=read,d=900\r\n")
+	f.upgrade() // the next finds it all the same
+	c.say(2, "mg k v O2 Pc=read,d=900\r\n")
+	f.process.Process.Signal(syscall.SIGSTOP) // it answers nobody
+	third := f.beside()
+	c = f.client()
+	f.process.Process.Kill()
+	f.process.Wait()
+	f.process = third
+	f.client().say(2, "mg k v O3 Pc=read,d=900\r\n")
+	// Output:
+	// 200 done
+	// true
+	// 200 done
+	// true
+	// VA 5 O1
+	// value
+	// the old one ends: <nil>
+	// VA 5 O2
+	// value
+	// VA 5 O3
+	// value
+}
--- a/internal/protocol/command.go
+++ b/internal/protocol/command.go
@@ -53,6 +53,7 @@
 type Commands struct {
 	set  *Command // whose value is still on its way
 	size int      // bytes of that value
+	line string   // of that command
 }
 
 // Next takes a command off the front. It returns nil while none is whole. After an error nothing further
@@ -67,7 +68,7 @@
 		if err != nil || c.Verb != Set {
 			return c, err
 		}
-		r.set, r.size = c, size
+		r.set, r.size, r.line = c, size, line
 	}
 	value, whole, err := takeValue(in, r.size)
 	if !whole {
@@ -102,6 +103,14 @@
 	return value, true, nil
 }
 
+// Unread is what has been taken of a command that is not whole, as it came.
+func (r *Commands) Unread() string {
+	if r.set == nil {
+		return ""
+	}
+	return r.line + "\r\n"
+}
+
 // Begun tells whether part of a command has been taken.
 func (r *Commands) Begun() bool { return r.set != nil }
 
--- a/internal/protocol/discovery.go
+++ b/internal/protocol/discovery.go
@@ -39,18 +39,30 @@
 
 // listForm is a list in discovery's form.
 type listForm struct {
-	Revision *uint64 `json:"revision"`
-	Complete bool    `json:"complete"`
-	Members  []struct {
-		ID       string  `json:"id"`
-		HostPort string  `json:"host_port"`
-		Locality string  `json:"locality"`
-		Flavor   string  `json:"flavor"`
-		Cell     int     `json:"cell"`
-		Phase    Phase   `json:"phase"`
-		Size     float64 `json:"size"`
-		UpSince  float64 `json:"up_since_ms"`
-	} `json:"members"`
+	Revision *uint64      `json:"revision"`
+	Complete bool         `json:"complete"`
+	Members  []memberForm `json:"members"`
+}
+
+type memberForm struct {
+	ID       string  `json:"id"`
+	HostPort string  `json:"host_port"`
+	Locality string  `json:"locality"`
+	Flavor   string  `json:"flavor"`
+	Cell     int     `json:"cell"`
+	Phase    Phase   `json:"phase"`
+	Size     float64 `json:"size"`
+	UpSince  float64 `json:"up_since_ms"`
+}
+
+// MarshalJSON writes discovery's form.
+func (l *List) MarshalJSON() ([]byte, error) {
+	form := listForm{Revision: &l.Revision, Complete: l.Complete}
+	for _, m := range l.Members {
+		form.Members = append(form.Members, memberForm{m.ID, m.Address.String(), m.Locality, m.Flavor, m.Cell, m.Phase,
+			m.Size, m.UpSince})
+	}
+	return json.Marshal(form)
 }
 
 // UnmarshalJSON reads discovery's form. A line that can't be read is left out: the others still have to be heeded.
--- a/internal/routing/ban.go
+++ b/internal/routing/ban.go
@@ -14,37 +14,44 @@
 var errOrigin = errors.New("the origin is no cache host: without it nothing could be written or fetched")
 
 // Ban takes a cache host out of use by hand, or puts it back; done hears the outcome. From then on nothing new is sent to
-// it, whatever lists say.
+// it, whatever lists say, by this process or the other of an upgrade.
 func (r *Router) Ban(id string, out bool, done func(error)) {
+	err := r.TakeBan(id, out)
+	if r.partner == nil || err == errOrigin {
+		done(err)
+		return
+	}
+	r.partner.TellBan(id, out, func(known bool) {
+		if known && err == ErrNeverListed {
+			r.past.add(id)
+			err = r.TakeBan(id, out)
+		}
+		done(err)
+	})
+}
+
+// TakeBan bans a host here, or lifts its ban.
+func (r *Router) TakeBan(id string, out bool) error {
 	h := r.hosts[id]
-	if h == nil && r.past.has(id) { // it may come back under its id
+	if h == nil && r.past.ids[id] { // it may come back under its id
 		h = r.host(id, false)
 		h.Status = balance.Gone
 	}
 	switch {
 	case h == nil:
-		done(ErrNeverListed)
-		return
+		return ErrNeverListed
 	case h.Origin:
-		done(errOrigin)
-		return
+		return errOrigin
 	}
-	r.ban(h, out)
-	done(nil)
-}
-
-// ban puts a ban on a host, or lifts it.
-func (r *Router) ban(h *host, out bool) {
 	r.balancer.Ban(&h.Host, out)
 	h.hangUp(transport.Unlisted)
-	if out {
-		for _, p := range slices.Clone(h.pushes) {
-			if !p.link.conn.Up() {
-				p.callOff(transport.Unlisted)
-			}
+	h.silent = false
+	for _, p := range slices.Clone(h.pushes) {
+		if out && !p.link.conn.Up() {
+			p.callOff(transport.Unlisted)
 		}
 	}
-	h.silent = false
+	return nil
 }
 
 // past holds the ids of hosts that are known no more, the latest of them: each may still be named by a call.
@@ -53,8 +60,6 @@
 	order []string
 }
 
-func (p *past) has(id string) bool { return p.ids[id] }
-
 func (p *past) add(id string) {
 	if p.ids[id] {
 		return
--- a/internal/routing/client.go
+++ b/internal/routing/client.go
@@ -222,7 +222,7 @@
 		switch {
 		case c.ending != "" && len(c.line) == 0:
 			c.finish(c.ending)
-		case c.router.stop.closing && c.between(): // a client without pauses would go on until the end is forced
+		case c.router.stop.closing && c.router.successor == nil && c.between(): // a client without pauses would go on until the end is forced
 			c.finish(transport.Stopping)
 		case full: // commands that have come meanwhile are read on
 			c.router.loop.Later(c.conn)
--- a/internal/routing/link_test.go
+++ b/internal/routing/link_test.go
@@ -45,11 +45,11 @@
 	r := &Router{loop: loop, hosts: map[string]*host{}, params: params.Params{}}
 	r.balancer = balance.New(balance.Start{Group: 1}, r, 0)
 	tell := func(whole bool, phase protocol.Phase, ids ...string) {
-		l := &protocol.List{Complete: whole}
+		l := &protocol.List{}
 		for _, id := range ids {
 			l.Members = append(l.Members, protocol.Listed{ID: id, Phase: phase})
 		}
-		r.list(l, false)
+		r.list(l, whole, false)
 		fmt.Println(slices.Sorted(maps.Keys(r.hosts)))
 	}
 	tell(true, protocol.InService, "a", "b", "c")
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -53,7 +53,11 @@
 	categories map[string]*balance.Category
 	connIdle   float64 // ms
 	connect    float64 // ms
-	budget     int     // bytes of buffers
+	memory     int     // bytes that buffers may take where this process is alone
+	budget     int     // bytes that they may take now
+	door       *transport.Door
+	partner    Partner   // the other process of an upgrade, or nil
+	successor  Successor // the one that takes over, once it serves, or nil
 	hosts      map[string]*host
 	clients    []*client
 	atRest     resting
@@ -73,6 +77,7 @@
 type host struct {
 	balance.Host
 	address netip.AddrPort
+	listed  protocol.Listed // the latest line on it
 	idle    []*link
 	heard   float64 // ms, time of its last answer
 	pushes  []*push // on connections to it
@@ -80,11 +85,12 @@
 	silent  bool    // the last push to it had to be given up, and none was answered since that began
 }
 
-// New makes the front of a balancer that has been told so much, and starts the balancer.
+// New makes the front of a balancer that has been told so much, and starts the balancer. Its door is still shut.
 func New(loop *transport.Loop, log *slog.Logger, told *params.Told) (*Router, error) {
-	r := &Router{loop: loop, log: log, params: told.Params, budget: int(told.MemoryMB * memoryShare * (1 << 20)),
+	r := &Router{loop: loop, log: log, params: told.Params, memory: int(told.MemoryMB * memoryShare * (1 << 20)),
 		ops: map[string]*op{}, tallies: map[*balance.Category]*Tally{}, hosts: map[string]*host{}, connect: told.Params.Limits.Connect / 1000,
 		restMost: told.Sockets / restShare}
+	r.budget = r.memory
 	if r.connect <= 0 {
 		r.connect = connectFor
 	}
@@ -109,12 +115,9 @@
 	r.watch.revision = known.Revision
 	r.balancer = balance.New(begin, r, loop.Now())
 	if len(known.Members) > 0 {
-		r.list(&known, true)
+		r.list(&known, true, true)
 	}
 	loop.Round = r.round
-	if _, err := loop.Listen("client", told.Listen, 0, r.accept); err != nil {
-		return nil, err
-	}
 	return r, nil
 }
 
@@ -123,6 +126,9 @@
 	r.stop.heed(r)
 	r.balancer.At(now)
 	r.reload()
+	if r.stop.closing && r.successor != nil {
+		r.passOn()
+	}
 	over := r.calledOff
 	r.calledOff = nil
 	for _, p := range over {
@@ -132,7 +138,7 @@
 }
 
 // list hands a list on to the balancer.
-func (r *Router) list(l *protocol.List, saved bool) {
+func (r *Router) list(l *protocol.List, whole, saved bool) {
 	for _, err := range l.Bad {
 		r.log.Warn("line of the list left out", "error", err)
 	}
@@ -147,6 +153,7 @@
 		if !(listing.Size > 0) { // a list without sizes
 			listing.Size = 1
 		}
+		h.listed = m
 		if m.Address.IsValid() && m.Address != h.address {
 			h.address = m.Address
 			h.hangUp(transport.Unlisted)
@@ -159,7 +166,7 @@
 		}
 		entries = append(entries, balance.Entry{Host: &h.Host, Listing: listing})
 	}
-	r.balancer.List(entries, l.Complete || saved, saved)
+	r.balancer.List(entries, whole, saved)
 	r.forget()
 }
 
@@ -173,6 +180,9 @@
 
 // Serving tells why no op can be served now, if so.
 func (r *Router) Serving() error {
+	if r.door == nil {
+		return errors.New("the door is not open yet")
+	}
 	if known, _ := r.balancer.Hosts(); known == 0 {
 		return errors.New("no cache host is listed")
 	}
--- a/internal/routing/stop.go
+++ b/internal/routing/stop.go
@@ -29,14 +29,21 @@
 	}
 	s.on, s.began = true, r.loop.Now()
 	r.log.Info("stopping", "clients", len(r.clients))
+	if r.successor != nil { // new connections are its own
+		r.sweep()
+		return
+	}
 	r.loop.Set(&s.timer, stopLinger)
 }
 
-// sweep closes clients' connections between two commands. What comes until the end is still served.
+// sweep closes clients' connections between two commands, or passes them on. What comes until the end is still served.
 func (r *Router) sweep() {
 	now := r.loop.Now()
 	r.stop.closing = true
-	for i := len(r.clients) - 1; i >= 0; i-- {
+	if r.successor != nil {
+		r.passOn()
+	}
+	for i := len(r.clients) - 1; i >= 0 && r.successor == nil; i-- {
 		if c := r.clients[i]; c.idle() && (c.proven || now-c.conn.Began > stopGrace) {
 			c.finish(transport.Stopping)
 		}
@@ -45,7 +52,7 @@
 		if r.stop.empty == 0 {
 			r.stop.empty = now
 		}
-		if now-r.stop.empty > stopLast {
+		if now-r.stop.empty > stopLast && (r.successor == nil || !r.successor.Waiting()) {
 			r.log.Info("stopped", "ms", int(now-r.stop.began))
 			r.loop.End()
 			return
--- /dev/null
+++ b/internal/routing/upgrade.go
@@ -0,0 +1,115 @@
+package routing
+
+import (
+	"net/netip"
+	"slices"
+	"strings"
+
+	"larchthread/balance"
+	"larchthread/internal/protocol"
+	"larchthread/internal/transport"
+)
+
+const passMost = 48 << 10 // bytes of a command that is passed on half read: more would not fit a letter
+
+// Partner is the other process while two live.
+type Partner interface {
+	// TellBan has it ban a host, or lift the ban; done hears whether it knows the host.
+	TellBan(id string, out bool, done func(known bool))
+}
+
+// Successor is the process that takes over.
+type Successor interface {
+	Pass(fd int, unread []byte, proven bool) // a client's connection, and whether an op has come on it
+	Waiting() bool                           // some of that is still on its way
+}
+
+// Listen opens the door at an address; a shared one may have doors of several processes.
+func (r *Router) Listen(at netip.AddrPort, shared bool) (err error) {
+	r.door, err = r.loop.ListenAt("client", at, shared, 0, r.accept)
+	return err
+}
+
+// Inherit opens the door at a socket that another process has listened on.
+func (r *Router) Inherit(fd int) (err error) {
+	r.door, err = r.loop.Door("client", fd, 0, r.accept)
+	return err
+}
+
+// Door is the clients' door; nil while it is not open.
+func (r *Router) Door() *transport.Door { return r.door }
+
+// With tells of the other process that lives beside this one, nil where there is none; both together have the memory of
+// one.
+func (r *Router) With(p Partner) {
+	r.partner, r.budget = p, r.memory
+	if p != nil {
+		r.budget /= 2
+	}
+}
+
+// Succeed tells of the process that takes over, nil where it is lost. This one leaves the door to it, and from the word to
+// stop on passes its clients on.
+func (r *Router) Succeed(s Successor) {
+	r.successor = s
+	r.door.Rest(s != nil)
+	r.loop.Again()
+}
+
+// Known is what another process has to know of hosts: the list as it stands, the ids there were, and those banned.
+func (r *Router) Known() (l *protocol.List, past, banned []string) {
+	l = &protocol.List{Revision: r.watch.revision, Complete: true}
+	for id, h := range r.hosts {
+		if h.Status != balance.Gone {
+			l.Members = append(l.Members, h.listed)
+		}
+		if h.Banned {
+			banned = append(banned, id)
+		}
+		if !h.Origin {
+			past = append(past, id)
+		}
+	}
+	slices.SortFunc(l.Members, func(x, y protocol.Listed) int { return strings.Compare(x.ID, y.ID) })
+	slices.Sort(banned)
+	slices.Sort(past)
+	return l, append(slices.Clone(r.past.order), past...), banned
+}
+
+// Adopt takes what another process knows of hosts.
+func (r *Router) Adopt(l *protocol.List, past, banned []string) {
+	for _, id := range past {
+		if r.hosts[id] == nil {
+			r.past.add(id)
+		}
+	}
+	if l.Revision >= r.watch.revision && len(l.Members) > 0 {
+		r.watch.revision = l.Revision
+		r.list(l, true, true)
+	}
+	for _, id := range banned {
+		r.past.add(id)
+		r.TakeBan(id, true)
+	}
+}
+
+// Passed takes a client's connection that another process has passed on.
+func (r *Router) Passed(fd int, unread []byte, proven bool) {
+	c := r.door.Passed(fd, unread).Owner.(*client)
+	c.proven = proven
+	c.attend(false)
+}
+
+// passOn passes on the clients' connections that stand between two ops.
+func (r *Router) passOn() {
+	for _, c := range slices.Clone(r.clients) {
+		unread := c.commands.Unread()
+		if len(c.line) > 0 || c.conn.Out.Len() > 0 || c.ending != "" || !c.conn.Up() ||
+			len(unread)+c.conn.In.Len() > passMost {
+			continue
+		}
+		c.leave()
+		fd, in := c.conn.Pass()
+		r.successor.Pass(fd, append([]byte(unread), in...), c.proven)
+	}
+}
--- a/internal/routing/watch.go
+++ b/internal/routing/watch.go
@@ -99,5 +99,5 @@
 	if len(l.Members) > 0 {
 		w.router.log.Info("list", "revision", l.Revision, "complete", l.Complete, "members", len(l.Members))
 	}
-	w.router.list(l, false)
+	w.router.list(l, l.Complete, false)
 }
--- /dev/null
+++ b/internal/takeover/heir.go
@@ -0,0 +1,112 @@
+package takeover
+
+import (
+	"encoding/json"
+	"slices"
+
+	"golang.org/x/sys/unix"
+
+	"larchthread/internal/protocol"
+	"larchthread/internal/transport"
+)
+
+// heir is a process that asks for this one's place, as this one sees it.
+type heir struct {
+	*Takeover
+	post  *transport.Post
+	ready bool // it serves
+	bans  bans
+}
+
+// Took implements transport.Correspondent.
+func (h *heir) Took(p *transport.Post, in transport.Letter) {
+	var l letter
+	if err := json.Unmarshal(in.Text, &l); err != nil {
+		h.log.Warn("a letter that can't be read", "error", err)
+	}
+	if in.FD >= 0 { // nothing that it has is wanted here
+		unix.Close(in.FD)
+	}
+	h.post = p
+	switch {
+	case l.Word == "hello" && l.Version != version:
+		send(p, letter{Word: "refused", Version: version, Why: "another version"}, -1)
+	case l.Word == "hello" && h.after != nil:
+		send(p, letter{Word: "later", Why: "one at a time"}, -1)
+	case l.Word == "hello":
+		h.handOver()
+	case h.after != h:
+	case l.Word == "ready":
+		h.ready = true
+		if h.box != nil {
+			h.box.Close()
+			h.box = nil
+		}
+		h.log.Info("handed over")
+		h.router.Succeed(h)
+	default:
+		h.bans.heed(h.Takeover, p, l)
+	}
+}
+
+// handOver tells the new process all that it needs, the listening socket last.
+func (h *heir) handOver() {
+	door, err := h.router.Door().Copy()
+	if err != nil {
+		send(h.post, letter{Word: "refused", Why: err.Error()}, -1)
+		return
+	}
+	h.after = h
+	h.shared()
+	open, most := h.loop.Sockets()
+	own := max(most/2, min(open+most/headroom, most-most/headroom))
+	h.loop.Most(own)
+	l, past, banned := h.router.Known()
+	for part := range slices.Chunk(l.Members, idsMost) {
+		send(h.post, letter{Word: "list", List: &protocol.List{Revision: l.Revision, Complete: true, Members: part}}, -1)
+	}
+	for part := range slices.Chunk(past, idsMost) {
+		send(h.post, letter{Word: "past", Past: part}, -1)
+	}
+	for part := range slices.Chunk(banned, idsMost) {
+		send(h.post, letter{Word: "past", Banned: part}, -1)
+	}
+	send(h.post, letter{Word: "door", Sockets: max(most-own-spareLike, most/headroom)}, door)
+}
+
+// Lost implements transport.Correspondent: the new process is gone, and this one goes on as before.
+func (h *heir) Lost(_ *transport.Post, unsent []transport.Letter) {
+	if h.after != h {
+		return
+	}
+	h.log.Warn("the process that was to take over is gone", "served", h.ready)
+	h.after = nil
+	h.bans.lost(h.loop)
+	if h.ready {
+		h.router.Succeed(nil)
+	}
+	h.settle()
+	for _, u := range unsent {
+		var l letter
+		if err := json.Unmarshal(u.Text, &l); u.FD >= 0 && err == nil && l.Word == "client" {
+			h.router.Passed(u.FD, l.Unread, l.Proven)
+		} else if u.FD >= 0 {
+			unix.Close(u.FD)
+		}
+	}
+}
+
+// TellBan implements routing.Partner.
+func (h *heir) TellBan(id string, out bool, done func(known bool)) {
+	h.bans.tell(h.loop, h.post, id, out, done)
+}
+
+// Pass implements routing.Successor.
+func (h *heir) Pass(fd int, unread []byte, proven bool) {
+	send(h.post, letter{Word: "client", Unread: unread, Proven: proven}, fd)
+	_, most := h.loop.Sockets()
+	h.loop.Most(most - 1)
+}
+
+// Waiting implements routing.Successor.
+func (h *heir) Waiting() bool { return h.post.Waiting() }
--- /dev/null
+++ b/internal/takeover/takeover.go
@@ -0,0 +1,207 @@
+// Package takeover hands a balancer over from the running process to the next one: the listening socket, what is known of
+// hosts, and clients' connections. While both live they are one balancer.
+package takeover
+
+import (
+	"encoding/json"
+	"log/slog"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"strings"
+
+	"larchthread/internal/protocol"
+	"larchthread/internal/routing"
+	"larchthread/internal/transport"
+)
+
+const (
+	version   = 1      // of what the letters say; another is refused
+	askMost   = 3000.0 // ms for the running process to hand over: half of what operators wait for the yes
+	askAgain  = 100.0  // ms until a process that is busy with another successor is asked again
+	tellMost  = 700.0  // ms for the other process to heed a ban: the caller waits 1 s
+	idsMost   = 500    // ids or hosts in a letter: some tens of KB
+	headroom  = 8      // one in so many sockets that the old process may open beyond those it has
+	spareLike = 32     // descriptors that a second process holds for itself
+)
+
+// letter is what one process tells the other. What a build does not know in it is passed over.
+type letter struct {
+	Word    string         `json:"word"`
+	Version int            `json:"version,omitempty"`
+	Why     string         `json:"why,omitempty"`     // of a refusal
+	List    *protocol.List `json:"list,omitempty"`    // part of the list, in discovery's form
+	Past    []string       `json:"past,omitempty"`    // ids of hosts there were
+	Banned  []string       `json:"banned,omitempty"`  // ids of hosts that are banned
+	Sockets int            `json:"sockets,omitempty"` // that the new process may open
+	Unread  []byte         `json:"unread,omitempty"`  // of a passed connection
+	Proven  bool           `json:"proven,omitempty"`  // an op has come on it
+	ID      string         `json:"id,omitempty"`      // of a host to be banned
+	Out     bool           `json:"out,omitempty"`     // it is to be banned, not put back
+	Number  int            `json:"number,omitempty"`  // of a word on a ban, and of the answer to it
+	Known   bool           `json:"known,omitempty"`   // the host is known there
+}
+
+// Takeover is one process's side of upgrades.
+type Takeover struct {
+	loop    *transport.Loop
+	log     *slog.Logger
+	router  *routing.Router
+	listen  netip.AddrPort
+	path    string
+	share   func(processes int) // told how many processes share the memory
+	sockets int                 // that this process may open where it is alone
+
+	box    *transport.PostBox
+	before *ancestor // the process whose place this one takes, until it is gone
+	after  *heir     // the process that takes this one's place, or nil
+	limit  transport.Timer
+	failed error
+}
+
+// Begin opens the router's door: by asking the process that runs at the address already for its own, or, where there is
+// none, by listening. dir is where the two find each other.
+func Begin(loop *transport.Loop, log *slog.Logger, router *routing.Router, listen netip.AddrPort, dir string,
+	share func(processes int)) (*Takeover, error) {
+	name := "larchthread-" + strings.NewReplacer(":", "-", "[", "", "]", "").Replace(listen.String())
+	t := &Takeover{loop: loop, log: log, router: router, listen: listen, path: filepath.Join(dir, name), share: share}
+	_, t.sockets = loop.Sockets()
+	if !t.ask() {
+		return t, t.alone("nobody runs here")
+	}
+	loop.Set(&t.limit, askMost)
+	t.limit.Fire = func() {
+		if err := t.alone("the running process does not hand over"); err != nil {
+			t.failed = err
+			loop.End()
+		}
+	}
+	return t, nil
+}
+
+// End cleans up behind the loop. It returns why the door could not be opened, if the loop ended for that.
+func (t *Takeover) End() error {
+	if t == nil {
+		return nil
+	}
+	if t.box != nil {
+		os.Remove(t.path)
+	}
+	return t.failed
+}
+
+// ask asks the running process, if there is one.
+func (t *Takeover) ask() bool {
+	a := &ancestor{Takeover: t}
+	post, err := t.loop.DialPost(t.path, a)
+	if err != nil {
+		return false
+	}
+	a.post, t.before = post, a
+	send(post, letter{Word: "hello", Version: version}, -1)
+	return true
+}
+
+// alone opens a door of its own, at an address that may be shared with a process that would not hand over.
+func (t *Takeover) alone(why string) error {
+	t.loop.Stop(&t.limit)
+	if t.before != nil {
+		t.before.post.Close()
+		t.before = nil
+	}
+	t.log.Info("listening", "why", why)
+	if err := t.router.Listen(t.listen, true); err != nil {
+		return err
+	}
+	t.settle()
+	return nil
+}
+
+// settle lets the next process find this one, and shares out what two have together.
+func (t *Takeover) settle() {
+	if t.box == nil {
+		var err error
+		if t.box, err = t.loop.OpenPostBox(t.path, t.welcome); err != nil {
+			t.log.Warn("the next process will not find this one", "error", err)
+		}
+	}
+	t.shared()
+}
+
+// shared tells the router who is beside it.
+func (t *Takeover) shared() {
+	switch {
+	case t.after != nil:
+		t.router.With(t.after)
+		t.share(2)
+	case t.before != nil:
+		t.router.With(t.before)
+		t.share(2)
+	default:
+		t.router.With(nil)
+		t.loop.Most(t.sockets)
+		t.share(1)
+	}
+}
+
+// welcome takes in a process that asks for this one's place.
+func (t *Takeover) welcome() transport.Correspondent { return &heir{Takeover: t} }
+
+func send(p *transport.Post, l letter, fd int) {
+	text, err := json.Marshal(l)
+	if err != nil { // no field can fail
+		panic(err)
+	}
+	p.Send(text, fd)
+}
+
+// bans are the words on bans that the other process has not answered yet.
+type bans struct {
+	number int
+	open   map[int]*ban
+}
+
+type ban struct {
+	limit transport.Timer
+	done  func(known bool)
+}
+
+// tell has the other process ban a host. One that does not answer in time is not waited for: its time is nearly over, or
+// it stands still and sends nothing.
+func (b *bans) tell(loop *transport.Loop, p *transport.Post, id string, out bool, done func(known bool)) {
+	if b.open == nil {
+		b.open = map[int]*ban{}
+	}
+	b.number++
+	n, x := b.number, &ban{done: done}
+	x.limit.Fire = func() { b.answered(loop, n, false) }
+	loop.Set(&x.limit, tellMost)
+	b.open[n] = x
+	send(p, letter{Word: "ban", ID: id, Out: out, Number: n}, -1)
+}
+
+func (b *bans) answered(loop *transport.Loop, n int, known bool) {
+	if x := b.open[n]; x != nil {
+		delete(b.open, n)
+		loop.Stop(&x.limit)
+		x.done(known)
+	}
+}
+
+// lost takes word that nobody will answer.
+func (b *bans) lost(loop *transport.Loop) {
+	for n := range b.number + 1 {
+		b.answered(loop, n, false)
+	}
+}
+
+// heed takes a letter on a ban, from either side.
+func (b *bans) heed(t *Takeover, p *transport.Post, l letter) {
+	switch l.Word {
+	case "ban":
+		err := t.router.TakeBan(l.ID, l.Out)
+		send(p, letter{Word: "banned", Number: l.Number, Known: err == nil}, -1)
+	case "banned":
+		b.answered(t.loop, l.Number, l.Known)
+	}
+}
--- a/internal/transport/door.go
+++ b/internal/transport/door.go
@@ -15,6 +15,7 @@
 	accept  func(c *Conn)
 	reserve int     // connections that it may have open out of the spare descriptors; 0: out of the loop's, as any other
 	guests  []*Conn // those, oldest first
+	resting bool    // another process has its queue
 	shut    bool    // it is not looked at, for want of sockets
 	reopen  Timer
 }
@@ -22,10 +23,20 @@
 // Listen opens a door at an address: accept is called for each connection that comes in. Connections of a door with a
 // reserve are served ahead of others; where more come, the oldest makes room.
 func (l *Loop) Listen(kind string, a netip.AddrPort, reserve int, accept func(c *Conn)) (*Door, error) {
-	fd, err := listen(a, l.kernel)
+	return l.ListenAt(kind, a, false, reserve, accept)
+}
+
+// ListenAt is Listen; a shared address may have doors of several processes.
+func (l *Loop) ListenAt(kind string, a netip.AddrPort, shared bool, reserve int, accept func(c *Conn)) (*Door, error) {
+	fd, err := listen(a, l.kernel, shared)
 	if err != nil {
 		return nil, err
 	}
+	return l.Door(kind, fd, reserve, accept)
+}
+
+// Door makes a door of a listening socket.
+func (l *Loop) Door(kind string, fd, reserve int, accept func(c *Conn)) (*Door, error) {
 	d := &Door{loop: l, kind: kind, fd: fd, accept: accept, reserve: reserve}
 	d.reopen.Fire = func() { d.watch(true) }
 	l.doors = append(l.doors, d)
@@ -34,7 +45,7 @@
 
 // watch looks at the listening socket, or lets it be until a socket is free.
 func (d *Door) watch(on bool) {
-	if d.shut == !on {
+	if d.resting || d.shut == !on {
 		return
 	}
 	d.shut = !on
--- a/internal/transport/loop.go
+++ b/internal/transport/loop.go
@@ -11,6 +11,7 @@
 	"log/slog"
 	"math"
 	"net/netip"
+	"slices"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -21,12 +22,13 @@
 	poolKept   = 512            // free buffers that the pool holds on to: 8 MB; more go back to the garbage collector
 	readMost   = 5 * BufferSize // bytes read from one connection in a round: the largest value and its line
 
-	eventsMost = 512    // events taken in one round: half of a thousand connections
-	acceptMost = 256    // connections accepted in one round, so that those that are open are heard in between
-	backlog    = 4096   // connections that the kernel may accept for us between two rounds: its own upper end
-	finishMost = 5000.0 // ms that a slow reader may take over the answers before our last word: over any TTL
-	finishFor  = 200.0  // ms that the other side may take to end after our last word: many round trips
-	doorPause  = 5.0    // ms until it is tried again to accept, where no connection was idle: a busy one takes as long
+	eventsMost  = 512    // events taken in one round: half of a thousand connections
+	acceptMost  = 256    // connections accepted in one round, so that those that are open are heard in between
+	backlog     = 4096   // connections that the kernel may accept for us between two rounds: its own upper end
+	finishMost  = 5000.0 // ms that a slow reader may take over the answers before our last word: over any TTL
+	finishFor   = 200.0  // ms that the other side may take to end after our last word: many round trips
+	resendAfter = 2.0    // ms until letters that the other process has no room for are tried again: it reads in each round
+	doorPause   = 5.0    // ms until it is tried again to accept, where no connection was idle: a busy one takes as long
 
 	spareFiles    = 32    // descriptors that the runtime, the loop and the log hold: about ten, and room
 	unprovenFor   = 100.0 // ms that a new client has for its first command before it makes room: many round trips
@@ -49,6 +51,9 @@
 	open        int
 	conns       []*Conn // by descriptor
 	doors       []*Door
+	boxes       []*PostBox
+	posts       []*Post
+	resend      Timer // after letters had to wait
 	timers      timers
 	began       time.Time
 	now         float64 // ms, Unix time
@@ -80,6 +85,7 @@
 	l.began = time.Now()
 	l.tick()
 	l.before = l.now
+	l.resend.Fire = func() {} // the round that it makes sends
 	return l, l.look(bell, unix.EPOLLIN)
 }
 
@@ -163,6 +169,18 @@
 			return
 		}
 	}
+	for _, b := range l.boxes {
+		if b.fd == fd {
+			b.welcome()
+			return
+		}
+	}
+	for _, p := range l.posts {
+		if p.fd == fd {
+			p.read()
+			return
+		}
+	}
 	switch {
 	case fd == l.bell:
 		var sink [8]byte
@@ -228,6 +246,9 @@
 	if l.Round != nil {
 		l.Round(l.now)
 	}
+	for _, p := range slices.Clone(l.posts) {
+		p.deliver()
+	}
 	ready := l.ready
 	l.ready = nil
 	for _, c := range ready {
@@ -261,8 +282,17 @@
 		}
 	}
 	l.dirty = l.dirty[:0]
+	for _, p := range l.posts {
+		p.write()
+	}
 }
 
+// Most sets how many sockets may be open, beside the spare ones; what is open stays.
+func (l *Loop) Most(sockets int) { l.most = sockets }
+
+// Sockets is how many are open, and how many may be.
+func (l *Loop) Sockets() (open, most int) { return l.open, l.most }
+
 // drop closes the socket of a connection that is over.
 func (l *Loop) drop(c *Conn) {
 	if c.fd >= 0 {
--- /dev/null
+++ b/internal/transport/post.go
@@ -0,0 +1,294 @@
+package transport
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"strconv"
+
+	"golang.org/x/sys/unix"
+)
+
+const (
+	pathMost   = 107       // bytes of a Unix socket's path, as the kernel has it
+	letterMost = 128 << 10 // bytes of a letter: the kernel's usual buffer of a Unix socket takes it whole
+	inboxMost  = 64        // letters read in a round, so that sockets are heard in between
+)
+
+// Letter is a message from one process to another on this machine, perhaps with a descriptor.
+type Letter struct {
+	Text []byte
+	FD   int // below 0 for none
+}
+
+// Correspondent is told what becomes of a post.
+type Correspondent interface {
+	Took(p *Post, l Letter)        // a letter has come; its descriptor is the correspondent's now
+	Lost(p *Post, unsent []Letter) // the other process is gone; not called after Close
+}
+
+// Post carries letters between two processes, in order.
+type Post struct {
+	loop  *Loop
+	owner Correspondent
+	fd    int
+	inbox []Letter
+	queue []Letter // to be sent
+	lost  bool
+}
+
+// PostBox is where posts come in. It has a path in the file system.
+type PostBox struct {
+	loop   *Loop
+	fd     int
+	accept func() Correspondent
+}
+
+// atPath does something with a Unix socket's address, also where its path is too long for the kernel: the directory's
+// descriptor stands for it then.
+func atPath(path string, do func(unix.Sockaddr) error) error {
+	if len(path) > pathMost {
+		dir, err := unix.Open(filepath.Dir(path), unix.O_PATH|unix.O_CLOEXEC, 0)
+		if err != nil {
+			return err
+		}
+		defer unix.Close(dir)
+		path = "/proc/self/fd/" + strconv.Itoa(dir) + "/" + filepath.Base(path)
+	}
+	return do(&unix.SockaddrUnix{Name: path})
+}
+
+func unixSocket() (int, error) {
+	return unix.Socket(unix.AF_UNIX, unix.SOCK_SEQPACKET|unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC, 0)
+}
+
+// OpenPostBox opens a post box. It takes the path from whoever had it, in one step.
+func (l *Loop) OpenPostBox(path string, accept func() Correspondent) (*PostBox, error) {
+	fd, err := unixSocket()
+	if err != nil {
+		return nil, fmt.Errorf("socket: %w", err)
+	}
+	own := path + "." + strconv.Itoa(os.Getpid())
+	os.Remove(own)
+	if err = atPath(own, func(a unix.Sockaddr) error { return unix.Bind(fd, a) }); err == nil {
+		if err = unix.Listen(fd, backlog); err == nil {
+			err = os.Rename(own, path)
+		}
+	}
+	if err != nil {
+		unix.Close(fd)
+		os.Remove(own)
+		return nil, fmt.Errorf("listen on %s: %w", path, err)
+	}
+	b := &PostBox{loop: l, fd: fd, accept: accept}
+	l.boxes = append(l.boxes, b)
+	return b, l.look(fd, unix.EPOLLIN)
+}
+
+// Close ends a post box; posts that came in by it stay.
+func (b *PostBox) Close() {
+	b.loop.boxes = without(b.loop.boxes, b)
+	unix.Close(b.fd)
+}
+
+// welcome accepts one post; the next round takes the next.
+func (b *PostBox) welcome() {
+	if fd, _, err := unix.Accept4(b.fd, unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC); err == nil {
+		b.loop.post(fd).owner = b.accept()
+	}
+}
+
+// DialPost opens a post to the process that has a box at the path. It fails at once where there is none.
+func (l *Loop) DialPost(path string, owner Correspondent) (*Post, error) {
+	fd, err := unixSocket()
+	if err != nil {
+		return nil, err
+	}
+	if err := atPath(path, func(a unix.Sockaddr) error { return unix.Connect(fd, a) }); err != nil {
+		unix.Close(fd)
+		return nil, err
+	}
+	p := l.post(fd)
+	p.owner = owner
+	return p, nil
+}
+
+func (l *Loop) post(fd int) *Post {
+	p := &Post{loop: l, fd: fd}
+	l.posts = append(l.posts, p)
+	if l.look(fd, unix.EPOLLIN) != nil {
+		p.lost = true
+	}
+	return p
+}
+
+// Send sends a letter when the round is carried out. Its descriptor is the post's from now on.
+func (p *Post) Send(text []byte, fd int) {
+	if p.fd < 0 {
+		if fd >= 0 {
+			unix.Close(fd)
+		}
+		return
+	}
+	p.queue = append(p.queue, Letter{text, fd})
+}
+
+// Waiting tells whether letters are still to be sent.
+func (p *Post) Waiting() bool { return len(p.queue) > 0 }
+
+// Close ends the post at once; what is not sent is thrown away.
+func (p *Post) Close() {
+	if p.fd < 0 {
+		return
+	}
+	p.loop.posts = without(p.loop.posts, p)
+	unix.Close(p.fd)
+	p.fd = -1
+	for _, l := range append(p.queue, p.inbox...) {
+		if l.FD >= 0 {
+			unix.Close(l.FD)
+		}
+	}
+	p.queue, p.inbox = nil, nil
+}
+
+// read takes the letters that have come.
+func (p *Post) read() {
+	text := make([]byte, letterMost)
+	var rights [64]byte
+	for len(p.inbox) < inboxMost {
+		n, m, flags, _, err := unix.Recvmsg(p.fd, text, rights[:], unix.MSG_CMSG_CLOEXEC)
+		switch {
+		case err == unix.EINTR:
+			continue
+		case err == unix.EAGAIN:
+			return
+		case err != nil || n == 0:
+			p.lost = true
+			return
+		}
+		l := Letter{append([]byte(nil), text[:n]...), -1}
+		for _, fd := range received(rights[:m]) {
+			if l.FD >= 0 { // there is never more than one
+				unix.Close(l.FD)
+			}
+			l.FD = fd
+		}
+		if flags&unix.MSG_TRUNC != 0 {
+			l.Text = nil // not from one of us: nobody can read it
+		}
+		p.inbox = append(p.inbox, l)
+	}
+}
+
+// received are the descriptors that came with a letter.
+func received(rights []byte) (fds []int) {
+	all, err := unix.ParseSocketControlMessage(rights)
+	if err != nil {
+		return nil
+	}
+	for _, m := range all {
+		if got, err := unix.ParseUnixRights(&m); err == nil {
+			fds = append(fds, got...)
+		}
+	}
+	return fds
+}
+
+// deliver hands on what has come.
+func (p *Post) deliver() {
+	inbox := p.inbox
+	p.inbox = nil
+	for i, l := range inbox {
+		if p.fd < 0 { // closed by its owner meanwhile
+			if l.FD >= 0 {
+				unix.Close(l.FD)
+			}
+			continue
+		}
+		p.owner.Took(p, inbox[i])
+	}
+	if p.lost && p.fd >= 0 {
+		unsent := p.queue
+		p.queue = nil
+		p.Close()
+		p.owner.Lost(p, unsent)
+	}
+}
+
+// write sends what is in the queue, as far as the other side takes it.
+func (p *Post) write() {
+	for len(p.queue) > 0 && p.fd >= 0 {
+		l := p.queue[0]
+		var rights []byte
+		if l.FD >= 0 {
+			rights = unix.UnixRights(l.FD)
+		}
+		switch err := unix.Sendmsg(p.fd, l.Text, rights, nil, unix.MSG_NOSIGNAL); err {
+		case nil:
+		case unix.EINTR:
+			continue
+		case unix.EAGAIN, unix.ETOOMANYREFS, unix.ENOBUFS:
+			p.loop.Set(&p.loop.resend, resendAfter)
+			return
+		default:
+			p.lost = true
+			p.loop.Again()
+			return
+		}
+		if l.FD >= 0 {
+			unix.Close(l.FD)
+		}
+		p.queue = p.queue[1:]
+	}
+}
+
+// without takes one from a list.
+func without[T comparable](all []T, one T) []T {
+	var rest []T
+	for _, x := range all {
+		if x != one {
+			rest = append(rest, x)
+		}
+	}
+	return rest
+}
+
+// Pass takes an open connection out of the loop and returns its descriptor and what has been read of it and not been
+// taken. Nothing more comes to its owner.
+func (c *Conn) Pass() (fd int, unread []byte) {
+	fd, unread = c.fd, c.In.Bytes()
+	unix.EpollCtl(c.loop.epoll, unix.EPOLL_CTL_DEL, fd, nil) // the socket lives on: closing it here would not do
+	c.loop.conns[fd] = nil
+	c.Close(PassedOn)
+	c.fd = -1
+	return fd, unread
+}
+
+// Passed takes a connection that another process has passed on, with what that had read of it.
+func (d *Door) Passed(fd int, unread []byte) *Conn {
+	unix.SetNonblock(fd, true)
+	from, _ := unix.Getpeername(fd)
+	c := d.enter(fd, from)
+	if len(unread) > 0 {
+		c.In.Write(unread)
+		d.loop.Later(c)
+	}
+	return c
+}
+
+// Copy is a descriptor of the door's socket for another process.
+func (d *Door) Copy() (int, error) { return unix.FcntlInt(uintptr(d.fd), unix.F_DUPFD_CLOEXEC, 0) }
+
+// Rest leaves the door's queue to another process that has its socket too, or takes it up again.
+func (d *Door) Rest(on bool) {
+	switch {
+	case d.resting == on:
+	case on:
+		unix.EpollCtl(d.loop.epoll, unix.EPOLL_CTL_DEL, d.fd, nil)
+	default:
+		d.shut = false
+		d.loop.look(d.fd, unix.EPOLLIN)
+	}
+	d.resting = on
+}
--- a/internal/transport/socket.go
+++ b/internal/transport/socket.go
@@ -23,13 +23,17 @@
 }
 
 // listen opens a listening socket. The connections that come through it have kernel buffers of so many
-// bytes: where clients are slow to read, large ones would be memory that no count here shows.
-func listen(a netip.AddrPort, kernel int) (int, error) {
+// bytes: where clients are slow to read, large ones would be memory that no count here shows. A shared address may be
+// listened on by several processes.
+func listen(a netip.AddrPort, kernel int, shared bool) (int, error) {
 	fd, sa, err := open(a)
 	if err != nil {
 		return -1, fmt.Errorf("socket: %w", err)
 	}
 	if err = unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_REUSEADDR, 1); err == nil {
+		if shared {
+			unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_REUSEPORT, 1)
+		}
 		unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_SNDBUF, kernel)
 		unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_RCVBUF, kernel)
 		if err = unix.Bind(fd, sa); err == nil {
