--- a/balance/balance.go
+++ b/balance/balance.go
@@ -25,7 +25,7 @@
 	tick          = 10.0  // ms, the timer's period while ops are held, and part of each margin
 
 	latStep  = 0.05 // weight of a new latency in a category's average: about 20 ops
-	hostStep = 0.2  // weight of a new outcome in a host's averages: about 5 ops, few reach it a second
+	hostStep = 0.2  // weight of a new outcome in a host's or their gate's averages: about 5 ops
 
 	crowdGroup  = 3.0    // balancers at which twice the usual latency counts twice; more see less each
 	refusedSlow = 4.0    // what a push turned away counts as, in usual latencies: a full host is a crowded one
@@ -41,7 +41,6 @@
 	restShare   = 0.8    // part of the hosts that may rest at once; beyond it the evidence is in doubt
 
 	secondLook    = 1.0 // first waits more after which a push that was left is called off all the same
-	farStep       = 0.1 // weight of a new report in its zone's: 10 answers
 	farSlack      = 0.1 // by how much more the own zone's hosts have to be busy for keys to leave it
 	busyNearLeast = 0.6 // and so busy at the least: below, they have room
 
@@ -63,12 +62,10 @@
 	gateGoal    = 0.5     // smoothed latency over target above which a gate narrows: most answers just in time
 	originGoal  = 0.3     // the same for the origin, whose latency comes on top of a miss
 	gateCut     = 0.85    // factor of one narrowing
-	fleetStep   = 0.2     // weight of a new latency in the hosts' gate's pain: about 5 ops, to see a jam build
-	originStep  = 0.1     // the same for the origin, whose answers vary more from one to the next
+	originStep  = 0.1     // weight of a new latency of the origin, or of a report in its zone's: 10 answers
 	gatePause   = 100.0   // ms between two narrowings, so that the first can show
 	chancePain  = 0.5     // smoothed latency over target above which a gate turns ops away by chance
 	chanceSpan  = 14000.0 // ms in which it lets out all again by itself
-	lineLength  = 1.0     // ops held for each that a gate lets out: about two latencies of waiting
 	fleetFloor  = 2.0     // pushes a host, of all balancers, that the hosts' gate lets out at least
 	fleetStart  = 16.0    // pushes a host, of all balancers, that the hosts' gate starts with
 	originStart = 1.5     // fetches a host, of all balancers, that the origin's gate starts with
@@ -107,34 +104,30 @@
 	now  float64
 	rng  pcg
 
-	hosts             []*Host // listed cache hosts, by name
-	ready             []*Host // those that may be pushed to
-	cycle             []point
-	slots             []*Host // hosts that stand on it, or have and are still listed
-	coldUntil         float64 // ms, when the last of them is warm
-	unit              float64 // size that gets pointsPerHost places
-	sizes             float64 // sum of the ready hosts' sizes
-	origins           []*Host
-	walks, served     int            // made so far, and ops acked
-	busy              float64        // smoothed part of their cores' time that hosts say is taken
-	busyNear, busyFar float64        // the same in the own zone, and in others
-	refused           float64        // smoothed part turned away of the pushes of ops that walked on
-	heat              [cells]float64 // recent ops by key, halved now and then
-	heatAll, cooled   float64        // their sum, and ms, when they were halved
-	copies            float64        // second copies that may be sent
-	pool              float64        // part of the keys that keep to no zone
-	resting           int
-	counted           int     // pushes that warm hosts have answered since the last look at all
-	rate              float64 // pushes a ms for each unit of warm size
-	wakeAt, ticked    float64 // ms, when the timer calls next, and when hosts were looked at
-	fetches           map[string]*fetch
-	fleet, origin     gate
-	dues              dues
-	usual             float64 // smoothed over all hosts, what slow is smoothed of for each
-	keep              float64 // ms for which an idle connection is kept
-	asking            bool    // a call for the list is out
-	askAt             float64 // ms, when it was made, or else when the next is due
-	askWait           float64 // ms that the next failure puts the call off
+	hosts                   []*Host // listed cache hosts, by name
+	ready                   []*Host // those that may be pushed to
+	cycle                   []point
+	slots                   []*Host // hosts that stand on it, or have and are still listed
+	coldUntil               float64 // ms, when the last of them is warm
+	unit, sizes             float64 // size that gets pointsPerHost places, and the sum of the ready hosts'
+	origins                 []*Host
+	walks, served           int            // made so far, and ops acked
+	busy, busyNear, busyFar float64        // smoothed part of their cores' time that hosts say is taken
+	refused                 float64        // smoothed part turned away of the pushes of ops that walked on
+	heat                    [cells]float64 // recent ops by key, halved now and then
+	heatAll, cooled         float64        // their sum, and ms, when they were halved
+	copies                  float64        // second copies that may be sent
+	pool                    float64        // part of the keys that keep to no zone
+	resting, counted        int            // ready hosts that rest; answers of warm ones since the last look
+	rate                    float64        // pushes a ms for each unit of warm size
+	wakeAt, ticked          float64        // ms, when the timer calls next, and when hosts were looked at
+	fetches                 map[string]*fetch
+	fleet, origin           gate
+	dues                    dues
+	usual                   float64 // smoothed over all hosts, what slow is smoothed of for each
+	keep                    float64 // ms for which an idle connection is kept
+	asking                  bool    // a call for the list is out
+	askAt, askWait          float64 // ms, when it was made or the next is due, and what a failure puts that off
 }
 
 // point is a host's place on the cycle. It holds no pointer: there are tens of thousands for the collector to
@@ -215,7 +208,7 @@
 		fetches: map[string]*fetch{}, askWait: askFirst, usual: 1, keep: s.ConnIdle, copies: copyBurst, busyFar: 1,
 		wakeAt: math.Inf(1)}
 	b.rng.float() // seeds that lie close give numbers that lie close at first
-	b.fleet = gate{goal: gateGoal, step: fleetStep, limit: math.Inf(1)}
+	b.fleet = gate{goal: gateGoal, step: hostStep, limit: math.Inf(1)}
 	b.origin = gate{goal: originGoal, step: originStep, pain: originGoal / 2,
 		floor: originFloor / float64(s.Group), limit: math.Inf(1)}
 	for _, c := range s.Categories {
@@ -767,7 +760,7 @@
 	if g == &b.fleet && len(b.ready) == 0 { // no list yet, or an empty one: hold while there is hope
 		return
 	}
-	for float64(len(g.line)) > math.Max(2, g.limit*lineLength) {
+	for float64(len(g.line)) > math.Max(2, g.limit) {
 		least := g.line[0]
 		for _, op := range g.line {
 			if worth(op) <= worth(least) {
@@ -863,16 +856,13 @@
 		b.copy(p)
 		return
 	}
-	if p.called || len(op.tried) >= b.MostPushes {
-		return
-	}
-	if c := op.Category; c.Repeat == AtMostOnce || c.Repeat == Deduplicated && c.Group != AllHosts {
+	c := op.Category
+	bound := c.Repeat == AtMostOnce || c.Repeat == Deduplicated && c.Group != AllHosts
+	if bound || p.called || len(op.tried) >= b.MostPushes || b.lookAgain(p, secondLook) {
 		return
 	}
-	if !b.lookAgain(p, secondLook) {
-		p.called = true
-		b.port.Cancel(p)
-	}
+	p.called = true
+	b.port.Cancel(p)
 }
 
 // lookAgain leaves a push whose host has answered others for some first waits more, once.
@@ -901,12 +891,18 @@
 	b.offer(&b.fleet, op)
 }
 
-// Streaming takes word that the answer has begun to flow: TTL and time-outs no longer hold.
+// Streaming takes word that the answer has begun to flow: TTL and time-outs are over, the host's work is
+// done. A slow reader must hold no place there or at the gate, nor those who wait for the key.
 func (b *Balancer) Streaming(p *Push) {
-	if p.Op.state < streaming {
-		p.Op.bound = p
+	if op := p.Op; op.state < streaming {
+		op.bound = p
+		b.move(op, streaming)
+		p.gate.out--
+		p.Host.out--
+		b.learn(p, Served, b.now-p.sent)
+		b.landed(op, true)
+		b.pump(p.gate)
 	}
-	b.move(p.Op, streaming)
 }
 
 // Left takes word that nobody waits for the op any more.
@@ -938,9 +934,14 @@
 	p.over = true
 	p.never = o == Refused || o == NoConn || o == NotSent || o == Missed
 	op.out--
-	h.out--
-	g.out--
-	b.learn(p, o, spent)
+	switch {
+	case op.bound != p:
+		h.out--
+		g.out--
+		b.learn(p, o, spent)
+	case o != Served && o != Cancelled: // it broke midway
+		b.blame(h, o, spent, failStep)
+	}
 	if r != nil && r.Busy >= 0 && !h.Origin {
 		b.reported(h, math.Min(r.Busy, 1))
 	}
@@ -988,10 +989,10 @@
 func (b *Balancer) reported(h *Host, busy float64) {
 	b.busy += (busy - b.busy) * latStep
 	if h.Zone != b.Zone {
-		b.busyFar += (busy - b.busyFar) * farStep
+		b.busyFar += (busy - b.busyFar) * originStep
 		return
 	}
-	b.busyNear += (busy - b.busyNear) * farStep
+	b.busyNear += (busy - b.busyNear) * originStep
 	if b.busyNear > math.Max(b.busyFar+farSlack, busyNearLeast) {
 		b.pool = math.Min(1, b.pool+poolStep/2)
 	}
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -1389,3 +1389,30 @@
 	// true true
 	// false false
 }
+
+// A long answer that has begun to flow gives back its places at host and gate, and those that waited for its key go on: its
+// client may take seconds over the rest. Where it breaks midway the host is blamed.
+func Example_longAnswer() {
+	s := start()
+	s.Aside = true
+	x := open(s, "a", "origin")
+	x.ask("leads", 0, "page", 500, false)
+	x.end("leads", Missed, 5)
+	x.ask("waits", 0, "page", 500, false)
+	p := x.ops["leads"].tried[1]
+	x.Streaming(p)
+	fmt.Println(p.Host.out, x.origin.out, x.fleet.out)
+	x.Ended(p, Served, 5, true, nil)
+	fmt.Println(p.Host.out, x.origin.out, x.fleet.out, x.ops["leads"].Over())
+	p = x.ops["waits"].tried[0]
+	x.Streaming(p)
+	x.Ended(p, Broken, 5, true, nil)
+	fmt.Println(p.Host.fail > failFrom, p.Host.out)
+	// Output:
+	// 0 push leads to a
+	//    0 push leads to origin
+	//    0 push waits to a
+	// 0 0 1
+	// 0 0 1 true
+	// true 0
+}
--- a/internal/protocol/answer.go
+++ b/internal/protocol/answer.go
@@ -24,6 +24,7 @@
 	Kind    Kind
 	ID      string // of the op it answers; empty where errors don't tell
 	Value   transport.Chain
+	Flows   int // bytes of a value that Flow gives as they come; 0 where Value holds it whole
 	Receipt string
 	Close   bool // the other side closes the connection behind it
 	Bare    bool // it came in a form that tells no id
@@ -60,7 +61,12 @@
 // After an error nothing further can be read.
 type Reader interface {
 	Next(in *transport.Chain) (*Answer, error)
-	Free() // gives back what an unfinished answer holds
+	// Flow moves up to most bytes of the value of the last answer to out, and tells whether that was its end.
+	Flow(in, out *transport.Chain, most int) (over bool, err error)
+	// End takes word that the other side has closed the connection in good order; it returns the answer that this ends.
+	End() *Answer
+	Held() int // bytes of an unfinished answer that it holds
+	Free()     // gives them back
 }
 
 // Answers reads the answers of a cache host.
@@ -82,6 +88,9 @@
 		}
 		r.value, r.size = a, size
 	}
+	if r.size > WholeMost {
+		return r.flows()
+	}
 	value, whole, err := takeValue(in, r.size)
 	if !whole {
 		return nil, err
@@ -91,7 +100,46 @@
 	return a, nil
 }
 
-// Free implements Reader: what is not whole yet still stands in the connection's bytes.
+// flows gives the answer whose value is long as soon as its line has come.
+func (r *Answers) flows() (*Answer, error) {
+	if r.value.Flows > 0 {
+		return nil, fmt.Errorf("more than the value")
+	}
+	r.value.Flows = r.size
+	return r.value, nil
+}
+
+// Flow implements Reader.
+func (r *Answers) Flow(in, out *transport.Chain, most int) (bool, error) {
+	r.size -= move(in, out, min(r.size, most))
+	if r.size > 0 || in.Len() < 2 {
+		return false, nil
+	}
+	end := in.Cut(2)
+	defer end.Free()
+	r.value = nil
+	if string(end.Bytes()) != "\r\n" {
+		return false, fmt.Errorf("no line end behind a long value")
+	}
+	out.WriteString("\r\n")
+	return true, nil
+}
+
+// move moves up to n bytes from one chain to the other.
+func move(in, out *transport.Chain, n int) int {
+	n = min(n, in.Len())
+	piece := in.Cut(n)
+	out.Move(&piece)
+	return n
+}
+
+// End implements Reader.
+func (r *Answers) End() *Answer { return nil }
+
+// Held implements Reader: what is not whole yet still stands in the connection's bytes.
+func (r *Answers) Held() int { return 0 }
+
+// Free implements Reader.
 func (r *Answers) Free() {}
 
 // answer reads an answer's line. The size is that of the value that follows.
@@ -135,6 +183,11 @@
 	return a, size, nil
 }
 
+// WriteFlow begins the answer to a client whose value flows.
+func WriteFlow(out *transport.Chain, c *Command, a *Answer) {
+	out.WriteString("VA " + strconv.Itoa(a.Flows) + " O" + c.ID + "\r\n")
+}
+
 // WriteAnswer passes an answer on to a client. It takes the value's bytes.
 func WriteAnswer(out *transport.Chain, c *Command, a *Answer) {
 	if a.Kind == Receipt {
--- a/internal/protocol/command.go
+++ b/internal/protocol/command.go
@@ -14,7 +14,8 @@
 )
 
 const (
-	valueMost = 64 << 10 // bytes of a value, as the protocol has it
+	WholeMost = 64 << 10 // bytes of a value that is read whole before it is passed on
+	valueMost = 4 << 20  // bytes of a value
 	lineMost  = 4 << 10  // bytes of a line: a key, an id and a list of names and values, with room to spare
 	keyMost   = 250      // bytes of a key, as memcache has it
 	ttlMost   = 1e9      // ms for which a client may wait, eleven days: more is a fault of the client
@@ -114,6 +115,14 @@
 // Begun tells whether part of a command has been taken.
 func (r *Commands) Begun() bool { return r.set != nil }
 
+// Coming is how many bytes the value has that is on its way.
+func (r *Commands) Coming() int {
+	if r.set == nil {
+		return 0
+	}
+	return r.size
+}
+
 // command reads a command's line. The size is that of the value that follows.
 func command(line string) (*Command, int, error) {
 	words := words(line)
@@ -244,8 +253,32 @@
 	}
 }
 
+// Sent passes on a command's value by and by: all of it at once would be in memory twice.
+type Sent struct {
+	value *transport.Chain
+	at    int
+	end   string // behind the value
+}
+
+// More appends the next piece to out, and tells whether there was one.
+func (s *Sent) More(out *transport.Chain) bool {
+	if s.value == nil {
+		return false
+	}
+	n := min(WholeMost, s.value.Len()-s.at)
+	out.CopyPart(s.value, s.at, n)
+	if s.at += n; s.at == s.value.Len() {
+		out.WriteString(s.end)
+		s.value = nil
+	}
+	return true
+}
+
+// Over tells whether all has been passed on.
+func (s *Sent) Over() bool { return s.value == nil }
+
 // WriteCommand passes a command on to a cache host, which hears that the answer is waited for d ms.
-func WriteCommand(out *transport.Chain, c *Command, d int) {
+func WriteCommand(out *transport.Chain, c *Command, d int) (s Sent) {
 	var b strings.Builder
 	if c.Verb == Set {
 		fmt.Fprintf(&b, "ms %s %d", c.Key, c.Value.Len())
@@ -264,9 +297,10 @@
 	b.WriteString("\r\n")
 	out.WriteString(b.String())
 	if c.Verb == Set {
-		out.Copy(&c.Value)
-		out.WriteString("\r\n")
+		s = Sent{value: &c.Value, end: "\r\n"}
+		s.More(out)
 	}
+	return s
 }
 
 // ErrHalf is the error of a command of which the rest does not come.
--- a/internal/protocol/http.go
+++ b/internal/protocol/http.go
@@ -22,6 +22,7 @@
 	chunkBody
 	trailer
 	bodyToEnd
+	flowing // a long body, which its reader is given as it comes
 )
 
 // Response is an HTTP response.
@@ -32,14 +33,17 @@
 	Close  bool   // the connection closes behind it
 	Body   transport.Chain
 	Load   []Attr // the load report
+	Flows  int    // bytes of a body that is still to come
 }
 
 // Responses reads HTTP/1.1 responses from the bytes of a connection.
 type Responses struct {
 	Most  int  // bytes of a body
-	Sized bool // the head has to tell the body's size: one that ends with its connection may be cut short
+	Sized bool // the head has to tell how the body ends: in a length, in chunks, or with a connection that it says closes
+	Flow  int  // bytes of a body above which the response is given before its body, if it tells a length; 0 for never
 
 	part    part
+	closes  bool // the head says that the connection closes behind the response
 	size    int  // bytes to come of the body or the chunk; below 0 while not told
 	chunked bool // the chunks tell the body's size
 	lines   int
@@ -70,6 +74,8 @@
 				return nil, fmt.Errorf("no line end behind a chunk")
 			}
 			r.part = chunkSize
+		case flowing:
+			return nil, errors.New("more than the body")
 		case bodyToEnd:
 			r.answer.Body.Move(in)
 			if r.answer.Body.Len() > r.Most {
@@ -120,7 +126,7 @@
 		if version != "HTTP/1.1" && version != "HTTP/1.0" || err != nil || len(code) != 3 || status < 100 {
 			return nil, fmt.Errorf("status line %q", clip(line))
 		}
-		r.part, r.lines, r.size, r.chunked = head, 0, -1, false
+		r.part, r.lines, r.size, r.chunked, r.closes = head, 0, -1, false, false
 		r.answer = &Response{Status: status, Close: version == "HTTP/1.0", Body: in.Sibling()}
 	case chunkSize:
 		hex, _, _ := strings.Cut(line, ";")
@@ -150,11 +156,14 @@
 			return nil, errors.New("a length and chunks")
 		case r.chunked:
 			r.part = chunkSize
+		case r.Flow > 0 && r.size > r.Flow:
+			r.part, r.answer.Flows = flowing, r.size
+			return r.answer, nil
 		case r.size >= 0:
 			r.part = sizedBody
 		case r.answer.Status == http.StatusNoContent || r.answer.Status == http.StatusNotModified:
 			return r.done(), nil
-		case r.Sized:
+		case r.Sized && !r.closes:
 			return nil, errors.New("a body without a length")
 		default:
 			r.part, r.answer.Close = bodyToEnd, true
@@ -196,7 +205,7 @@
 		r.answer.ID = value
 	case "Connection":
 		if strings.EqualFold(value, "close") {
-			r.answer.Close = true
+			r.answer.Close, r.closes = true, true
 		}
 	case "X-Server-Load":
 		r.answer.Load = loads(value)
@@ -224,7 +233,9 @@
 }
 
 // NewFetched makes a reader of the origin's answers.
-func NewFetched() *Fetched { return &Fetched{responses: Responses{Most: valueMost, Sized: true}} }
+func NewFetched() *Fetched {
+	return &Fetched{responses: Responses{Most: valueMost, Sized: true, Flow: WholeMost}}
+}
 
 // Next implements Reader.
 func (f *Fetched) Next(in *transport.Chain) (*Answer, error) {
@@ -235,16 +246,46 @@
 	return f.answer(r), nil
 }
 
+// Flow implements Reader.
+func (f *Fetched) Flow(in, out *transport.Chain, most int) (bool, error) {
+	r := &f.responses
+	if r.size -= move(in, out, min(r.size, most)); r.size > 0 {
+		return false, nil
+	}
+	r.done()
+	out.WriteString("\r\n")
+	return true, nil
+}
+
+// End implements Reader.
+func (f *Fetched) End() *Answer {
+	if r := f.responses.End(); r != nil {
+		return f.answer(r)
+	}
+	return nil
+}
+
+// Held implements Reader.
+func (f *Fetched) Held() int {
+	if f.responses.answer == nil {
+		return 0
+	}
+	return f.responses.answer.Body.Len()
+}
+
 // Free implements Reader.
 func (f *Fetched) Free() { f.responses.Free() }
 
 func (f *Fetched) answer(r *Response) *Answer {
 	a := &Answer{Kind: Failure, ID: r.ID, Close: r.Close, Bare: r.ID == "", Load: r.Load}
+	long := r.Flows > 0 && (f.Write || r.Status != http.StatusOK) // nobody wants that: the connection is of no more use
+	a.Close = a.Close || long
 	switch {
+	case r.Status == http.StatusOK && long:
 	case r.Status == http.StatusOK && f.Write:
 		a.Kind, a.Receipt = Receipt, string(r.Body.Bytes())
 	case r.Status == http.StatusOK:
-		a.Kind, a.Value = Value, r.Body
+		a.Kind, a.Value, a.Flows = Value, r.Body, r.Flows
 		return a
 	case r.Status >= 400 && r.Status < 500:
 		a.Kind, a.Complaint = Refusal, http.StatusText(r.Status)
@@ -256,7 +297,7 @@
 }
 
 // WriteFetch passes a command on to the origin.
-func WriteFetch(out *transport.Chain, c *Command, host string) {
+func WriteFetch(out *transport.Chain, c *Command, host string) (s Sent) {
 	var b strings.Builder
 	method := http.MethodGet
 	if c.Verb == Set {
@@ -271,6 +312,8 @@
 	b.WriteString("\r\n\r\n")
 	out.WriteString(b.String())
 	if c.Verb == Set {
-		out.Copy(&c.Value)
+		s = Sent{value: &c.Value}
+		s.More(out)
 	}
+	return s
 }
--- a/internal/routing/client.go
+++ b/internal/routing/client.go
@@ -24,6 +24,8 @@
 	client  *client
 	command *protocol.Command
 	reply   transport.Chain
+	flow    *flow // of its long answer, or nil
+	bulk    int   // bytes reserved for its long value
 	state   opState
 }
 
@@ -43,6 +45,8 @@
 	router   *Router
 	conn     *transport.Conn
 	commands protocol.Commands
+	bulk     int              // bytes reserved for the long value that is on its way
+	queued   bool             // it waits for them
 	line     []*op            // commands in the order in which they came, until their answers are passed on
 	proven   bool             // an op has come
 	waits    bool             // the timer is for the rest of a command
@@ -87,7 +91,7 @@
 func (c *client) attend(took bool) {
 	c.router.atRest.remove(c)
 	switch {
-	case c.left || !c.proven || c.ending != "":
+	case c.left || !c.proven && !c.commands.Begun() || c.ending != "":
 	case c.conn.Paused() || !c.half() && len(c.line) > 0: // it is for this side to go on
 		c.waits = false
 		c.router.loop.Stop(&c.patience)
@@ -96,7 +100,7 @@
 		c.router.loop.Set(&c.patience, idleFor)
 		c.router.atRest.add(c)
 		c.router.turnOver()
-	case took || !c.waits:
+	case took || !c.waits || c.commands.Begun(): // a long value takes its time, as long as it comes
 		c.waits = true
 		c.router.loop.Set(&c.patience, restFor)
 	}
@@ -145,6 +149,12 @@
 // Received implements transport.Owner.
 func (c *client) Received(conn *transport.Conn) {
 	conn.Used = c.router.loop.Now()
+	if len(c.line) > 0 && c.line[0].flow != nil {
+		c.line[0].flow.advance()
+		if c.left {
+			return
+		}
+	}
 	took := false
 	for c.ending == "" && len(c.line) < lineMost && conn.Out.Len() < replyMost {
 		command, err := c.commands.Next(&conn.In)
@@ -154,7 +164,7 @@
 			command = &protocol.Command{Bad: err}
 		}
 		if command == nil {
-			conn.Pause(false)
+			conn.Pause(!c.reserve())
 			c.attend(took)
 			return
 		}
@@ -168,7 +178,8 @@
 // take serves one command.
 func (c *client) take(command *protocol.Command) {
 	r := c.router
-	o := &op{client: c, command: command, reply: r.loop.Pool.Chain()}
+	o := &op{client: c, command: command, reply: r.loop.Pool.Chain(), bulk: c.bulk}
+	c.bulk = 0
 	c.line = append(c.line, o)
 	switch category := r.categories[command.Category]; {
 	case command.Bad != nil:
@@ -206,6 +217,7 @@
 		return
 	}
 	o.move(answered)
+	r := c.router
 	full := len(c.line) >= lineMost
 	n := 0
 	for _, o := range c.line {
@@ -214,18 +226,22 @@
 		}
 		c.conn.Out.Move(&o.reply)
 		o.command.Value.Free()
+		r.release(&o.bulk)
 		n++
 	}
 	c.line = slices.Delete(c.line, 0, n)
+	if len(c.line) > 0 && c.line[0].flow != nil { // its turn has come
+		r.loop.Later(c.conn)
+	}
 	if n > 0 {
 		c.conn.Flush()
 		switch {
 		case c.ending != "" && len(c.line) == 0:
 			c.finish(c.ending)
-		case c.router.stop.closing && c.router.successor == nil && c.between(): // a client without pauses would go on until the end is forced
+		case r.stop.closing && r.successor == nil && c.between(): // a client without pauses would go on until the end is forced
 			c.finish(transport.Stopping)
 		case full: // commands that have come meanwhile are read on
-			c.router.loop.Later(c.conn)
+			r.loop.Later(c.conn)
 		default:
 			c.attend(false)
 		}
@@ -257,8 +273,59 @@
 			o.move(abandoned)
 			r.balancer.Left(&o.Op)
 		}
+		if o.flow != nil && o.flow.link.push.state == flowing { // where calling off is not allowed it goes nowhere either
+			o.flow.link.push.callOff(transport.CalledOff)
+		}
 		o.reply.Free()
 		o.command.Value.Free()
+		r.release(&o.bulk)
+	}
+	r.release(&c.bulk)
+	if c.queued {
+		c.queued = false
+		r.waiting = slices.DeleteFunc(r.waiting, func(x *client) bool { return x == c })
+		r.admit() // the next may fit
+	}
+}
+
+// reserve sees to it that there is room for the long value that is on its way, and tells whether it may be read. Where
+// there is none, it waits behind those that wait already: half-read values would otherwise wait for each other.
+func (c *client) reserve() bool {
+	n := c.commands.Coming()
+	if n <= protocol.WholeMost || c.bulk > 0 || c.conn.In.Len() <= protocol.WholeMost { // a length alone reserves nothing
+		return true
+	}
+	if !c.queued {
+		c.queued = true
+		c.router.waiting = append(c.router.waiting, c)
+		c.router.admit()
+	}
+	return !c.queued
+}
+
+// admit lets those that wait for room read, in their order. One alone may always: the largest value may be more than the
+// part of the buffers that is for such.
+func (r *Router) admit() {
+	for len(r.waiting) > 0 {
+		c := r.waiting[0]
+		n := c.commands.Coming()
+		if r.bulk > 0 && float64(r.bulk+n) > float64(r.budget)*bulkShare {
+			return
+		}
+		r.waiting = r.waiting[1:]
+		r.bulk += n
+		c.bulk, c.queued = n, false
+		c.conn.Pause(false)
+		c.attend(true)
+	}
+}
+
+// release gives back what was reserved for a long value.
+func (r *Router) release(n *int) {
+	if *n > 0 {
+		r.bulk -= *n
+		*n = 0
+		r.admit()
 	}
 }
 
--- a/internal/routing/link.go
+++ b/internal/routing/link.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"errors"
 	"slices"
 
 	"larchthread/balance"
@@ -13,6 +14,7 @@
 
 const (
 	carried pushState = iota // it stands on a connection, perhaps still to be written
+	flowing                  // the value that answers it is being passed on
 	over                     // answered, given up, called off, or its connection is gone
 )
 
@@ -26,6 +28,7 @@
 	limit   transport.Timer
 	state   pushState
 	whole   bool            // its last byte has been written
+	took    float64         // ms until its answer began to flow
 	outcome balance.Outcome // of one called off
 }
 
@@ -35,13 +38,15 @@
 		return
 	}
 	p.state = to
-	h := p.link.host
-	h.pushes = slices.DeleteFunc(h.pushes, func(x *push) bool { return x == p })
 	p.router.loop.Stop(&p.limit)
+	if to == over {
+		h := p.link.host
+		h.pushes = slices.DeleteFunc(h.pushes, func(x *push) bool { return x == p })
+	}
 }
 
 // sent tells whether the last byte has been written: from then on the push may have run.
-func (p *push) sent() bool { return p.link.conn.Out.Len() == 0 }
+func (p *push) sent() bool { return p.link.rest.Over() && p.link.conn.Out.Len() == 0 }
 
 // unheard takes note of a push given up at a host that has answered nothing since it began. One called off sooner than a
 // connection may take to come up, as where its client went away, says nothing of the host.
@@ -80,6 +85,8 @@
 	conn   *transport.Conn
 	reader protocol.Reader
 	push   *push
+	rest   protocol.Sent   // of the push's value
+	flow   *flow           // of the value that answers the push, or nil
 	kept   bool            // it has carried a push before
 	heard  bool            // bytes have come since the push was written
 	coming transport.Timer // until it has to be up
@@ -131,16 +138,22 @@
 	l.host.pushes = append(l.host.pushes, p)
 	if f, ok := l.reader.(*protocol.Fetched); ok {
 		f.Write = p.op.command.Verb == protocol.Set
-		protocol.WriteFetch(&l.conn.Out, p.op.command, l.host.address.String())
+		l.rest = protocol.WriteFetch(&l.conn.Out, p.op.command, l.host.address.String())
 	} else {
-		protocol.WriteCommand(&l.conn.Out, p.op.command, max(1, int(limit)))
+		l.rest = protocol.WriteCommand(&l.conn.Out, p.op.command, max(1, int(limit)))
 	}
 	l.conn.Flush()
 }
 
-// wrote counts a push once its last byte is written.
+// wrote goes on with a long value, and counts a push once its last byte is written.
 func (l *link) wrote() {
-	if p := l.push; p != nil && !p.whole && p.sent() {
+	p := l.push
+	switch {
+	case p == nil:
+	case !l.rest.Over() && p.op.state != open: // the value is no more; half a command is of no use to the host
+		p.callOff(transport.CalledOff)
+	case l.conn.Out.Len() == 0 && l.rest.More(&l.conn.Out):
+	case !p.whole && p.sent():
 		p.whole = true
 		l.router.figures.Pushes++
 	}
@@ -167,7 +180,10 @@
 
 func (l *link) close(why transport.Reason) {
 	l.router.loop.Stop(&l.coming)
-	l.push = nil
+	if l.flow != nil {
+		l.flow.end()
+	}
+	l.push, l.rest = nil, protocol.Sent{}
 	l.reader.Free() // else the pool would count it as held for ever, and clients be closed for want of memory
 	l.host.idle = slices.DeleteFunc(l.host.idle, func(x *link) bool { return x == l })
 	l.conn.Close(why)
@@ -175,12 +191,21 @@
 
 // Received implements transport.Owner.
 func (l *link) Received(c *transport.Conn) {
-	if l.push == nil { // nothing was asked
+	switch {
+	case l.push == nil && c.In.Len() == 0: // a flow took what was read with it
+		return
+	case l.push == nil: // nothing was asked
 		l.close(transport.BadInput)
 		return
+	case l.flow != nil:
+		l.flow.advance()
+		return
 	}
 	l.heard = true
 	a, err := l.reader.Next(&c.In)
+	if err == nil && l.reader.Held() > protocol.WholeMost && l.router.loop.Pool.Held() > l.router.budget/2 {
+		err = errNoRoom
+	}
 	switch {
 	case err != nil:
 		l.router.log.Warn("answer not understood", "peer", l.host.Name, "error", err)
@@ -190,17 +215,28 @@
 	}
 }
 
+var errNoRoom = errors.New("a long body without a length, and no memory to hold it")
+
 // Ended implements transport.Owner.
 func (l *link) Ended(c *transport.Conn, why transport.Reason) {
-	if why == transport.Shed && l.push != nil {
+	switch {
+	case why == transport.Shed && l.push != nil:
 		l.push.callOff(why)
 		return
+	case l.flow != nil:
+		l.flow.hostEnded(why)
+		return
+	case why == transport.PeerClosed && l.push != nil:
+		if a := l.reader.End(); a != nil {
+			l.answered(a)
+			return
+		}
 	}
 	o := balance.Broken
 	switch {
 	case why == transport.OutOfSockets:
 		o = balance.NotSent
-	case c.Out.Len() > 0: // its last byte was never written
+	case l.push != nil && !l.push.sent(): // its last byte was never written
 		o = balance.NoConn
 	case l.kept && !l.heard:
 		o = balance.Stale
@@ -211,27 +247,25 @@
 // answered takes the answer to the push.
 func (l *link) answered(a *protocol.Answer) {
 	p, op := l.push, l.push.op
-	if !a.To(op.command) {
+	if !a.To(op.command) || a.Flows > 0 && !p.sent() {
 		a.Value.Free()
 		l.fail(transport.WrongAnswer, balance.Spoilt)
 		return
 	}
 	l.host.silent, l.host.heard = false, l.router.loop.Now()
-	p.move(over)
-	l.push, l.kept = nil, true
-	l.conn.Used = l.router.loop.Now()
 	switch {
-	case l.conn.In.Len() > 0: // more than was asked for: it would be taken for the next op's answer
-		l.close(transport.BadInput)
-	case a.Close:
-		l.close(transport.LastAnswer)
-	case !l.host.Usable() || l.conn.Peer() != l.host.address:
-		l.close(transport.Unlisted)
-	default:
-		l.host.idle = append(l.host.idle, l)
+	case a.Kind == protocol.Value && a.Flows > 0 && op.state == open && op.flow == nil:
+		l.begin(a)
+		return
+	case a.Flows > 0: // nobody wants it
+		p.callOff(transport.CalledOff)
+		return
 	}
+	p.move(over)
+	l.push = nil
+	l.spare(a.Close)
 	if a.Kind == protocol.Value || a.Kind == protocol.Receipt {
-		if op.state == open {
+		if op.state == open && op.flow == nil {
 			l.router.tallies[op.Category].Acked++
 			protocol.WriteAnswer(&op.reply, op.command, a)
 			op.client.answer(op)
@@ -244,6 +278,22 @@
 	l.router.ended(p, outcomes[a.Kind], a.Load...)
 }
 
+// spare keeps the connection for the next push, if it is good for one.
+func (l *link) spare(last bool) {
+	l.kept = true
+	l.conn.Used = l.router.loop.Now()
+	switch {
+	case l.conn.In.Len() > 0: // more than was asked for: it would be taken for the next op's answer
+		l.close(transport.BadInput)
+	case last:
+		l.close(transport.LastAnswer)
+	case !l.host.Usable() || l.conn.Peer() != l.host.address:
+		l.close(transport.Unlisted)
+	default:
+		l.host.idle = append(l.host.idle, l)
+	}
+}
+
 var outcomes = map[protocol.Kind]balance.Outcome{protocol.Value: balance.Served, protocol.Receipt: balance.Served,
 	protocol.Miss: balance.Missed, protocol.Busy: balance.Refused, protocol.Failure: balance.Failed,
 	protocol.Refusal: balance.Rejected}
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -20,18 +20,20 @@
 )
 
 const (
-	idleShare   = 0.9     // part of the time that hosts keep idle connections for which they are used: a push takes a while to arrive
-	connectFor  = 250.0   // ms in which a connection has to come up where the start does not say: some round trips, one lost packet
-	memoryShare = 0.4     // part of the memory that buffers may take; the rest is the heap's and its collector's
-	lineMost    = 256     // commands of one connection without an answer at which reading stops: well over what a client needs
-	replyMost   = 1 << 20 // bytes of answers not taken at which reading stops: a dozen of the largest
-	stall       = 25.0    // ms between two rounds, over twice the timer's period, that tell of a stall
-	restFor     = 2000.0  // ms for the rest of a command, or the first op of a connection: clients of any use take some round trips
-	restShare   = 6       // one in so many sockets may be a client's with nothing open: clients hold a third in all
-	idleFor     = 2100.0  // ms that a client's connection with nothing open is kept: it may be closed after 2 s
-	pastMost    = 4096    // ids of hosts no longer known that operators may still name: some days of replacements, in little memory
-	goneFor     = 20000.0 // ms that a host is known after it has gone: a list that forgets one by mistake has it back by then
-	stuckFor    = 5000.0  // ms without progress after which a half command or answer counts as abandoned: over any TTL
+	idleShare   = 0.9      // part of the time that hosts keep idle connections for which they are used: a push takes a while to arrive
+	connectFor  = 250.0    // ms in which a connection has to come up where the start does not say: some round trips, one lost packet
+	memoryShare = 0.4      // part of the memory that buffers may take; the rest is the heap's and its collector's
+	lineMost    = 256      // commands of one connection without an answer at which reading stops: well over what a client needs
+	replyMost   = 1 << 20  // bytes of answers not taken at which reading stops: a dozen of the largest
+	flowMost    = 64 << 10 // bytes of a long value that wait for the client: what a short one may have
+	bulkShare   = 0.5      // part of the buffers that long values of writes may take together
+	stall       = 25.0     // ms between two rounds, over twice the timer's period, that tell of a stall
+	restFor     = 2600.0   // ms for the rest of a command, or the first op of a connection: a slow client takes 2 s for a head
+	restShare   = 6        // one in so many sockets may be a client's with nothing open: clients hold a third in all
+	idleFor     = 2100.0   // ms that a client's connection with nothing open is kept: it may be closed after 2 s
+	pastMost    = 4096     // ids of hosts no longer known that operators may still name: some days of replacements, in little memory
+	goneFor     = 20000.0  // ms that a host is known after it has gone: a list that forgets one by mistake has it back by then
+	stuckFor    = 5000.0   // ms without progress after which a half command or answer counts as abandoned: over any TTL
 
 	watchFirst = 1      // ms that the first call of a watch waits: its answer tells that the watch stands
 	firstMost  = 3000.0 // ms for its answer: discovery takes new calls in turn, which lasts a second or so
@@ -63,6 +65,8 @@
 	atRest     resting
 	restMost   int            // clients with nothing open that may stay
 	ops        map[string]*op // by id, those without an answer
+	bulk       int            // bytes reserved for long values of writes
+	waiting    []*client      // those whose long value has no room yet, first come first
 	watch      watch
 	wake       transport.Timer
 	past       past
@@ -257,5 +261,9 @@
 			report = r.params.Report(report, a.Name, v)
 		}
 	}
-	r.balancer.Ended(p.Push, o, r.loop.Now()-p.began, p.op.state != open, report)
+	spent := r.loop.Now() - p.began
+	if p.took > 0 { // a long value counts by its first bytes
+		spent = p.took
+	}
+	r.balancer.Ended(p.Push, o, spent, p.op.state != open, report)
 }
--- a/internal/transport/buffer.go
+++ b/internal/transport/buffer.go
@@ -72,10 +72,16 @@
 // WriteString appends a string.
 func (c *Chain) WriteString(s string) { c.Write([]byte(s)) }
 
-// Copy appends what d holds and leaves d as it is.
-func (c *Chain) Copy(d *Chain) {
+// CopyPart appends n bytes of what d holds, from the byte at on, and leaves d as it is.
+func (c *Chain) CopyPart(d *Chain, at, n int) {
 	for _, b := range d.bufs {
-		c.Write(b.data[b.r:b.w])
+		part := b.data[b.r:b.w]
+		skip := min(at, len(part))
+		part = part[skip:]
+		part = part[:min(n, len(part))]
+		at -= skip
+		n -= len(part)
+		c.Write(part)
 	}
 }
 
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -35,6 +35,7 @@
 	WatchMoved   Reason = "watch-moved"     // the configuration names another address
 	WatchOverdue Reason = "watch-timeout"   // discovery did not answer in time
 	NoList       Reason = "no-list"         // discovery answered with something else than a list
+	HalfAnswer   Reason = "half-answer"     // the value that was passed on broke off
 	PassedOn     Reason = "passed-on"       // the process that takes over has it
 	OutOfSockets Reason = "out-of-sockets"  // none was to be had
 )
