--- a/cmd/larchthread/main_test.go
+++ b/cmd/larchthread/main_test.go
@@ -41,6 +41,7 @@
 	changed chan string // the answer to a watch
 	process *exec.Cmd
 	watched string // discovery's address
+	tmp     string // folder where two processes find each other; empty for the usual one
 	listen  string
 	admin   string // operators' address, where there is one
 	path    string // of the configuration
@@ -243,6 +244,9 @@
 func (f *fleet) run() *exec.Cmd {
 	p := exec.Command(os.Args[0])
 	p.Env = append(os.Environ(), "LARCHTHREAD_SERVE=1", "RELAY_CONFIG="+f.path)
+	if f.tmp != "" {
+		p.Env = append(p.Env, "TMPDIR="+f.tmp)
+	}
 	p.Stderr = &f.log
 	if f.logTo != nil {
 		p.Stderr = f.logTo
@@ -1676,3 +1680,83 @@
 	// CLIENT_ERROR the rest of the command did not come
 	// CLIENT_ERROR ms: length "4194305", want 0 to 4194304
 }
+
+// Upgrades amid other troubles: a folder whose path is longer than a socket's may be, a socket left behind by a process that
+// was killed, an old process killed before it was told to go, a new configuration for both, and two successors at once.
+// Each ends in one balancer that serves.
+func Example_upgradeAmidTroubles() {
+	f := &fleet{admin: freeAddress(), tmp: filepath.Join(os.TempDir(), strings.Repeat("long", 30), fmt.Sprint(os.Getpid()))}
+	os.MkdirAll(f.tmp, 0o700)
+	defer os.RemoveAll(filepath.Dir(f.tmp))
+	f.host("a", hit)
+	f.origin(fetch)
+	f.start()
+	defer f.stop()
+	n := 0
+	serves := func(what string) {
+		n++
+		fmt.Println(what)
+		f.client().say(2, fmt.Sprintf("mg k v O%d Pc=read,d=900\r\n", n))
+	}
+	f.upgrade()
+	serves("a long path")
+	f.process.Process.Kill()
+	f.process.Wait()
+	f.process = f.beside()
+	serves("a socket left behind")
+	second := f.beside()
+	for _, p := range []*exec.Cmd{f.process, second} {
+		p.Process.Signal(syscall.SIGHUP)
+	}
+	f.process.Process.Kill()
+	f.process.Wait()
+	f.process = second
+	serves("the old one killed, both told of a new configuration")
+	var both [2]*exec.Cmd
+	var at [2]string
+	usual := f.path
+	for i := range both {
+		f.path, f.admin = fmt.Sprint(usual, i), freeAddress()
+		defer os.Remove(f.path)
+		f.write(f.watched)
+		both[i], at[i] = f.run(), f.admin
+	}
+	f.path = usual
+	for i := range both {
+		f.admin = at[i]
+		for range 500 {
+			if f.call("GET", "/status", "") == "200 serving" {
+				break
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+		fmt.Println(f.call("GET", "/status", ""))
+	}
+	last := both[0]
+	f.process.Process.Signal(syscall.SIGTERM)
+	fmt.Println("the old one ends:", f.process.Wait())
+	both[1].Process.Signal(syscall.SIGTERM) // whichever was last: the other has its place, or takes it back
+	fmt.Println("one of the two ends:", both[1].Wait())
+	f.process, f.admin = last, at[0]
+	serves("two successors at once")
+	fmt.Println(f.call("GET", "/status", ""))
+	// Output:
+	// the old one ends: <nil>
+	// a long path
+	// VA 5 O1
+	// value
+	// a socket left behind
+	// VA 5 O2
+	// value
+	// the old one killed, both told of a new configuration
+	// VA 5 O3
+	// value
+	// 200 serving
+	// 200 serving
+	// the old one ends: <nil>
+	// one of the two ends: <nil>
+	// two successors at once
+	// VA 5 O4
+	// value
+	// 200 serving
+}
