A new process is told of maintenance only once its door is open; one that stands still loses its turn

Cause, found by rereading: a word on maintenance to a new process before the hand-over bound that one alone, for the two were not partners yet; its yes would have left the old one sending. And an heir that never said ready kept every later one waiting. Tests: processes of other versions, and ones that hang up or talk nonsense in the middle of a hand-over.

--- a/cmd/larchthread/main_test.go
+++ b/cmd/larchthread/main_test.go
@@ -1760,3 +1760,57 @@
 	// value
 	// 200 serving
 }
+
+// A process of another version refuses, or is refused, without harm: the two share the address. One that hangs up in the middle
+// of handing over, or talks nonsense, is given up as well.
+func Example_upgradeAcrossVersions() {
+	f := &fleet{admin: freeAddress(), tmp: filepath.Join(os.TempDir(), fmt.Sprint("across", os.Getpid()))}
+	os.MkdirAll(f.tmp, 0o700)
+	defer os.RemoveAll(f.tmp)
+	f.host("a", hit)
+	f.origin(fetch)
+	f.start()
+	defer f.stop()
+	box := filepath.Join(f.tmp, "larchthread-"+strings.ReplaceAll(f.listen, ":", "-"))
+	newer, err := net.Dial("unixpacket", box)
+	if err != nil {
+		fmt.Println(err)
+		return
+	}
+	io.WriteString(newer, `{"word":"hello","version":2}`)
+	letter := make([]byte, 1<<16)
+	n, _ := newer.Read(letter)
+	fmt.Println(string(letter[:n]))
+	newer.Close()
+	for _, last := range []string{`{"word":"refused","version":2,"why":"another version"}`, `{"word":"list","list":{"revision":9,"members":[]}}`,
+		`{"word":"door"}`, `nonsense`} {
+		os.Remove(box)
+		l, err := net.Listen("unixpacket", box)
+		if err != nil {
+			fmt.Println(err)
+			return
+		}
+		go func() {
+			c, _ := l.Accept()
+			c.Read(letter)
+			io.WriteString(c, last)
+			c.Close()
+		}()
+		old := f.process
+		f.process = f.beside()
+		l.Close()
+		old.Process.Kill()
+		old.Wait()
+		f.client().say(2, "mg k v O1 Pc=read,d=900\r\n")
+	}
+	// Output:
+	// {"word":"refused","version":1,"why":"another version"}
+	// VA 5 O1
+	// value
+	// VA 5 O1
+	// value
+	// VA 5 O1
+	// value
+	// VA 5 O1
+	// value
+}
--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -109,9 +109,13 @@
 
 // maintain takes a cache host out of use, or puts it back.
 func (d *desk) maintain(id string, out bool, answer func(status int, text string)) {
-	if id == "" {
+	switch {
+	case id == "":
 		answer(http.StatusBadRequest, "the body is to hold the id of a cache host")
 		return
+	case d.router.Door() == nil: // the process before is not bound yet by what this one is told
+		answer(http.StatusServiceUnavailable, "the door is not open yet")
+		return
 	}
 	d.router.Ban(id, out, func(err error) {
 		d.log.Info("maintenance", "host", id, "out", out, "error", err)
--- a/internal/takeover/heir.go
+++ b/internal/takeover/heir.go
@@ -15,6 +15,7 @@
 	*Takeover
 	post  *transport.Post
 	ready bool // it serves
+	limit transport.Timer
 	bans  bans
 }
 
@@ -38,6 +39,7 @@
 	case h.after != h:
 	case l.Word == "ready":
 		h.ready = true
+		h.loop.Stop(&h.limit)
 		if h.box != nil {
 			h.box.Close()
 			h.box = nil
@@ -58,6 +60,11 @@
 	}
 	h.after = h
 	h.shared()
+	h.limit.Fire = func() { // one that stands still must not keep the next from its turn
+		h.post.Close()
+		h.Lost(h.post, nil)
+	}
+	h.loop.Set(&h.limit, askMost)
 	open, most := h.loop.Sockets()
 	own := max(most/2, min(open+most/headroom, most-most/headroom))
 	h.loop.Most(own)
@@ -81,6 +88,7 @@
 	}
 	h.log.Warn("the process that was to take over is gone", "served", h.ready)
 	h.after = nil
+	h.loop.Stop(&h.limit)
 	h.bans.lost(h.loop)
 	if h.ready {
 		h.router.Succeed(nil)
