--- a/balance/balance.go
+++ b/balance/balance.go
@@ -123,6 +123,7 @@
 	wakeAt, ticked          float64        // ms, when the timer calls next, and when hosts were looked at
 	fetches                 map[string]*fetch
 	fleet, origin           gate
+	yielded                 bool // cold hosts are another process's
 	dues                    dues
 	usual                   float64 // smoothed over all hosts, what slow is smoothed of for each
 	keep                    float64 // ms for which an idle connection is kept
@@ -501,8 +502,8 @@
 // hundred at once would push the host over.
 func (b *Balancer) afford(h *Host) bool {
 	share := b.warmth(h)
-	if share >= 1 {
-		return true
+	if share >= 1 || b.yielded {
+		return share >= 1
 	}
 	if b.now-h.budgeted >= b.TipFor {
 		// With no warm host to go by, as after all restarted at once, a host takes at least one op after
@@ -696,7 +697,7 @@
 func (b *Balancer) end(op *Op) float64 { return op.Due - tick - settleTicks*b.Quantum }
 
 // route sends an op on its ordinary way: writes of an aside fleet to the origin, all else to the cycle.
-// While the key is being fetched a push could only miss, so the op waits for it. The last push is the origin's,
+// While the key is being fetched a push could only miss, so the op waits. The last push is the origin's,
 // as is the first where hosts are listed and none is ready: held, the op would only be late.
 func (b *Balancer) route(op *Op) {
 	switch f := b.fetches[op.Key]; {
--- a/cmd/larchthread/main.go
+++ b/cmd/larchthread/main.go
@@ -88,7 +88,7 @@
 		return nil, router.Listen(told.Listen, false)
 	}
 	if err := admin.Serve(loop, log, told.Admin, router); err != nil {
-		return nil, err
+		return nil, fmt.Errorf("admin: %w", err)
 	}
 	return takeover.Begin(loop, log, router, told.Listen, os.TempDir(), share)
 }
--- a/internal/params/params_test.go
+++ b/internal/params/params_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"os"
 	"strings"
 )
 
@@ -51,3 +52,29 @@
 	// false params.zone: "c" is not among zones
 	// false params.costs: crossZone -1, origin 0, want 0 or more
 }
+
+// The operators' address may stand in the start file or in the environment, or nowhere. A bad one is named.
+func Example_admin() {
+	read := func(admin, environment string) {
+		os.Setenv("RELAY_ADMIN", environment)
+		defer os.Unsetenv("RELAY_ADMIN")
+		t, err := readTold([]byte(`{"listen":"127.0.0.1:1","discovery":"127.0.0.1:2","seed":"7",` + admin +
+			`"limits":{"memory_mb":1,"sockets":99},"settings":` + usual + `}`))
+		if err != nil {
+			fmt.Println(err)
+			return
+		}
+		fmt.Println(t.Admin.IsValid(), t.Admin)
+	}
+	read("", "")
+	read(`"admin":"127.0.0.1:3",`, "")
+	read(`"admin":"127.0.0.1:3",`, "127.0.0.1:4")
+	read("", "127.0.0.1:4")
+	read(`"admin":"here",`, "")
+	// Output:
+	// false invalid AddrPort
+	// true 127.0.0.1:3
+	// true 127.0.0.1:3
+	// true 127.0.0.1:4
+	// admin: "here", want an address with a port
+}
--- a/internal/routing/upgrade.go
+++ b/internal/routing/upgrade.go
@@ -45,6 +45,8 @@
 	r.partner, r.budget = p, r.memory
 	if p != nil {
 		r.budget /= 2
+	} else {
+		r.balancer.Yield(false)
 	}
 }
 
@@ -52,6 +54,7 @@
 // stop on passes its clients on.
 func (r *Router) Succeed(s Successor) {
 	r.successor = s
+	r.balancer.Yield(s != nil)
 	r.door.Rest(s != nil)
 	r.loop.Again()
 }
@@ -76,8 +79,15 @@
 	return l, append(slices.Clone(r.past.order), past...), banned
 }
 
+// Learned is what the balancer has learned, in parts of so many hosts. From then on its budgets for cold hosts are another
+// process's.
+func (r *Router) Learned(most int) []balance.Learned {
+	r.balancer.Yield(true)
+	return r.balancer.Learned().Split(most)
+}
+
 // Adopt takes what another process knows of hosts.
-func (r *Router) Adopt(l *protocol.List, past, banned []string) {
+func (r *Router) Adopt(l *protocol.List, past, banned []string, learned []balance.Learned) {
 	for _, id := range past {
 		if r.hosts[id] == nil {
 			r.past.add(id)
@@ -87,6 +97,9 @@
 		r.watch.revision = l.Revision
 		r.list(l, true, true)
 	}
+	for _, part := range learned {
+		r.balancer.Resume(part)
+	}
 	for _, id := range banned {
 		r.past.add(id)
 		r.TakeBan(id, true)
--- a/internal/takeover/ancestor.go
+++ b/internal/takeover/ancestor.go
@@ -5,6 +5,7 @@
 
 	"golang.org/x/sys/unix"
 
+	"larchthread/balance"
 	"larchthread/internal/protocol"
 	"larchthread/internal/transport"
 )
@@ -12,12 +13,13 @@
 // ancestor is the running process, as the new one sees it.
 type ancestor struct {
 	*Takeover
-	post   *transport.Post
-	list   protocol.List // as far as it has come
-	past   []string
-	banned []string
-	served bool // its place is taken
-	bans   bans
+	post    *transport.Post
+	list    protocol.List // as far as it has come
+	past    []string
+	banned  []string
+	learned []balance.Learned
+	served  bool // its place is taken
+	bans    bans
 }
 
 // Took implements transport.Correspondent.
@@ -34,6 +36,8 @@
 	case l.Word == "past":
 		a.past = append(a.past, l.Past...)
 		a.banned = append(a.banned, l.Banned...)
+	case l.Word == "learned" && l.Learned != nil:
+		a.learned = append(a.learned, *l.Learned)
 	case l.Word == "door" && fd >= 0 && !a.served:
 		a.inherit(fd, l.Sockets)
 		return
@@ -61,7 +65,7 @@
 func (a *ancestor) inherit(fd, sockets int) {
 	a.loop.Stop(&a.limit)
 	a.loop.Most(min(sockets, a.sockets))
-	a.router.Adopt(&a.list, a.past, a.banned)
+	a.router.Adopt(&a.list, a.past, a.banned, a.learned)
 	if err := a.router.Inherit(fd); err != nil {
 		a.giveUp(err.Error())
 		return
--- a/internal/takeover/heir.go
+++ b/internal/takeover/heir.go
@@ -78,6 +78,9 @@
 	for part := range slices.Chunk(banned, idsMost) {
 		send(h.post, letter{Word: "past", Banned: part}, -1)
 	}
+	for _, part := range h.router.Learned(idsMost) {
+		send(h.post, letter{Word: "learned", Learned: &part}, -1)
+	}
 	send(h.post, letter{Word: "door", Sockets: max(most-own-spareLike, most/headroom)}, door)
 }
 
