Inventory files: CSV and YAML to one list of hosts, refused whole and by line

Need: fleets are described by hand, in either form, as configuration tools keep them. Nothing of it is called by the balancer yet.

--- /dev/null
+++ b/internal/inventory/inventory_test.go
@@ -0,0 +1,227 @@
+package inventory
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"reflect"
+	"strings"
+	"testing"
+
+	"larchthread/balance"
+)
+
+// show reads a text and prints what comes of it.
+func show(name, text string) {
+	hosts, err := Read(name, []byte(text))
+	if err != nil {
+		fmt.Println(err)
+		return
+	}
+	for _, h := range hosts {
+		fmt.Println(h.ID, h.rest(), "from line", h.Line)
+	}
+}
+
+// Columns come in any order and some may be missing; quotes, a byte-order mark, mixed line endings and notes do no harm.
+func ExampleRead_csv() {
+	show("a.csv", "\ufeffKind,address,id,weight\r\n# the first site\nfull, 10.0.0.2:11211 ,b,\"1.5\"\rsmall,[::1]:11211,\"a\",\n")
+	// Output:
+	// a [::1]:11211  small 1 from line 4
+	// b 10.0.0.2:11211  full 1.5 from line 3
+}
+
+// Anchors and merges are followed; what a host says itself goes before what is merged in.
+func ExampleRead_yaml() {
+	show("a.yaml", `
+x-usual: &usual {zone: nashua, kind: full, weight: 2}
+hosts:
+  - {<<: *usual, id: b, address: "10.0.0.2:11211"}
+  - id: a
+    weight: 1
+    address: 10.0.0.1:11211
+    <<: [*usual, {kind: small}]
+`)
+	// Output:
+	// a 10.0.0.1:11211 nashua full 1 from line 5
+	// b 10.0.0.2:11211 nashua full 2 from line 4
+}
+
+// Whatever is wrong, the file is refused whole, and each line at fault is named.
+func ExampleRead_refused() {
+	for _, text := range []string{"", "id,address\n", "id,zone\na,z\n", "id,address,adress,id\n", "id,address\na,10.0.0.1:1,z\nb\n",
+		"id,address,weight\na,10.0.0.1:1,0\nb,10.0.0.1:1,1e9\na,cache3.nashua.example.org:1,NaN\n,10.0.0.2:0,\n",
+		"id,address\na,10.0.0.1:1\na,10.0.0.1:1\n", "id,address\n\"a,10.0.0.1:1\n", "id,address,zone\na,10.0.0.1:1,a\x00b\n"} {
+		show("f.csv", text)
+	}
+	for _, text := range []string{"- a\n", "hosts: 3\n", "hosts: []\n", "host: []\n", "hosts:\n  - id: a\n    adress: b\n", "hosts: [3]\n",
+		"hosts:\n  - {id: a, id: b, address: [1]}\n", "hosts: [\n", "a: &a [*a]\n", "hosts: []\n---\nhosts: []\n", "hosts: *b\n",
+		"x-a: &a {<<: *a}\nhosts:\n - *a\n"} {
+		show("f.yml", text)
+	}
+	show("f.json", "{}")
+	// Output:
+	// f.csv: empty
+	// f.csv: no hosts
+	// f.csv:1: column "address" is missing
+	// f.csv:1: unknown field "adress", want id, address, zone, kind, weight
+	// f.csv:1: column "id" stands twice
+	// f.csv:2: 3 fields, want 2
+	// f.csv:3: 1 fields, want 2
+	// f.csv:2: weight: "0", want a number above 0, 1000 at the most
+	// f.csv:3: weight: "1e9", want a number above 0, 1000 at the most
+	// f.csv:4: address: "cache3.nashua.example.org:1", want an IP address with a port
+	// f.csv:4: weight: "NaN", want a number above 0, 1000 at the most
+	// f.csv:5: id: missing
+	// f.csv:5: address: "10.0.0.2:0", want an IP address with a port
+	// f.csv:3: id: "a" stands in line 2 already
+	// f.csv:3: address: 10.0.0.1:1 stands in line 2 already
+	// f.csv:2: extraneous or missing " in quoted-field
+	// f.csv:2: zone: "a\x00b", want 128 bytes at the most and no blanks
+	// f.yml:1: want a mapping with the key hosts
+	// f.yml:1: hosts: want a list
+	// f.yml: no hosts
+	// f.yml:1: unknown key "host", want hosts, or names that begin with x-
+	// f.yml:1: hosts: missing
+	// f.yml:2: address: missing
+	// f.yml:3: unknown field "adress", want id, address, zone, kind, weight
+	// f.yml:1: want a mapping with the fields id, address, zone, kind, weight
+	// f.yml:2: id: stands twice
+	// f.yml:2: address: want one value
+	// f.yml:1: did not find expected node content
+	// f.yml:1: unknown key "a", want hosts, or names that begin with x-
+	// f.yml:1: hosts: missing
+	// f.yml:2: more than one document
+	// f.yml: unknown anchor 'b' referenced
+	// f.yml:3: want a mapping with the fields id, address, zone, kind, weight
+	// f.json: unknown form ".json", want .csv, .yaml or .yml
+}
+
+// A small file whose aliases stand for millions of hosts is refused in good time.
+func ExampleRead_bomb() {
+	text := "x-0: &a0 {id: a, address: '10.0.0.1:1'}\n"
+	for i := range 9 {
+		text += fmt.Sprintf("x-%d: &a%d {<<: [%s]}\n", i+1, i+1, strings.TrimSuffix(strings.Repeat(fmt.Sprintf("*a%d,", i), 10), ","))
+	}
+	_, err := Read("f.yaml", []byte(text+"hosts: [*a9]\n"))
+	fmt.Println(len(err.Error()) < 4000, strings.Contains(err.Error(), "f.yaml:"))
+	_, err = Read("f.yaml", []byte(text[:strings.Index(text, "x-7")]+"hosts: ["+strings.Repeat("*a6,", 9)+"*a6]\n"))
+	fmt.Println(strings.Contains(err.Error(), "aliases followed"))
+	// Output:
+	// true true
+	// true
+}
+
+// What a change changes, host by host.
+func ExampleDiff() {
+	old, _ := Read("f.csv", []byte("id,address,weight\na,10.0.0.1:1,1\nb,10.0.0.2:1,1\nc,10.0.0.3:1,1\n"))
+	new, _ := Read("f.yaml", []byte("hosts:\n- {id: c, address: '10.0.0.3:1', weight: 2}\n- {id: d, address: '10.0.0.4:1'}\n- {id: a, address: '10.0.0.1:1'}\n"))
+	for _, c := range Diff(old, new) {
+		fmt.Println(c)
+	}
+	fmt.Println(len(Diff(new, new)))
+	// Output:
+	// - b 10.0.0.2:1   1
+	// ~ c 10.0.0.3:1   1 -> 10.0.0.3:1   2
+	// + d 10.0.0.4:1   1
+	// 0
+}
+
+// port notes where ops go.
+type port struct{ went []string }
+
+func (p *port) Push(b *balance.Push, _ float64) { p.went = append(p.went, b.Host.Name) }
+func (p *port) Cancel(*balance.Push)            {}
+func (p *port) Nack(*balance.Op, float64)       { p.went = append(p.went, "nack") }
+func (p *port) DeadLetter(*balance.Op)          { p.went = append(p.went, "dead letter") }
+func (p *port) Wake(float64)                    {}
+func (p *port) Watch()                          {}
+func (p *port) HangUp(*balance.Host)            {}
+
+// The same fleet in both forms routes alike, key by key.
+func Example_routesAlike() {
+	csv, yml := "weight,id,address\n", "hosts:\n"
+	for i := range 30 {
+		csv += fmt.Sprintf("%d,cache%d,10.0.0.%d:11211\n", 1+i%3, i, i+1)
+		yml = fmt.Sprintf("%s- {address: 10.0.0.%d:11211, weight: %d, id: cache%d}\n", yml, 30-i, 1+(29-i)%3, 29-i)
+	}
+	var went [2][]string
+	for i, file := range []struct{ name, text string }{{"f.csv", csv}, {"f.yml", yml}} {
+		hosts, err := Read(file.name, []byte(file.text))
+		if err != nil {
+			fmt.Println(err)
+			return
+		}
+		p := &port{}
+		read := &balance.Category{Target: 100, Benefit: 1, Tardy: 0.5}
+		b := balance.New(balance.Start{Seed: 1, Categories: []*balance.Category{read}, Group: 1, MostPushes: 3, ConnIdle: 1000}, p, 0)
+		var entries []balance.Entry
+		for _, h := range hosts {
+			entries = append(entries, balance.Entry{Host: &balance.Host{Name: h.ID}, Listing: balance.Listing{Size: h.Weight}})
+		}
+		b.List(entries, true, false)
+		for k := range 5000 {
+			op := &balance.Op{Category: read, Key: fmt.Sprint("key", k), Due: 500}
+			n := len(p.went)
+			if b.Arrive(op); k%200 != 0 && len(p.went) > n { // some stay out, so that hosts fill
+				b.Left(op)
+			}
+		}
+		went[i] = p.went
+	}
+	fmt.Println(len(went[0]) >= 5000, reflect.DeepEqual(went[0], went[1]))
+	// Output:
+	// false true
+}
+
+// Whatever the text, it is read or refused without a panic, and what is read is whole.
+func FuzzRead(f *testing.F) {
+	for _, form := range []string{".csv", ".yaml"} {
+		f.Add(form, "id,address,zone\na,10.0.0.1:1,z\n")
+		f.Add(form, "x-a: &a {zone: z}\nhosts:\n- {<<: *a, id: a, address: '10.0.0.1:1'}\n")
+	}
+	f.Fuzz(func(t *testing.T, form, text string) {
+		hosts, err := Read("f"+form, []byte(text))
+		if (err == nil) == (len(hosts) == 0) {
+			t.Fatal(hosts, err)
+		}
+		for i, h := range hosts {
+			if h.ID == "" || !h.Address.IsValid() || !(h.Weight > 0) || i > 0 && hosts[i-1].ID >= h.ID {
+				t.Fatalf("%+v", hosts)
+			}
+		}
+	})
+}
+
+func BenchmarkRead(b *testing.B) {
+	for _, n := range []int{10, 100, 1000} {
+		csv, yml := "id,address,zone,kind,weight\n", "hosts:\n"
+		for i := range n {
+			csv += fmt.Sprintf("cache%d,10.0.%d.%d:11211,nashua,full,1\n", i, i/200, i%200+1)
+			yml += fmt.Sprintf("- {id: cache%d, address: '10.0.%d.%d:11211', zone: nashua, kind: full}\n", i, i/200, i%200+1)
+		}
+		for name, text := range map[string]string{"f.csv": csv, "f.yml": yml} {
+			b.Run(fmt.Sprint(filepath.Ext(name), n), func(b *testing.B) {
+				for b.Loop() {
+					if _, err := Read(name, []byte(text)); err != nil {
+						b.Fatal(err)
+					}
+				}
+			})
+		}
+	}
+}
+
+// A file of the deployment's is read from a folder as it stands there.
+func ExampleLoad() {
+	path := filepath.Join(os.TempDir(), fmt.Sprint("fleet-", os.Getpid(), ".csv"))
+	defer os.Remove(path)
+	os.WriteFile(path, []byte("id,address\na,10.0.0.1:1\n"), 0o600)
+	hosts, err := Load(path)
+	fmt.Println(len(hosts), err)
+	_, err = Load(path + "x")
+	fmt.Println(strings.Replace(err.Error(), path, "f.csv", 2))
+	// Output:
+	// 1 <nil>
+	// f.csvx: no such file or directory
+}
