--- a/cmd/larchthread/main.go
+++ b/cmd/larchthread/main.go
@@ -21,12 +21,7 @@
 	heapGrow  = 400  // per cent that the heap grows between two collections: it is small, and pauses cost time
 )
 
-func main() {
-	if err := serve(os.Getenv("RELAY_CONFIG")); err != nil {
-		fmt.Fprintln(os.Stderr, "larchthread:", err)
-		os.Exit(1)
-	}
-}
+func main() { os.Exit(execute(command())) }
 
 // serve runs the balancer that the start file describes, until it is told to stop.
 func serve(path string) error {
