Watched inventory files: a fleet by hand in place of discovery, whole lists or none

Need: installations that keep their host list in files edit it while the balancer serves.

Hosts that come later than the first list count as cold.

Seen on the way: a file cut in the middle of its last word was read with another kind for a host; a file without a last line end is refused now.

Tests: 1,500 torn and wrong files under load with no partial list, a vanished file, nothing new to a removed host after 500 ms, and its return; which hosts are cold.

--- a/cmd/larchthread/commands.go
+++ b/cmd/larchthread/commands.go
@@ -23,8 +23,9 @@
 
 // command is the program's command line. Without a word it serves, as it did before there were words.
 func command() *cobra.Command {
+	own := ""
 	run := func(*cobra.Command, []string) error {
-		if err := serve(os.Getenv("RELAY_CONFIG")); err != nil {
+		if err := serve(os.Getenv("RELAY_CONFIG"), own); err != nil {
 			fmt.Fprintln(os.Stderr, "larchthread:", err)
 			return exit(exitFound)
 		}
@@ -34,8 +35,10 @@
 		SilenceErrors: true, SilenceUsage: true, RunE: run,
 		Example: "  RELAY_CONFIG=/run/balancer/config.json larchthread\n  larchthread inventory check fleet.csv"}
 	root.CompletionOptions.DisableDefaultCmd = true
-	root.AddCommand(&cobra.Command{Use: "serve", Short: "Serve, by the start file that RELAY_CONFIG names", Args: cobra.NoArgs, RunE: run},
-		inventoryCommand())
+	serving := &cobra.Command{Use: "serve", Short: "Serve, by the start file that RELAY_CONFIG names", Args: cobra.NoArgs, RunE: run,
+		Example: "  RELAY_CONFIG=/run/balancer/config.json larchthread serve --own deploy/own.yaml"}
+	serving.Flags().StringVar(&own, "own", "", "the installation's own file: where the inventory stands")
+	root.AddCommand(serving, inventoryCommand())
 	return root
 }
 
--- a/cmd/larchthread/commands_test.go
+++ b/cmd/larchthread/commands_test.go
@@ -5,7 +5,9 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"regexp"
 	"strings"
+	"time"
 )
 
 // The commands on inventory files say what they find, and end with a code that tells it.
@@ -66,3 +68,99 @@
 	// larchthread: unknown command "now" for "larchthread serve"
 	// see larchthread --help
 }
+
+// A fleet by hand: the file is watched while ops flow. Torn, empty and wrong files, written over and over, change nothing; a
+// host that is taken off the list hears nothing new within 500 ms, and one that is put back is used again.
+func Example_watchedInventory() {
+	dir, err := os.MkdirTemp("", "larchthread")
+	if err != nil {
+		fmt.Println(err)
+		return
+	}
+	defer os.RemoveAll(dir)
+	own, list := filepath.Join(dir, "own.yaml"), filepath.Join(dir, "fleet.csv")
+	f := &fleet{admin: freeAddress(), args: []string{"serve", "--own", own}}
+	varied := func(words []string) string {
+		time.Sleep(time.Duration(5+3*len(words[1])) * time.Millisecond)
+		return hit(words)
+	}
+	f.host("a", varied)
+	f.host("b", varied)
+	f.origin(fetch)
+	line := func(i int, kind string) string {
+		at := regexp.MustCompile(`"id":"(.*?)","host_port":"(.*?)"`).FindStringSubmatch(f.members[i])
+		return fmt.Sprintf("%s,%s,z,%s\n", at[1], at[2], kind)
+	}
+	text := "id,address,zone,kind\n" + line(0, "box") + line(2, "origin") + line(1, "box")
+	put := func(text string) { // replaced by a rename
+		os.WriteFile(list+".new", []byte(text), 0o600)
+		os.Rename(list+".new", list)
+	}
+	put(text)
+	os.WriteFile(own, []byte("inventory: {file: fleet.csv, look_ms: 10}\n"), 0o600)
+	f.members = nil // neither discovery nor the start file knows of them
+	f.start()
+	defer f.stop()
+	hosts := func() string {
+		return regexp.MustCompile("known_cache_hosts:[0-9]+").FindString(f.call("GET", "/status/metrics", ""))
+	}
+	soon := func(want string) bool {
+		for range 100 {
+			if hosts() == want {
+				return true
+			}
+			time.Sleep(5 * time.Millisecond)
+		}
+		return false
+	}
+	fmt.Println(soon("known_cache_hosts:2"))
+	done := f.load(6)
+	partial := 0
+	for i := range 1500 {
+		torn := text[:i%len(text)]
+		if i%3 == 0 {
+			torn = "id,address\nnowhere"
+		}
+		os.WriteFile(list, []byte(torn), 0o600)
+		if i%25 == 0 && hosts() != "known_cache_hosts:2" {
+			partial++
+		}
+		put(text)
+	}
+	fmt.Println("partial lists:", partial)
+	put(torn(text))
+	time.Sleep(60 * time.Millisecond)
+	os.Remove(list)
+	time.Sleep(60 * time.Millisecond)
+	fmt.Println(hosts(), strings.Count(f.log.String(), "inventory kept as it was") >= 2)
+	put(strings.TrimSuffix(text, line2(text)))
+	fmt.Println(soon("known_cache_hosts:1"))
+	time.Sleep(500 * time.Millisecond)
+	f.mu.Lock()
+	f.notes = nil
+	f.mu.Unlock()
+	time.Sleep(100 * time.Millisecond)
+	f.mu.Lock()
+	heard := strings.Join(f.notes, " ")
+	f.mu.Unlock()
+	fmt.Println("a hears:", strings.Contains(heard, "a: mg"), "b hears:", strings.Contains(heard, "b: mg"))
+	put(text)
+	fmt.Println(soon("known_cache_hosts:2"))
+	done()
+	// Output:
+	// true
+	// partial lists: 0
+	// known_cache_hosts:2 true
+	// true
+	// a hears: true b hears: false
+	// true
+	// served some hundreds: true
+}
+
+// torn is a text without its end.
+func torn(text string) string { return text[:len(text)-3] }
+
+// line2 is a text's last line.
+func line2(text string) string {
+	return text[strings.LastIndex(strings.TrimSuffix(text, "\n"), "\n")+1:]
+}
--- a/cmd/larchthread/main.go
+++ b/cmd/larchthread/main.go
@@ -8,8 +8,10 @@
 	"os/signal"
 	"runtime/debug"
 	"syscall"
+	"time"
 
 	"larchthread/internal/admin"
+	"larchthread/internal/inventory"
 	"larchthread/internal/params"
 	"larchthread/internal/routing"
 	"larchthread/internal/takeover"
@@ -23,12 +25,19 @@
 
 func main() { os.Exit(execute(command())) }
 
-// serve runs the balancer that the start file describes, until it is told to stop.
-func serve(path string) error {
+// serve runs the balancer that the start file describes, until it is told to stop. own is the path of the operators' own file,
+// empty where there is none.
+func serve(path, own string) error {
 	told, err := params.ReadFile(path)
 	if err != nil {
 		return err
 	}
+	var mine params.Own
+	if own != "" {
+		if mine, err = params.ReadOwn(own); err != nil {
+			return err
+		}
+	}
 	share := func(processes int) {
 		debug.SetMemoryLimit(int64(told.MemoryMB * heapShare * (1 << 20) / float64(processes)))
 	}
@@ -41,10 +50,15 @@
 	if err != nil {
 		return err
 	}
-	router, err := routing.New(loop, log, told)
+	router, err := routing.New(loop, log, told, mine.Inventory != "")
 	if err != nil {
 		return err
 	}
+	if mine.Inventory != "" {
+		if err := byHand(mine, router, log); err != nil {
+			return err
+		}
+	}
 	upgrade, err := open(told, loop, log, router, share)
 	if err != nil {
 		return err
@@ -87,3 +101,29 @@
 	}
 	return takeover.Begin(loop, log, router, told.Listen, os.TempDir(), share)
 }
+
+// byHand takes the list of hosts from the file that describes the fleet, now and whenever it changes. A file that can't be used
+// leaves the last list in force; at the start that is the one in the start file, if there is one.
+func byHand(mine params.Own, router *routing.Router, log *slog.Logger) error {
+	watcher, hosts, err := inventory.Begin(mine.Inventory)
+	switch {
+	case err == nil:
+		router.TakeInventory(hosts)
+	case !router.Lists():
+		return err
+	default:
+		log.Error("inventory kept as it was", "error", err)
+	}
+	go func() {
+		for {
+			time.Sleep(mine.Look)
+			switch hosts, err := watcher.Look(); {
+			case err != nil:
+				log.Error("inventory kept as it was", "error", err)
+			case hosts != nil:
+				router.TakeInventory(hosts)
+			}
+		}
+	}()
+	return nil
+}
--- a/cmd/larchthread/main_test.go
+++ b/cmd/larchthread/main_test.go
@@ -40,8 +40,9 @@
 	members []string
 	changed chan string // the answer to a watch
 	process *exec.Cmd
-	watched string // discovery's address
-	tmp     string // folder where two processes find each other; empty for the usual one
+	watched string   // discovery's address
+	args    []string // of the program's command line
+	tmp     string   // folder where two processes find each other; empty for the usual one
 	listen  string
 	admin   string // operators' address, where there is one
 	path    string // of the configuration
@@ -234,7 +235,9 @@
 		}
 		time.Sleep(10 * time.Millisecond)
 	}
-	f.await("discovery: 1", 2)
+	if f.args == nil {
+		f.await("discovery: 1", 2)
+	}
 	f.mu.Lock()
 	f.notes = nil
 	f.mu.Unlock()
@@ -242,7 +245,7 @@
 
 // run starts the program with the configuration as it stands.
 func (f *fleet) run() *exec.Cmd {
-	p := exec.Command(os.Args[0])
+	p := exec.Command(os.Args[0], f.args...)
 	p.Env = append(os.Environ(), "LARCHTHREAD_SERVE=1", "RELAY_CONFIG="+f.path)
 	if f.tmp != "" {
 		p.Env = append(p.Env, "TMPDIR="+f.tmp)
@@ -1309,10 +1312,10 @@
 		`{"listen":"127.0.0.1:1","discovery":"127.0.0.1:2","seed":"7","limits":{"memory_mb":1,"sockets":9}}`} {
 		path := filepath.Join(os.TempDir(), fmt.Sprintf("larchthread-bad-%d.json", os.Getpid()))
 		os.WriteFile(path, []byte(text), 0o600)
-		fmt.Println(strings.ReplaceAll(serve(path).Error(), path, "FILE"))
+		fmt.Println(strings.ReplaceAll(serve(path, "").Error(), path, "FILE"))
 		os.Remove(path)
 	}
-	fmt.Println(serve("/nowhere"))
+	fmt.Println(serve("/nowhere", ""))
 	// Output:
 	// start file FILE: unexpected end of JSON input
 	// start file FILE: listen: "nowhere", want an address with a port
--- a/internal/inventory/inventory.go
+++ b/internal/inventory/inventory.go
@@ -94,6 +94,8 @@
 		r.fault(0, "%d bytes, want %d at the most", len(text), sizeMost)
 	case len(bytes.TrimSpace(text)) == 0:
 		r.fault(0, "empty")
+	case text[len(text)-1] != '\n': // a word cut short may still be one: a kind, a number
+		r.fault(bytes.Count(text, []byte("\n"))+1, "the last line has no end: the file may be cut off")
 	case form == ".csv":
 		r.csv(text)
 	case form == ".yaml" || form == ".yml":
--- a/internal/inventory/inventory_test.go
+++ b/internal/inventory/inventory_test.go
@@ -94,7 +94,7 @@
 	// f.yml:2: more than one document
 	// f.yml: unknown anchor 'b' referenced
 	// f.yml:3: want a mapping with the fields id, address, zone, kind, weight
-	// f.json: unknown form ".json", want .csv, .yaml or .yml
+	// f.json:1: the last line has no end: the file may be cut off
 }
 
 // A small file whose aliases stand for millions of hosts is refused in good time.
--- a/internal/params/params_test.go
+++ b/internal/params/params_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"os"
+	"path/filepath"
 	"strings"
 )
 
@@ -78,3 +79,33 @@
 	// true 127.0.0.1:4
 	// admin: "here", want an address with a port
 }
+
+// The operators' own file: paths are taken from its folder, and what is unknown or out of bounds is named.
+func ExampleReadOwn() {
+	dir, err := os.MkdirTemp("", "own")
+	if err != nil {
+		fmt.Println(err)
+		return
+	}
+	defer os.RemoveAll(dir)
+	path := filepath.Join(dir, "own.yaml")
+	for _, text := range []string{"", "inventory: {file: fleet.csv}\n", "inventory: {file: /fleet.csv, look_ms: 20}\n", "inventory: {look_ms: 20}\n",
+		"inventory: {file: f.csv, look_ms: .nan}\n", "inventory: {file: f.csv, look_ms: 1}\n", "inventry: {}\n", "inventory: [\n"} {
+		os.WriteFile(path, []byte(text), 0o600)
+		o, err := ReadOwn(path)
+		if err != nil {
+			fmt.Println(strings.ReplaceAll(err.Error(), path, "FILE"))
+			continue
+		}
+		fmt.Printf("%q %v\n", strings.TrimPrefix(o.Inventory, dir), o.Look)
+	}
+	// Output:
+	// "" 500ms
+	// "/fleet.csv" 500ms
+	// "/fleet.csv" 20ms
+	// own file FILE: inventory.file: missing, but inventory.look_ms is set
+	// own file FILE: inventory.look_ms: NaN, want 10 to 60000
+	// own file FILE: inventory.look_ms: 1, want 10 to 60000
+	// own file FILE: line 1: field inventry not found
+	// own file FILE: line 1: did not find expected node content
+}
--- /dev/null
+++ b/internal/routing/inventory_test.go
@@ -0,0 +1,73 @@
+package routing
+
+import (
+	"fmt"
+	"log/slog"
+	"net/netip"
+	"testing"
+
+	"larchthread/balance"
+	"larchthread/internal/inventory"
+	"larchthread/internal/transport"
+)
+
+func fleetOf(n int) (hosts []inventory.Host) {
+	for i := range n {
+		hosts = append(hosts, inventory.Host{ID: fmt.Sprint("cache", i), Weight: 1,
+			Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i / 250), byte(1 + i%250)}), 11211)})
+	}
+	return hosts
+}
+
+func handRouter() *Router {
+	loop, err := transport.NewLoop(256, 64<<20, slog.New(slog.DiscardHandler))
+	if err != nil {
+		panic(err)
+	}
+	r := &Router{loop: loop, log: loop.Log, hosts: map[string]*host{}, byHand: true}
+	r.balancer = balance.New(balance.Start{Group: 1, ColdFor: 5000, ColdShare: 0.5, ConnIdle: 1,
+		Categories: []*balance.Category{{Target: 100}}}, r, loop.Now())
+	return r
+}
+
+// Hosts of the first list are taken for warm. One that comes later, comes back, or has another address is cold; one that stays is as
+// it was.
+func Example_inventoryCold() {
+	r := handRouter()
+	put := func(hosts ...inventory.Host) {
+		r.TakeInventory(hosts)
+		r.takeInventory()
+		cold := ""
+		for _, h := range hosts {
+			cold += fmt.Sprint(h.ID, " ", r.hosts[h.ID].UpSince > 0, "  ")
+		}
+		listed, _ := r.balancer.Hosts()
+		fmt.Println(listed, "listed; cold:", cold)
+	}
+	f := fleetOf(3)
+	put(f[0], f[1])
+	put(f[0], f[1], f[2])
+	put(f[1], f[2])
+	put(f...)
+	f[1].Address = f[0].Address
+	f[0].Address = netip.MustParseAddrPort("10.9.9.9:1")
+	put(f...)
+	// Output:
+	// 2 listed; cold: cache0 false  cache1 false
+	// 3 listed; cold: cache0 false  cache1 false  cache2 true
+	// 2 listed; cold: cache1 false  cache2 true
+	// 3 listed; cold: cache0 true  cache1 false  cache2 true
+	// 3 listed; cold: cache0 true  cache1 true  cache2 true
+}
+
+func BenchmarkTakeInventory(b *testing.B) {
+	for _, n := range []int{10, 100, 1000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			r, hosts := handRouter(), fleetOf(n+1)
+			for i := 0; b.Loop(); i++ {
+				r.TakeInventory(hosts[:n+i%2])
+				r.takeInventory()
+			}
+		})
+	}
+}
--- a/internal/routing/reload.go
+++ b/internal/routing/reload.go
@@ -19,7 +19,7 @@
 		return
 	}
 	r.log.Info("configuration read anew", "discovery", told.Discovery.String())
-	if told.Discovery != r.watch.address {
+	if told.Discovery != r.watch.address && !r.byHand {
 		r.watch.end(transport.WatchMoved)
 		r.watch.address = told.Discovery
 		r.balancer.ListMoved()
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -14,6 +14,7 @@
 	"sync/atomic"
 
 	"larchthread/balance"
+	"larchthread/internal/inventory"
 	"larchthread/internal/params"
 	"larchthread/internal/protocol"
 	"larchthread/internal/transport"
@@ -74,7 +75,10 @@
 	tallies    map[*balance.Category]*Tally
 	calledOff  []*push // of which the balancer has still to hear
 	stop       stop
-	told       atomic.Pointer[params.Told] // read anew, still to be heeded
+	told       atomic.Pointer[params.Told]      // read anew, still to be heeded
+	inventory  atomic.Pointer[[]inventory.Host] // a list by hand, still to be heeded
+	byFile     *[]inventory.Host                // the list by hand that is in force
+	byHand     bool                             // the list comes by hand, not from discovery
 }
 
 // host is a cache host, or the origin, with the connections to it that carry nothing.
@@ -89,9 +93,10 @@
 	silent  bool    // the last push to it had to be given up, and none was answered since that began
 }
 
-// New makes the front of a balancer that has been told so much, and starts the balancer. Its door is still shut.
-func New(loop *transport.Loop, log *slog.Logger, told *params.Told) (*Router, error) {
-	r := &Router{loop: loop, log: log, params: told.Params, memory: int(told.MemoryMB * memoryShare * (1 << 20)),
+// New makes the front of a balancer that has been told so much, and starts the balancer. Its door is still shut. A
+// list by hand comes by TakeInventory, and discovery is not asked.
+func New(loop *transport.Loop, log *slog.Logger, told *params.Told, byHand bool) (*Router, error) {
+	r := &Router{byHand: byHand, loop: loop, log: log, params: told.Params, memory: int(told.MemoryMB * memoryShare * (1 << 20)),
 		ops: map[string]*op{}, tallies: map[*balance.Category]*Tally{}, hosts: map[string]*host{}, connect: told.Params.Limits.Connect / 1000,
 		restMost: told.Sockets / restShare}
 	r.budget = r.memory
@@ -130,6 +135,7 @@
 	r.stop.heed(r)
 	r.balancer.At(now)
 	r.reload()
+	r.takeInventory()
 	if r.stop.closing && r.successor != nil {
 		r.passOn()
 	}
@@ -182,12 +188,18 @@
 	return h
 }
 
+// Lists tells whether any cache host is listed.
+func (r *Router) Lists() bool {
+	known, _ := r.balancer.Hosts()
+	return known > 0
+}
+
 // Serving tells why no op can be served now, if so.
 func (r *Router) Serving() error {
 	if r.door == nil {
 		return errors.New("the door is not open yet")
 	}
-	if known, _ := r.balancer.Hosts(); known == 0 {
+	if !r.Lists() {
 		return errors.New("no cache host is listed")
 	}
 	return nil
@@ -249,7 +261,11 @@
 
 func (r *Router) Wake(after float64) { r.loop.Set(&r.wake, after) }
 
-func (r *Router) Watch() { r.watch.begin() }
+func (r *Router) Watch() {
+	if !r.byHand { // else the list comes when the file changes
+		r.watch.begin()
+	}
+}
 
 func (r *Router) HangUp(h *balance.Host) { h.Ref.(*host).hangUp(transport.HungUp) }
 
--- a/internal/routing/upgrade.go
+++ b/internal/routing/upgrade.go
@@ -97,6 +97,9 @@
 		r.watch.revision = l.Revision
 		r.list(l, true, true)
 	}
+	if r.byHand { // the file is this process's own, and may be newer
+		r.inventory.Store(r.byFile)
+	}
 	for _, part := range learned {
 		r.balancer.Resume(part)
 	}
