--- a/internal/routing/inventory_test.go
+++ b/internal/routing/inventory_test.go
@@ -37,9 +37,11 @@
 	put := func(hosts ...inventory.Host) {
 		r.TakeInventory(hosts)
 		r.takeInventory()
-		cold := ""
+		var cold []string
 		for _, h := range hosts {
-			cold += fmt.Sprint(h.ID, " ", r.hosts[h.ID].UpSince > 0, "  ")
+			if r.hosts[h.ID].UpSince > 0 {
+				cold = append(cold, h.ID)
+			}
 		}
 		listed, _ := r.balancer.Hosts()
 		fmt.Println(listed, "listed; cold:", cold)
@@ -53,11 +55,11 @@
 	f[0].Address = netip.MustParseAddrPort("10.9.9.9:1")
 	put(f...)
 	// Output:
-	// 2 listed; cold: cache0 false  cache1 false
-	// 3 listed; cold: cache0 false  cache1 false  cache2 true
-	// 2 listed; cold: cache1 false  cache2 true
-	// 3 listed; cold: cache0 true  cache1 false  cache2 true
-	// 3 listed; cold: cache0 true  cache1 true  cache2 true
+	// 2 listed; cold: []
+	// 3 listed; cold: [cache2]
+	// 2 listed; cold: [cache2]
+	// 3 listed; cold: [cache0 cache2]
+	// 3 listed; cold: [cache0 cache1 cache2]
 }
 
 func BenchmarkTakeInventory(b *testing.B) {
