Doors, connections and posts each in their own file; one figure for spare descriptors

Reread: what passes connections and doors on stood in the file of posts, and the number of spare descriptors stood in two packages. No change of behaviour.

--- a/internal/takeover/heir.go
+++ b/internal/takeover/heir.go
@@ -81,7 +81,7 @@
 	for _, part := range h.router.Learned(idsMost) {
 		send(h.post, letter{Word: "learned", Learned: &part}, -1)
 	}
-	send(h.post, letter{Word: "door", Sockets: max(most-own-spareLike, most/headroom)}, door)
+	send(h.post, letter{Word: "door", Sockets: max(most-own-transport.SpareFiles, most/headroom)}, door)
 }
 
 // Lost implements transport.Correspondent: the new process is gone, and this one goes on as before.
--- a/internal/takeover/takeover.go
+++ b/internal/takeover/takeover.go
@@ -17,13 +17,12 @@
 )
 
 const (
-	version   = 1      // of what the letters say; another is refused
-	askMost   = 3000.0 // ms for the running process to hand over: half of what operators wait for the yes
-	askAgain  = 100.0  // ms until a process that is busy with another successor is asked again
-	tellMost  = 700.0  // ms for the other process to heed a ban: the caller waits 1 s
-	idsMost   = 500    // ids or hosts in a letter: some tens of KB
-	headroom  = 8      // one in so many sockets that the old process may open beyond those it has
-	spareLike = 32     // descriptors that a second process holds for itself
+	version  = 1      // of what the letters say; another is refused
+	askMost  = 3000.0 // ms for the running process to hand over: half of what operators wait for the yes
+	askAgain = 100.0  // ms until a process that is busy with another successor is asked again
+	tellMost = 700.0  // ms for the other process to heed a ban: the caller waits 1 s
+	idsMost  = 500    // ids or hosts in a letter: some tens of KB
+	headroom = 8      // one in so many sockets that the old process may open beyond those it has
 )
 
 // letter is what one process tells the other. What a build does not know in it is passed over.
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -143,6 +143,17 @@
 	c.log(why)
 }
 
+// Pass takes an open connection out of the loop and returns its descriptor and what has been read of it and not been
+// taken. Nothing more comes to its owner.
+func (c *Conn) Pass() (fd int, unread []byte) {
+	fd, unread = c.fd, c.In.Bytes()
+	unix.EpollCtl(c.loop.epoll, unix.EPOLL_CTL_DEL, fd, nil) // the socket lives on: closing it here would not do
+	c.loop.conns[fd] = nil
+	c.Close(PassedOn)
+	c.fd = -1
+	return fd, unread
+}
+
 // Finish closes the connection once what stands in Out is written, and the other side has ended or let its
 // time pass: closing a socket with unread input would throw away the answers that are on their way. The
 // owner hears no more of it.
--- a/internal/transport/door.go
+++ b/internal/transport/door.go
@@ -115,3 +115,31 @@
 func (d *Door) left(c *Conn) {
 	d.guests = slices.DeleteFunc(d.guests, func(g *Conn) bool { return g == c })
 }
+
+// Passed takes a connection that another process has passed on, with what that had read of it.
+func (d *Door) Passed(fd int, unread []byte) *Conn {
+	unix.SetNonblock(fd, true)
+	from, _ := unix.Getpeername(fd)
+	c := d.enter(fd, from)
+	if len(unread) > 0 {
+		c.In.Write(unread)
+		d.loop.Later(c)
+	}
+	return c
+}
+
+// Copy is a descriptor of the door's socket for another process.
+func (d *Door) Copy() (int, error) { return unix.FcntlInt(uintptr(d.fd), unix.F_DUPFD_CLOEXEC, 0) }
+
+// Rest leaves the door's queue to another process that has its socket too, or takes it up again.
+func (d *Door) Rest(on bool) {
+	switch {
+	case d.resting == on:
+	case on:
+		unix.EpollCtl(d.loop.epoll, unix.EPOLL_CTL_DEL, d.fd, nil)
+	default:
+		d.shut = false
+		d.loop.look(d.fd, unix.EPOLLIN)
+	}
+	d.resting = on
+}
--- a/internal/transport/loop.go
+++ b/internal/transport/loop.go
@@ -30,7 +30,7 @@
 	resendAfter = 2.0    // ms until letters that the other process has no room for are tried again: it reads in each round
 	doorPause   = 5.0    // ms until it is tried again to accept, where no connection was idle: a busy one takes as long
 
-	spareFiles    = 32    // descriptors that the runtime, the loop and the log hold: about ten, and room
+	SpareFiles    = 32    // descriptors of the runtime, the log, operators' calls and an upgrade: about 25, and room
 	unprovenFor   = 100.0 // ms that a new client has for its first command before it makes room: many round trips
 	unprovenShare = 4     // one in so many sockets may be a new client's without one: usual ones hold a third in all
 
@@ -68,8 +68,8 @@
 
 // NewLoop makes a loop for so many descriptors at the most, in so many bytes of memory.
 func NewLoop(descriptors, memory int, log *slog.Logger) (*Loop, error) {
-	if descriptors < 2*spareFiles {
-		return nil, fmt.Errorf("sockets: %d, want %d or more", descriptors, 2*spareFiles)
+	if descriptors < 2*SpareFiles {
+		return nil, fmt.Errorf("sockets: %d, want %d or more", descriptors, 2*SpareFiles)
 	}
 	epoll, err := unix.EpollCreate1(unix.EPOLL_CLOEXEC)
 	if err != nil {
@@ -79,7 +79,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("eventfd: %w", err)
 	}
-	l := &Loop{Log: log, Pool: &Pool{}, epoll: epoll, bell: bell, most: descriptors - spareFiles}
+	l := &Loop{Log: log, Pool: &Pool{}, epoll: epoll, bell: bell, most: descriptors - SpareFiles}
 	// The kernel takes twice what it is asked for, and each connection has two directions.
 	l.kernel = max(kernelLeast, int(kernelShare*float64(memory))/descriptors/4)
 	l.began = time.Now()
