Tests take addresses of their own part of loopback for the program

Cause: with eight copies of the tests at once a program failed to start, with its address in use: on the usual loopback address the port that a test had found free went to a connection that was just being made. Its log said so; nothing else was at fault.

--- a/cmd/larchthread/main_test.go
+++ b/cmd/larchthread/main_test.go
@@ -107,8 +107,13 @@
 	return l
 }
 
+// freeAddress is an address that nobody has. It is this process's own part of loopback: on the usual one a connection that
+// is just being made may take the port before the program does.
 func freeAddress() string {
-	l := listenAnywhere()
+	l, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.2:0", os.Getpid()>>8&255, os.Getpid()&255))
+	if err != nil {
+		panic(err)
+	}
 	defer l.Close()
 	return l.Addr().String()
 }
