A test of long values that come to a stand, at the host and at the client

Guards the two ends of a flow that makes no progress, which no test had reached: a host that sends half and falls silent, and a client that takes nothing.

--- a/cmd/larchthread/main_test.go
+++ b/cmd/larchthread/main_test.go
@@ -1834,3 +1834,50 @@
 	// VA 5 O1
 	// value
 }
+
+// A long value of which nothing comes any more, and one of which its client takes nothing, are ended after some seconds; both ops
+// are over then, and neither keeps the host from others.
+func Example_longStuck() {
+	f := &fleet{admin: freeAddress()}
+	f.host("a", func(words []string) string {
+		switch words[1] {
+		case "half":
+			return "VA 100000 O{id}\r\n" + big[:50000]
+		case "big":
+			return fmt.Sprintf("VA %d O{id}\r\n%s\r\n", len(big), big)
+		}
+		return hit(words)
+	})
+	f.origin(fetch)
+	f.start()
+	defer f.stop()
+	half, slow := f.client(), f.client()
+	half.say(1, "mg half v O1 Pc=read,d=500\r\n")
+	slow.say(1, "mg big v O2 Pc=read,d=500\r\n")
+	time.Sleep(100 * time.Millisecond)
+	figures := func() {
+		fmt.Println(regexp.MustCompile("(in_progress|bad_gateway.read):[0-9]+").FindAllString(f.call("GET", "/status/metrics", ""), -1))
+	}
+	figures()
+	f.client().say(2, "mg k v O3 Pc=read,d=500\r\n")
+	began := time.Now()
+	got, _ := io.ReadAll(half.r)
+	fmt.Println("half:", len(got), time.Since(began) > 4*time.Second, time.Since(began) < 8*time.Second)
+	time.Sleep(300 * time.Millisecond)
+	figures()
+	got, _ = io.ReadAll(slow.r)
+	fmt.Println("slow one whole:", len(got) >= len(big))
+	f.ended("half-answer", "slow-reader", "push-timeout")
+	// Output:
+	// VA 100000 O1
+	// VA 4194304 O2
+	// [bad_gateway.read:0 in_progress:2]
+	// VA 5 O3
+	// value
+	// half: 50000 true true
+	// [bad_gateway.read:1 in_progress:0]
+	// slow one whole: false
+	// half-answer 1
+	// slow-reader 1
+	// push-timeout 1
+}
