Reread: twins made one in hand-over, flows and operators' calls

Whose the cold hosts' budget is was set in three places and is now set by the heir alone: in a third process's hand-over amid a second's it had not been taken back when that one was lost early. Nothing else changes; tests keep what they expect.

--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -77,21 +77,20 @@
 	c.conn.Finish(transport.LastAnswer)
 }
 
+// methods are the calls there are.
+var methods = map[string]string{"/status": http.MethodGet, "/status/metrics": http.MethodGet,
+	"/maintenance/enter": http.MethodPost, "/maintenance/exit": http.MethodPost}
+
 // serve answers a call.
 func (d *desk) serve(call *protocol.Call, answer func(status int, text string)) {
-	method := http.MethodGet
-	if strings.HasPrefix(call.Path, "/maintenance/") {
-		method = http.MethodPost
-	}
-	switch call.Path {
-	case "/status", "/status/metrics", "/maintenance/enter", "/maintenance/exit":
-		if call.Method != method {
-			answer(http.StatusMethodNotAllowed, "want "+method)
-			return
-		}
-	default:
+	switch method := methods[call.Path]; method {
+	case "":
 		answer(http.StatusNotFound, "no such call")
 		return
+	case call.Method:
+	default:
+		answer(http.StatusMethodNotAllowed, "want "+method)
+		return
 	}
 	switch call.Path {
 	case "/status":
@@ -109,23 +108,21 @@
 
 // maintain takes a cache host out of use, or puts it back.
 func (d *desk) maintain(id string, out bool, answer func(status int, text string)) {
-	switch {
-	case id == "":
+	if id == "" {
 		answer(http.StatusBadRequest, "the body is to hold the id of a cache host")
 		return
-	case d.router.Door() == nil: // the process before is not bound yet by what this one is told
-		answer(http.StatusServiceUnavailable, "the door is not open yet")
-		return
 	}
 	d.router.Ban(id, out, func(err error) {
 		d.log.Info("maintenance", "host", id, "out", out, "error", err)
-		switch {
-		case err == routing.ErrNeverListed:
+		switch err {
+		case nil:
+			answer(http.StatusOK, "done")
+		case routing.ErrNeverListed:
 			answer(http.StatusNotFound, err.Error())
-		case err != nil:
-			answer(http.StatusConflict, err.Error())
+		case routing.ErrShut:
+			answer(http.StatusServiceUnavailable, err.Error())
 		default:
-			answer(http.StatusOK, "done")
+			answer(http.StatusConflict, err.Error())
 		}
 	})
 }
--- a/internal/change/change.go
+++ b/internal/change/change.go
@@ -65,7 +65,7 @@
 	Load() ([]byte, error)
 }
 
-// ErrUnderWay is the error of a change proposed, or a list begun with, while another is open.
+// ErrUnderWay is the error of a change proposed while another is open.
 var ErrUnderWay = errors.New("another change is under way")
 
 var errNone = errors.New("no change is under way")
--- a/internal/routing/client.go
+++ b/internal/routing/client.go
@@ -149,8 +149,8 @@
 // Received implements transport.Owner.
 func (c *client) Received(conn *transport.Conn) {
 	conn.Used = c.router.loop.Now()
-	if len(c.line) > 0 && c.line[0].flow != nil {
-		c.line[0].flow.advance()
+	if f := c.flowing(); f != nil {
+		f.advance()
 		if c.left {
 			return
 		}
@@ -230,7 +230,7 @@
 		n++
 	}
 	c.line = slices.Delete(c.line, 0, n)
-	if len(c.line) > 0 && c.line[0].flow != nil { // its turn has come
+	if c.flowing() != nil { // its turn has come
 		r.loop.Later(c.conn)
 	}
 	if n > 0 {
@@ -355,7 +355,6 @@
 		if worst.conn.Out.Len() == 0 {
 			why = transport.HalfSent
 		}
-		worst.leave()
-		worst.conn.Close(why)
+		worst.cut(why)
 	}
 }
--- a/internal/routing/flow.go
+++ b/internal/routing/flow.go
@@ -120,9 +120,17 @@
 	f.link.flow, f.op.flow = nil, nil
 }
 
+// flowing is the flow whose turn it is, or nil.
+func (c *client) flowing() *flow {
+	if len(c.line) == 0 {
+		return nil
+	}
+	return c.line[0].flow
+}
+
 // wrote goes on with a flow once its client has taken half of what waits for it.
 func (c *client) wrote() {
-	if len(c.line) > 0 && c.line[0].flow != nil && c.conn.Out.Len() <= flowMost/2 {
+	if c.flowing() != nil && c.conn.Out.Len() <= flowMost/2 {
 		c.router.loop.Later(c.conn)
 	}
 }
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -197,7 +197,7 @@
 // Serving tells why no op can be served now, if so.
 func (r *Router) Serving() error {
 	if r.door == nil {
-		return errors.New("the door is not open yet")
+		return ErrShut
 	}
 	if !r.Lists() {
 		return errors.New("no cache host is listed")
--- a/internal/routing/upgrade.go
+++ b/internal/routing/upgrade.go
@@ -45,8 +45,6 @@
 	r.partner, r.budget = p, r.memory
 	if p != nil {
 		r.budget /= 2
-	} else {
-		r.balancer.Yield(false)
 	}
 }
 
@@ -54,7 +52,6 @@
 // stop on passes its clients on.
 func (r *Router) Succeed(s Successor) {
 	r.successor = s
-	r.balancer.Yield(s != nil)
 	r.door.Rest(s != nil)
 	r.loop.Again()
 }
@@ -79,12 +76,11 @@
 	return l, append(slices.Clone(r.past.order), past...), banned
 }
 
-// Learned is what the balancer has learned, in parts of so many hosts. From then on its budgets for cold hosts are another
-// process's.
-func (r *Router) Learned(most int) []balance.Learned {
-	r.balancer.Yield(true)
-	return r.balancer.Learned().Split(most)
-}
+// Yield leaves the budgets for cold hosts to another process, or takes them back.
+func (r *Router) Yield(on bool) { r.balancer.Yield(on) }
+
+// Learned is what the balancer has learned, in parts of so many hosts.
+func (r *Router) Learned(most int) []balance.Learned { return r.balancer.Learned().Split(most) }
 
 // Adopt takes what another process knows of hosts.
 func (r *Router) Adopt(l *protocol.List, past, banned []string, learned []balance.Learned) {
--- a/internal/takeover/ancestor.go
+++ b/internal/takeover/ancestor.go
@@ -1,8 +1,6 @@
 package takeover
 
 import (
-	"encoding/json"
-
 	"golang.org/x/sys/unix"
 
 	"larchthread/balance"
@@ -24,11 +22,7 @@
 
 // Took implements transport.Correspondent.
 func (a *ancestor) Took(p *transport.Post, in transport.Letter) {
-	var l letter
-	if err := json.Unmarshal(in.Text, &l); err != nil {
-		a.log.Warn("a letter that can't be read", "error", err)
-	}
-	fd := in.FD
+	l, fd := a.read(in), in.FD
 	switch {
 	case l.Word == "list" && l.List != nil:
 		a.list.Revision, a.list.Complete = l.List.Revision, true
@@ -88,13 +82,6 @@
 	a.loop.Set(&wait, askAgain)
 }
 
-func (a *ancestor) giveUp(why string) {
-	if err := a.alone(why); err != nil {
-		a.failed = err
-		a.loop.End()
-	}
-}
-
 // Lost implements transport.Correspondent: the running process has ended.
 func (a *ancestor) Lost(*transport.Post, []transport.Letter) {
 	a.before = nil
--- a/internal/takeover/heir.go
+++ b/internal/takeover/heir.go
@@ -1,7 +1,6 @@
 package takeover
 
 import (
-	"encoding/json"
 	"slices"
 
 	"golang.org/x/sys/unix"
@@ -21,10 +20,7 @@
 
 // Took implements transport.Correspondent.
 func (h *heir) Took(p *transport.Post, in transport.Letter) {
-	var l letter
-	if err := json.Unmarshal(in.Text, &l); err != nil {
-		h.log.Warn("a letter that can't be read", "error", err)
-	}
+	l := h.read(in)
 	if in.FD >= 0 { // nothing that it has is wanted here
 		unix.Close(in.FD)
 	}
@@ -59,6 +55,7 @@
 		return
 	}
 	h.after = h
+	h.router.Yield(true)
 	h.shared()
 	h.limit.Fire = func() { // one that stands still must not keep the next from its turn
 		h.post.Close()
@@ -91,6 +88,7 @@
 	}
 	h.log.Warn("the process that was to take over is gone", "served", h.ready)
 	h.after = nil
+	h.router.Yield(false)
 	h.loop.Stop(&h.limit)
 	h.bans.lost(h.loop)
 	if h.ready {
@@ -98,8 +96,7 @@
 	}
 	h.settle()
 	for _, u := range unsent {
-		var l letter
-		if err := json.Unmarshal(u.Text, &l); u.FD >= 0 && err == nil && l.Word == "client" {
+		if l := h.read(u); u.FD >= 0 && l.Word == "client" {
 			h.router.Passed(u.FD, l.Unread, l.Proven)
 		} else if u.FD >= 0 {
 			unix.Close(u.FD)
--- a/internal/takeover/takeover.go
+++ b/internal/takeover/takeover.go
@@ -71,12 +71,7 @@
 		return t, t.alone("nobody runs here")
 	}
 	loop.Set(&t.limit, askMost)
-	t.limit.Fire = func() {
-		if err := t.alone("the running process does not hand over"); err != nil {
-			t.failed = err
-			loop.End()
-		}
-	}
+	t.limit.Fire = func() { t.giveUp("the running process does not hand over") }
 	return t, nil
 }
 
@@ -118,6 +113,14 @@
 	return nil
 }
 
+// giveUp is alone for a process whose loop runs: without a door it ends.
+func (t *Takeover) giveUp(why string) {
+	if err := t.alone(why); err != nil {
+		t.failed = err
+		t.loop.End()
+	}
+}
+
 // settle lets the next process find this one, and shares out what two have together.
 func (t *Takeover) settle() {
 	if t.box == nil {
@@ -148,6 +151,14 @@
 // welcome takes in a process that asks for this one's place.
 func (t *Takeover) welcome() transport.Correspondent { return &heir{Takeover: t} }
 
+// read reads a letter. One that can't be read says nothing.
+func (t *Takeover) read(in transport.Letter) (l letter) {
+	if err := json.Unmarshal(in.Text, &l); err != nil {
+		t.log.Warn("a letter that can't be read", "error", err)
+	}
+	return l
+}
+
 func send(p *transport.Post, l letter, fd int) {
 	text, err := json.Marshal(l)
 	if err != nil { // no field can fail
--- a/internal/transport/post.go
+++ b/internal/transport/post.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"slices"
 	"strconv"
 
 	"golang.org/x/sys/unix"
@@ -87,7 +88,7 @@
 
 // Close ends a post box; posts that came in by it stay.
 func (b *PostBox) Close() {
-	b.loop.boxes = without(b.loop.boxes, b)
+	b.loop.boxes = slices.DeleteFunc(b.loop.boxes, func(x *PostBox) bool { return x == b })
 	unix.Close(b.fd)
 }
 
@@ -141,7 +142,7 @@
 	if p.fd < 0 {
 		return
 	}
-	p.loop.posts = without(p.loop.posts, p)
+	p.loop.posts = slices.DeleteFunc(p.loop.posts, func(x *Post) bool { return x == p })
 	unix.Close(p.fd)
 	p.fd = -1
 	for _, l := range append(p.queue, p.inbox...) {
@@ -199,14 +200,14 @@
 func (p *Post) deliver() {
 	inbox := p.inbox
 	p.inbox = nil
-	for i, l := range inbox {
+	for _, l := range inbox {
 		if p.fd < 0 { // closed by its owner meanwhile
 			if l.FD >= 0 {
 				unix.Close(l.FD)
 			}
 			continue
 		}
-		p.owner.Took(p, inbox[i])
+		p.owner.Took(p, l)
 	}
 	if p.lost && p.fd >= 0 {
 		unsent := p.queue
@@ -242,14 +243,3 @@
 		p.queue = p.queue[1:]
 	}
 }
-
-// without takes one from a list.
-func without[T comparable](all []T, one T) []T {
-	var rest []T
-	for _, x := range all {
-		if x != one {
-			rest = append(rest, x)
-		}
-	}
-	return rest
-}
