config check and version; a start without RELAY_CONFIG says what to do

Need: a start file with three faults was mended in three starts, for each named one; without RELAY_CONFIG the program said 'open : no such file'; nothing told which build runs. Change: params gathers all faults of a file, each with its key; config check names them with the exit codes of inventory check, and looks at the inventory that an own file names. version reads the build's own information. Nothing on an op's way has changed.

--- a/cmd/larchthread/commands_test.go
+++ b/cmd/larchthread/commands_test.go
@@ -6,6 +6,7 @@
 	"os"
 	"path/filepath"
 	"regexp"
+	"runtime/debug"
 	"strings"
 	"time"
 )
@@ -18,15 +19,24 @@
 		return
 	}
 	defer os.RemoveAll(dir)
+	os.Unsetenv("RELAY_CONFIG")
 	for name, text := range map[string]string{
 		"one.csv":  "id,address\na,10.0.0.1:11211\nb,10.0.0.2:11211\n",
 		"two.yaml": "hosts:\n- {id: b, address: '10.0.0.2:11211'}\n- {id: a, address: '10.0.0.1:11211', weight: 2}\n",
 		"bad.csv":  "id,address\na,nowhere\n",
+		"own.yaml": "inventory: {file: one.csv}\n",
+		"ill.yml":  "inventory: {look_ms: 1, fiel: x}\nhosts: 1\n",
+		"far.yaml": "inventory: {file: bad.csv}\n",
+		"low.yaml": "inventory: {look_ms: 1}\n",
+		"ok.json":  start(`"listen":"10.0.0.1:1","seed":"7"`, `"mostPushes":3`),
+		"ill.json": start(`"listen":"here","seed":"x"`, `"mostPushes":0`),
+		"cut.json": "{\n\"listen\":\n",
 	} {
 		os.WriteFile(filepath.Join(dir, name), []byte(text), 0o600)
 	}
 	for _, line := range []string{"inventory check one.csv two.yaml", "inventory check one.csv bad.csv none.csv", "inventory diff one.csv two.yaml",
-		"inventory diff one.csv one.csv", "inventory diff one.csv bad.csv", "inventory diff one.csv", "inventory", "fly", "serve now"} {
+		"inventory diff one.csv one.csv", "inventory diff one.csv bad.csv", "inventory diff one.csv", "inventory", "fly", "serve now",
+		"config check ok.json own.yaml", "config check ill.json ill.yml low.yaml far.yaml cut.json", "config", "serve"} {
 		c := command()
 		var said bytes.Buffer
 		var words []string
@@ -67,6 +77,47 @@
 	// serve now: 2
 	// larchthread: unknown command "now" for "larchthread serve"
 	// see larchthread --help
+	// config check ok.json own.yaml: 0
+	// ok.json: a start file, listens on 10.0.0.1:1, categories: 1
+	// own.yaml: an own file, 2 hosts by one.csv
+	// config check ill.json ill.yml low.yaml far.yaml cut.json: 1
+	// start file ill.json: listen: "here", want an address with a port
+	// start file ill.json: seed: "x", want hex digits of 64 bits
+	// start file ill.json: settings: params.limits.mostPushes: 0, want 1 or more
+	// own file ill.yml: line 1: field fiel not found
+	// own file ill.yml: line 2: field hosts not found
+	// own file low.yaml: inventory.file: missing, but inventory.look_ms is set
+	// own file low.yaml: inventory.look_ms: 1, want 10 to 60000
+	// bad.csv:2: address: "nowhere", want an IP address with a port
+	// start file cut.json: line 2: unexpected end of JSON input
+	// config: 2
+	// larchthread: want check
+	// see larchthread --help
+	// serve: 1
+	// larchthread: RELAY_CONFIG is not set: set it to the path of the start file (README, "Start a balancer")
+}
+
+// start is a start file, with some of its fields and limits.
+func start(fields, limits string) string {
+	return `{"discovery":"10.0.0.2:1",` + fields + `,"limits":{"memory_mb":1,"sockets":99},"settings":{"groupSize":1,"discovery":"pushed",` +
+		`"categories":[{"name":"read","targetLatencyUs":1,"repeat":"retryable"}],"limits":{` + limits + `}}}`
+}
+
+// A build is told in one line; what it does not know of itself is left out.
+func Example_version() {
+	build := func(settings ...debug.BuildSetting) {
+		info := &debug.BuildInfo{GoVersion: "go1.26", Settings: append(settings, debug.BuildSetting{Key: "GOOS", Value: "linux"},
+			debug.BuildSetting{Key: "GOARCH", Value: "amd64"})}
+		fmt.Println(version(info))
+	}
+	commit := []debug.BuildSetting{{Key: "vcs.revision", Value: "1f2e"}, {Key: "vcs.time", Value: "2026-12-01T10:00:00Z"}}
+	build()
+	build(commit...)
+	build(append(commit, debug.BuildSetting{Key: "vcs.modified", Value: "true"})...)
+	// Output:
+	// larchthread (devel) go1.26 linux/amd64
+	// larchthread (devel) commit 1f2e of 2026-12-01T10:00:00Z go1.26 linux/amd64
+	// larchthread (devel) commit 1f2e of 2026-12-01T10:00:00Z, with changes go1.26 linux/amd64
 }
 
 // A fleet by hand: the file is watched while ops flow. Torn, empty and wrong files, written over and over, change nothing; a
--- a/internal/params/own.go
+++ b/internal/params/own.go
@@ -26,7 +26,8 @@
 	Look      time.Duration // between two looks at it
 }
 
-// ReadOwn reads an operators' own file. A path in it is taken from the file's folder. An error names the key at fault.
+// ReadOwn reads an operators' own file. A path in it is taken from the file's folder. An error names every fault,
+// each with its key.
 func ReadOwn(path string) (o Own, err error) {
 	text, err := os.ReadFile(path)
 	if err != nil {
@@ -40,25 +41,32 @@
 	}
 	d := yaml.NewDecoder(bytes.NewReader(text))
 	d.KnownFields(true)
+	at := "own file " + path
 	if err := d.Decode(&form); err != nil && err != io.EOF {
-		text := strings.TrimPrefix(err.Error(), "yaml: ")
-		if e := (*yaml.TypeError)(nil); errors.As(err, &e) { // the library names its caller's types
-			text, _, _ = strings.Cut(e.Errors[0], " in type ")
+		e := (*yaml.TypeError)(nil)
+		if !errors.As(err, &e) {
+			return o, fmt.Errorf("%s: %s", at, strings.TrimPrefix(err.Error(), "yaml: "))
 		}
-		return o, fmt.Errorf("own file %s: %s", path, text)
+		var f faults
+		for _, text := range e.Errors {
+			text, _, _ = strings.Cut(text, " in type ") // the library names its caller's types
+			f.is(true, "%s", text)
+		}
+		return o, each(at, f.err())
 	}
-	look := lookUsual
-	switch i := form.Inventory; {
-	case i.Look != nil && i.File == "":
-		return o, fmt.Errorf("own file %s: inventory.file: missing, but inventory.look_ms is set", path)
-	case i.Look != nil:
+	look, i := lookUsual, form.Inventory
+	var f faults
+	f.is(i.Look != nil && i.File == "", "inventory.file: missing, but inventory.look_ms is set")
+	if i.Look != nil {
 		look = *i.Look
 	}
-	if math.IsNaN(look) || look < lookLeast || look > lookMost {
-		return o, fmt.Errorf("own file %s: inventory.look_ms: %v, want %v to %v", path, look, lookLeast, lookMost)
+	f.is(math.IsNaN(look) || look < lookLeast || look > lookMost,
+		"inventory.look_ms: %v, want %v to %v", look, lookLeast, lookMost)
+	if err := f.err(); err != nil {
+		return o, each(at, err)
 	}
 	o.Look = time.Duration(look * float64(time.Millisecond))
-	if o.Inventory = form.Inventory.File; o.Inventory != "" && !filepath.IsAbs(o.Inventory) {
+	if o.Inventory = i.File; o.Inventory != "" && !filepath.IsAbs(o.Inventory) {
 		o.Inventory = filepath.Join(filepath.Dir(path), o.Inventory)
 	}
 	return o, nil
--- a/internal/params/params.go
+++ b/internal/params/params.go
@@ -76,7 +76,7 @@
 var groups = map[string]balance.Group{"": balance.AllHosts, "all": balance.AllHosts,
 	"zone": balance.ZoneHosts, "cell": balance.CellHosts}
 
-// Read reads the parameters of an instance.
+// Read reads the parameters of an instance. An error names every fault, each with its key.
 func Read(raw json.RawMessage) (Params, error) {
 	var p Params
 	if len(raw) == 0 {
@@ -85,76 +85,59 @@
 	if err := json.Unmarshal(raw, &p); err != nil {
 		return p, fmt.Errorf("params: %w", err)
 	}
-	switch {
-	case len(p.Categories) == 0:
-		return p, fmt.Errorf("params.categories: none")
-	case p.GroupSize < 1:
-		return p, fmt.Errorf("params.groupSize: %d, want 1 or more", p.GroupSize)
-	case p.Quantum < 0:
-		return p, fmt.Errorf("params.quantumUs: %v, want 0 or more", p.Quantum)
-	case p.Limits.MostPushes < 1:
-		return p, fmt.Errorf("params.limits.mostPushes: %d, want 1 or more", p.Limits.MostPushes)
-	case !slices.Contains([]string{"on_request", "pushed"}, p.Discovery):
-		return p, fmt.Errorf("params.discovery: %q, want on_request or pushed", p.Discovery)
-	}
+	var f faults
+	f.is(len(p.Categories) == 0, "params.categories: none")
+	f.is(p.GroupSize < 1, "params.groupSize: %d, want 1 or more", p.GroupSize)
+	f.is(p.Quantum < 0, "params.quantumUs: %v, want 0 or more", p.Quantum)
+	f.is(p.Limits.MostPushes < 1, "params.limits.mostPushes: %d, want 1 or more", p.Limits.MostPushes)
+	f.is(!slices.Contains([]string{"on_request", "pushed"}, p.Discovery),
+		"params.discovery: %q, want on_request or pushed", p.Discovery)
 	for i, c := range p.Categories {
 		_, repeat := repeats[c.Repeat]
 		_, group := groups[c.Group]
-		switch at := fmt.Sprintf("params.categories[%d]", i); {
-		case c.Name == "":
-			return p, fmt.Errorf("%s.name: missing", at)
-		case c.Target <= 0:
-			return p, fmt.Errorf("%s.targetLatencyUs: %v, want above 0", at, c.Target)
-		case !repeat:
-			return p, fmt.Errorf("%s.repeat: unknown %q", at, c.Repeat)
-		case !group:
-			return p, fmt.Errorf("%s.group: unknown %q", at, c.Group)
-		}
-	}
-	if err := p.mixed(); err != nil {
-		return p, err
+		at := fmt.Sprintf("params.categories[%d]", i)
+		f.is(c.Name == "", "%s.name: missing", at)
+		f.is(c.Target <= 0, "%s.targetLatencyUs: %v, want above 0", at, c.Target)
+		f.is(!repeat, "%s.repeat: unknown %q", at, c.Repeat)
+		f.is(!group, "%s.group: unknown %q", at, c.Group)
 	}
+	p.mixed(&f)
 	for i, t := range p.Projects {
-		if t.Name == "" || t.Quota < 0 {
-			return p, fmt.Errorf("params.projects[%d]: name %q, quotaPerS %v", i, t.Name, t.Quota)
-		}
+		f.is(t.Name == "" || t.Quota < 0, "params.projects[%d]: name %q, quotaPerS %v", i, t.Name, t.Quota)
 	}
-	return p, nil
+	return p, f.err()
 }
 
 // mixed names what does not go together: a deployment's shape follows from its parameters alone.
-func (p Params) mixed() error {
+func (p Params) mixed(f *faults) {
 	told := p.Load.How == "answers" || p.Load.How == "probe"
-	switch {
-	case p.Limits.MayDuplicate && p.Limits.MostPushes < 2:
-		return fmt.Errorf("params.limits.mayDuplicate: second copies, but limits.mostPushes is %d", p.Limits.MostPushes)
-	case !told && p.Load.How != "none" && p.Load.How != "":
-		return fmt.Errorf("params.report.how: unknown %q", p.Load.How)
-	case told && len(p.Load.Fields) == 0:
-		return fmt.Errorf("params.report.fields: none, but report.how is %q", p.Load.How)
-	case !told && len(p.Load.Fields) > 0:
-		return fmt.Errorf("params.report.how: %q, but report.fields names some", p.Load.How)
-	case p.Specifics.FallMultiple < 0:
-		return fmt.Errorf("params.specifics.originFallMultiple: %v, want 0 or more", p.Specifics.FallMultiple)
-	case p.Specifics.FallMultiple > 0 && p.Specifics.FallFor <= 0:
-		return fmt.Errorf("params.specifics.originFallUs: %v, but originFallMultiple is set", p.Specifics.FallFor)
-	case p.Blend.Wanted != nil && *p.Blend.Wanted <= 0:
-		return fmt.Errorf("params.blend.ninesWanted: %v, want above 0", *p.Blend.Wanted)
-	case p.Blend.Wanted != nil && p.Blend.Availability == nil:
-		return fmt.Errorf("params.blend.ninesWanted: set without blend.availability")
-	case p.Blend.Wanted == nil && p.Blend.Availability != nil && *p.Blend.Availability > 0:
-		return fmt.Errorf("params.blend.availability: set without blend.ninesWanted")
-	case p.Zone != "" && len(p.Zones) > 0 && !slices.Contains(p.Zones, p.Zone):
-		return fmt.Errorf("params.zone: %q is not among zones", p.Zone)
-	case p.Costs.CrossZone < 0 || p.Costs.Origin < 0:
-		return fmt.Errorf("params.costs: crossZone %v, origin %v, want 0 or more", p.Costs.CrossZone, p.Costs.Origin)
+	known := told || p.Load.How == "none" || p.Load.How == ""
+	f.is(p.Limits.MayDuplicate && p.Limits.MostPushes == 1,
+		"params.limits.mayDuplicate: second copies, but limits.mostPushes is %d", p.Limits.MostPushes)
+	f.is(!known, "params.report.how: unknown %q", p.Load.How)
+	f.is(told && len(p.Load.Fields) == 0, "params.report.fields: none, but report.how is %q", p.Load.How)
+	f.is(known && !told && len(p.Load.Fields) > 0, "params.report.how: %q, but report.fields names some", p.Load.How)
+	f.is(p.Specifics.FallMultiple < 0, "params.specifics.originFallMultiple: %v, want 0 or more", p.Specifics.FallMultiple)
+	f.is(p.Specifics.FallMultiple > 0 && p.Specifics.FallFor <= 0,
+		"params.specifics.originFallUs: %v, but originFallMultiple is set", p.Specifics.FallFor)
+	f.is(p.Blend.Wanted != nil && *p.Blend.Wanted <= 0, "params.blend.ninesWanted: %v, want above 0", value(p.Blend.Wanted))
+	f.is(p.Blend.Wanted != nil && p.Blend.Availability == nil, "params.blend.ninesWanted: set without blend.availability")
+	f.is(p.Blend.Wanted == nil && value(p.Blend.Availability) > 0, "params.blend.availability: set without blend.ninesWanted")
+	f.is(p.Zone != "" && len(p.Zones) > 0 && !slices.Contains(p.Zones, p.Zone), "params.zone: %q is not among zones", p.Zone)
+	f.is(p.Costs.CrossZone < 0 || p.Costs.Origin < 0,
+		"params.costs: crossZone %v, origin %v, want 0 or more", p.Costs.CrossZone, p.Costs.Origin)
+	for i, name := range p.Load.Fields {
+		f.is(!slices.Contains(loads, name) || slices.Contains(p.Load.Fields[:i], name),
+			"params.report.fields[%d]: %q, unknown or named twice", i, name)
 	}
-	for i, f := range p.Load.Fields {
-		if !slices.Contains(loads, f) || slices.Contains(p.Load.Fields[:i], f) {
-			return fmt.Errorf("params.report.fields[%d]: %q, unknown or named twice", i, f)
-		}
+}
+
+// value is a figure that may be missing, 0 where it is.
+func value(p *float64) float64 {
+	if p == nil {
+		return 0
 	}
-	return nil
+	return *p
 }
 
 // loads are the names that a report's values may have. Only busy is read.
--- a/internal/params/params_test.go
+++ b/internal/params/params_test.go
@@ -35,6 +35,7 @@
 	read(`Multiple":0`, `Multiple":-1`)
 	read(`"zone":"a"`, `"zone":"c"`)
 	read(`"crossZone":0.1`, `"crossZone":-1`)
+	read(`"repeat":"retryable"`, `"repeat":"often"`, `"groupSize":1`, `"groupSize":0`) // all faults in one go
 	// Output:
 	// false <nil>
 	// true <nil>
@@ -52,6 +53,8 @@
 	// false params.specifics.originFallMultiple: -1, want 0 or more
 	// false params.zone: "c" is not among zones
 	// false params.costs: crossZone -1, origin 0, want 0 or more
+	// false params.groupSize: 0, want 1 or more
+	// params.categories[0].repeat: unknown "often"
 }
 
 // The operators' address may stand in the start file or in the environment, or nowhere. A bad one is named.
--- a/internal/params/told.go
+++ b/internal/params/told.go
@@ -1,7 +1,9 @@
 package params
 
 import (
+	"bytes"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"math"
 	"net/netip"
@@ -22,7 +24,7 @@
 	Params    Params
 }
 
-// ReadFile reads the file that a real balancer finds its start in. An error names the field at fault.
+// ReadFile reads the file that a real balancer finds its start in. An error names every fault, each with its field.
 func ReadFile(path string) (*Told, error) {
 	raw, err := os.ReadFile(path)
 	if err != nil {
@@ -30,7 +32,7 @@
 	}
 	t, err := readTold(raw)
 	if err != nil {
-		return nil, fmt.Errorf("start file %s: %w", path, err)
+		return nil, each("start file "+path, err)
 	}
 	return t, nil
 }
@@ -50,36 +52,35 @@
 		} `json:"limits"`
 	}
 	if err := json.Unmarshal(raw, &form); err != nil {
+		if torn := (*json.SyntaxError)(nil); errors.As(err, &torn) {
+			return nil, fmt.Errorf("line %d: %w", 1+bytes.Count(raw[:max(torn.Offset-1, 0)], []byte("\n")), err)
+		}
 		return nil, err
 	}
 	t := &Told{Name: form.Name, MemoryMB: form.Limits.MemoryMB, Known: form.Known}
-	var err error
-	if t.Listen, err = netip.ParseAddrPort(form.Listen); err != nil {
-		return nil, fmt.Errorf("listen: %q, want an address with a port", form.Listen)
-	}
-	if t.Discovery, err = netip.ParseAddrPort(form.Discovery); err != nil {
-		return nil, fmt.Errorf("discovery: %q, want an address with a port", form.Discovery)
+	var f faults
+	address := func(key, text string) netip.AddrPort {
+		a, err := netip.ParseAddrPort(text)
+		f.is(err != nil, "%s: %q, want an address with a port", key, text)
+		return a
 	}
+	t.Listen = address("listen", form.Listen)
+	t.Discovery = address("discovery", form.Discovery)
 	if form.Admin == "" {
 		form.Admin = os.Getenv("RELAY_ADMIN")
 	}
 	if form.Admin != "" {
-		if t.Admin, err = netip.ParseAddrPort(form.Admin); err != nil {
-			return nil, fmt.Errorf("admin: %q, want an address with a port", form.Admin)
-		}
-	}
-	if t.Seed, err = strconv.ParseUint(form.Seed, 16, 64); err != nil {
-		return nil, fmt.Errorf("seed: %q, want hex digits of 64 bits", form.Seed)
+		t.Admin = address("admin", form.Admin)
 	}
-	if t.MemoryMB <= 0 {
-		return nil, fmt.Errorf("limits.memory_mb: %v, want above 0", t.MemoryMB)
-	}
-	if s := form.Limits.Sockets; s < 1 || s > math.MaxInt32 {
-		return nil, fmt.Errorf("limits.sockets: %v, want 1 or more", s)
-	}
-	t.Sockets = int(form.Limits.Sockets)
+	var err error
+	t.Seed, err = strconv.ParseUint(form.Seed, 16, 64)
+	f.is(err != nil, "seed: %q, want hex digits of 64 bits", form.Seed)
+	f.is(t.MemoryMB <= 0, "limits.memory_mb: %v, want above 0", t.MemoryMB)
+	sockets := form.Limits.Sockets
+	f.is(sockets < 1 || sockets > math.MaxInt32, "limits.sockets: %v, want 1 or more", sockets)
+	t.Sockets = int(sockets)
 	if t.Params, err = Read(form.Settings); err != nil {
-		return nil, fmt.Errorf("settings: %w", err)
+		f = append(f, each("settings", err))
 	}
-	return t, nil
+	return t, f.err()
 }
--- a/internal/simwire/serve_test.go
+++ b/internal/simwire/serve_test.go
@@ -90,8 +90,14 @@
 	// input[0]: DEFINE_LIST.elements[0].condition: unknown "LOST"
 	// input[0]: unknown event {"TEAPOT":{"i":0}}
 	// input[0]: CONFIGURE.params.categories: none
+	// params.limits.mostPushes: 0, want 1 or more
+	// params.discovery: "", want on_request or pushed
 	// input[0]: CONFIGURE.params: missing
 	// input[0]: CONFIGURE.params.groupSize: 0, want 1 or more
+	// params.limits.mostPushes: 0, want 1 or more
+	// params.discovery: "", want on_request or pushed
+	// params.categories[0].targetLatencyUs: 0, want above 0
+	// params.categories[0].repeat: unknown ""
 	// {"actions":[]}
 	// line 3: simTimeUs: missing
 	// line 1: invalid character 'o' in literal null (expecting 'u')
