--- a/balance/balance.go
+++ b/balance/balance.go
@@ -9,7 +9,6 @@
 
 import (
 	"cmp"
-	"container/heap"
 	"math"
 	"slices"
 	"strconv"
@@ -44,7 +43,7 @@
 	farSlack      = 0.1 // by how much more the own zone's hosts have to be busy for keys to leave it
 	busyNearLeast = 0.6 // and so busy at the least: below, they have room
 
-	poolStep = 0.1                // part of the keys that a late fetch puts on the whole cycle
+	poolStep = 0.1                // part of the keys that a late fetch puts there, or a full table takes off
 	poolFall = 0.01               // part of these that an answer takes back
 	partHash = 0x9e3779b97f4a7c15 // odd; tells a key's part in something from its place on the cycle
 
@@ -78,6 +77,9 @@
 	keepCut  = 0.8 // factor of the time idle connections are kept, when one cannot be made
 	keepGrow = 1.2 // the same when one is made: four in ten may fail, for a handshake costs more
 
+	shutFirst   = 1000.0 // ms in which no new connection is tried to a host whose table of them was full
+	shutLongest = 8000.0 // ms, the longest such wait: places come free as others hang up
+
 	askFirst   = 500.0  // ms until a failed list call is repeated, spread by as much again
 	askLongest = 4000.0 // ms, the longest such wait
 	askAnswer  = 5000.0 // ms after which an unanswered call counts as failed
@@ -118,13 +120,14 @@
 	heatAll, cooled         float64        // their sum, and ms, when they were halved
 	copies                  float64        // second copies that may be sent
 	pool                    float64        // part of the keys that keep to no zone
+	pooled                  bool           // crossing costs no more than a fetch: best all of them
 	resting, counted        int            // ready hosts that rest; answers of warm ones since the last look
 	rate                    float64        // pushes a ms for each unit of warm size
 	wakeAt, ticked          float64        // ms, when the timer calls next, and when hosts were looked at
 	fetches                 map[string]*fetch
 	fleet, origin           gate
-	yielded                 bool // cold hosts are another process's
-	dues                    dues
+	yielded                 bool    // cold hosts are another process's
+	dues                    []due   // the first one last
 	usual                   float64 // smoothed over all hosts, what slow is smoothed of for each
 	keep                    float64 // ms for which an idle connection is kept
 	asking                  bool    // a call for the list is out
@@ -160,7 +163,6 @@
 // due is a time at which to look at an op: at its end, or at one push of it.
 type due struct {
 	at   float64
-	seq  int
 	op   *Op
 	push *Push // nil for the op's end
 }
@@ -168,29 +170,21 @@
 // void tells whether there is nothing left to look at.
 func (d due) void() bool { return d.op.state == settled || d.push != nil && d.push.over }
 
-type dues struct {
-	all []due
-	seq int
-}
-
-func (d *dues) Len() int      { return len(d.all) }
-func (d *dues) Swap(i, j int) { d.all[i], d.all[j] = d.all[j], d.all[i] }
-func (d *dues) Push(x any)    { d.all = append(d.all, x.(due)) }
-func (d *dues) Less(i, j int) bool {
-	return cmp.Or(cmp.Compare(d.all[i].at, d.all[j].at), d.all[i].seq-d.all[j].seq) < 0
-}
-func (d *dues) Pop() any {
-	last := d.all[len(d.all)-1]
-	d.all = d.all[:len(d.all)-1]
-	return last
-}
-
+// look has an op, or one push of it, looked at then. Those of one time come in the order of the calls.
 func (b *Balancer) look(at float64, op *Op, push *Push) {
-	b.dues.seq++
-	heap.Push(&b.dues, due{at, b.dues.seq, op, push})
+	i, _ := slices.BinarySearchFunc(b.dues, at, func(d due, at float64) int { return cmp.Compare(at, d.at) })
+	b.dues = slices.Insert(b.dues, i, due{at, op, push})
 	b.arm(at)
 }
 
+// first is what is due next.
+func (b *Balancer) first() due {
+	if n := len(b.dues); n > 0 {
+		return b.dues[n-1]
+	}
+	return due{at: math.Inf(1)}
+}
+
 // pcg is a permuted congruential generator (PCG-XSH-RR).
 type pcg uint64
 
@@ -207,6 +201,9 @@
 	b := &Balancer{Start: s, port: port, now: now, rng: pcg(s.Seed), ticked: now,
 		fetches: map[string]*fetch{}, askWait: askFirst, usual: 1, keep: s.ConnIdle, copies: copyBurst, busyFar: 1,
 		wakeAt: math.Inf(1)}
+	if b.pooled = b.CrossCost*(1-1/float64(max(b.Zones, 1))) <= b.FetchCost; b.pooled {
+		b.pool = 1
+	}
 	b.rng.float() // seeds that lie close give numbers that lie close at first
 	b.fleet = gate{goal: gateGoal, step: hostStep, limit: math.Inf(1)}
 	b.origin = gate{goal: originGoal, step: originStep, pain: originGoal / 2,
@@ -233,8 +230,8 @@
 // At takes the time and does what has fallen due.
 func (b *Balancer) At(now float64) {
 	b.now = now
-	for len(b.dues.all) > 0 && b.dues.all[0].at <= now {
-		d := heap.Pop(&b.dues).(due)
+	for d := b.first(); d.at <= now; d = b.first() {
+		b.dues = b.dues[:len(b.dues)-1]
 		switch {
 		case d.void() || d.op.state == streaming:
 		case d.push == nil && d.op.fetch != nil && d.op.out > 0 && b.now < b.end(d.op):
@@ -269,13 +266,11 @@
 		}
 		b.pump(g)
 	}
-	next := b.ticked + sweepEvery
-	for len(b.dues.all) > 0 && b.dues.all[0].void() {
-		heap.Pop(&b.dues)
-	}
-	if len(b.dues.all) > 0 {
-		next = math.Min(next, b.dues.all[0].at)
+	d := b.first()
+	for ; d.op != nil && d.void(); d = b.first() {
+		b.dues = b.dues[:len(b.dues)-1]
 	}
+	next := math.Min(b.ticked+sweepEvery, d.at)
 	if len(b.fleet.line)+len(b.origin.line) > 0 {
 		next = math.Min(next, b.now+tick)
 	}
@@ -474,6 +469,9 @@
 	share := float64(len(b.ready)) / float64(b.Group)
 	b.fleet.floor = fleetFloor * share
 	if math.IsInf(b.fleet.limit, 1) { // the first list
+		if b.Group > len(b.ready) { // no host can be sure to hold a connection for each: found out by making them
+			b.pool = 0
+		}
 		b.origin.limit = math.Max(originStart*share, originOwn)
 		b.fleet.limit = math.Max(1, fleetStart*share)
 	}
@@ -567,7 +565,7 @@
 	if spread := b.spread(op); spread > 1 {
 		pass = int(b.rng.float() * spread)
 	}
-	var spill *Host
+	var spill, doubt *Host
 	left := len(b.ready) // each host is judged once: where most are full its other points cost too much
 	for i := 0; i < len(b.cycle) && left > 0; i++ {
 		p := b.cycle[(from+i)%len(b.cycle)]
@@ -578,18 +576,22 @@
 		h.walked = b.walks
 		left--
 		if h != op.failed && allowed(op, h) && !b.full(op, h, mean) && b.afford(h) {
-			if spill == nil {
-				spill = h
-			}
-			if near && (h.Zone == b.Zone) != (op.failed == nil) {
-				continue
-			}
-			if pass--; pass < 0 {
+			switch {
+			case b.shut(h): // where all are, the one that has waited longest
+				if doubt == nil || h.shutUntil < doubt.shutUntil {
+					doubt = h
+				}
+			case near && (h.Zone == b.Zone) != (op.failed == nil):
+				spill = cmp.Or(spill, h)
+			case pass <= 0:
 				return h
+			default:
+				spill = cmp.Or(spill, h)
+				pass--
 			}
 		}
 	}
-	return spill
+	return cmp.Or(spill, doubt)
 }
 
 // spread is over how many hosts a key's ops have to go so that none gets more than the bound allows of what
@@ -608,22 +610,18 @@
 
 // near tells whether op keeps to its balancer's zone while a host there has room. From one that failed it, it
 // goes to another zone's first host: there that zone's balancers keep the key.
-func (b *Balancer) near(op *Op) bool {
-	if b.Zone < 0 || b.Zones < 2 || b.CrossCost*(1-1/float64(b.Zones)) <= b.FetchCost {
-		return false
-	}
-	return part(op.hash) >= b.pool
-}
+func (b *Balancer) near(op *Op) bool { return b.Zone >= 0 && b.Zones > 1 && part(op.hash) >= b.pool }
+
+// shut tells whether a host's table of connections was full lately, and none to it is free.
+func (b *Balancer) shut(h *Host) bool { return b.now < h.shutUntil && (!h.open || h.out > 0) }
 
 // part spreads hashes over 0 to 1, whatever their places on the cycle.
 func part(hash uint64) float64 { return float64(hash*partHash>>11) / (1 << 53) }
 
 // mayHaveRun is the first push of op that has run, may have, or may yet; nil where all provably never ran.
 func (op *Op) mayHaveRun() *Push {
-	for _, p := range op.tried {
-		if !p.never {
-			return p
-		}
+	if i := slices.IndexFunc(op.tried, func(p *Push) bool { return !p.never }); i >= 0 {
+		return op.tried[i]
 	}
 	return nil
 }
@@ -634,13 +632,8 @@
 	if first == nil || op.Category.Repeat == Redeliverable {
 		return true
 	}
-	switch op.Category.Group {
-	case ZoneHosts:
-		return h.Zone == first.Host.Zone
-	case CellHosts:
-		return h.Cell == first.Host.Cell
-	}
-	return true
+	group := op.Category.Group
+	return (group != ZoneHosts || h.Zone == first.Host.Zone) && (group != CellHosts || h.Cell == first.Host.Cell)
 }
 
 // repeatable tells whether op may run once more, a margin of time from now.
@@ -766,12 +759,8 @@
 		return
 	}
 	for float64(len(g.line)) > math.Max(2, g.limit) {
-		least := g.line[0]
-		for _, op := range g.line {
-			if worth(op) <= worth(least) {
-				least = op
-			}
-		}
+		last := func(x, y *Op) int { return cmp.Or(cmp.Compare(worth(x), worth(y)), -1) } // of equals the last
+		least := slices.MinFunc(g.line, last)
 		g.remove(least)
 		b.drop(least)
 	}
@@ -928,7 +917,7 @@
 		return
 	}
 	p.over = true
-	p.never = o == Refused || o == NoConn || o == NotSent || o == Missed
+	p.never = o == Refused || o == Shut || o == NoConn || o == NotSent || o == Missed
 	op.out--
 	switch {
 	case op.bound != p:
@@ -970,8 +959,8 @@
 		}
 	case op.fetch != nil && b.mayPush(op): // the origin failed the fetch; its waiters wait on
 		b.offer(g, op)
-	// A good host, which may hold the key while others would miss.
-	case h.fail <= failFrom && (o == Spoilt || o == Stale || o == Cancelled && h.answered > p.sent):
+	// A good host, which may hold the key while others would miss; one with no room for a connection does not.
+	case o == Shut, h.fail <= failFrom && (o == Spoilt || o == Stale || o == Cancelled && h.answered > p.sent):
 		b.route(op)
 	default:
 		op.failed = h
@@ -1009,8 +998,11 @@
 		b.counted++
 	}
 	if h.fresh && (o == Served || o == Missed) {
-		h.fresh = false
+		h.fresh, h.shutWait = false, 0
 		b.keep = math.Min(b.keep*keepGrow, b.ConnIdle)
+		if b.pooled {
+			b.pool = math.Min(1, b.pool+poolFall)
+		}
 	}
 	if g == &b.fleet && len(op.tried) > 1 && (o == Served || o == Missed || o == Refused) {
 		b.refused -= b.refused * latStep
@@ -1026,7 +1018,9 @@
 		}
 		g.take(spent)
 		h.answered = b.now
-		b.pool -= b.pool * poolFall
+		if !b.pooled {
+			b.pool -= b.pool * poolFall
+		}
 	case Missed:
 		h.answered = b.now
 	case Failed, Broken:
@@ -1040,6 +1034,11 @@
 		if !h.Origin {
 			b.keep = math.Max(b.keep*keepCut, tick)
 		}
+	case Shut: // of many balancers most are turned away: asked at fewer hosts, a key meets the same connections
+		h.open, h.fresh = h.open && !h.fresh, false
+		h.shutWait = math.Min(math.Max(h.shutWait*2, shutFirst), shutLongest)
+		h.shutUntil = b.now + h.shutWait*(0.5+b.rng.float())
+		b.pool = math.Max(0, b.pool-poolStep)
 	case Refused: // a host that others fill is no bad host; the op walks on
 		if bad = h.Origin; !bad && float64(b.Group) > crowdGroup { // of few, each knows its own part
 			b.slowed(h, refusedSlow)
@@ -1066,7 +1065,7 @@
 	// Hosts fall silent under load, but also where a zone is cut off. A fleet gate that narrowed for pushes
 	// to hosts already known as silent would shut out the ops that the others could serve.
 	if o == Missed || o == NotSent || o == Spoilt || o == Stale || o == Rejected || o == Broken ||
-		!h.Origin && (o == NoConn || o == Refused || suspect) {
+		o == Shut || !h.Origin && (o == NoConn || o == Refused || suspect) {
 		return
 	}
 	pain := spent / c.Target
@@ -1082,7 +1081,7 @@
 	default:
 		pain = math.Max(pain, 2*g.goal)
 	}
-	if g == &b.origin && pain > g.goal {
+	if g == &b.origin && pain > g.goal && !b.pooled {
 		b.pool = math.Min(1, b.pool+poolStep)
 	}
 	g.pain += (pain - g.pain) * g.step
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -1491,3 +1491,89 @@
 	// rests: true false budget: true
 	// before a list: {0 0 {0 0 0 0} {0 0 0 0} [] map[]} true
 }
+
+// A host whose table of connections is full is passed over for a while by what would need a new one there, and is not blamed;
+// an op that it turned away goes to the next. With 300 balancers and room for 23 each op was turned away at host after host,
+// and was the origin's once two had done so.
+func Example_fullTable() {
+	x := open(start(), "a", "b", "c")
+	x.ask("first", 0, "page", 500, false)
+	x.end("first", Shut, 2)
+	x.end("first", Served, 10)
+	x.ask("next", 0, "page", 500, false)
+	x.end("next", Served, 10)
+	fmt.Println("suspect:", x.hosts["a"].fail+x.hosts["b"].fail+x.hosts["c"].fail > 0)
+	x.after(1600)
+	x.ask("later", 0, "page", 500, false)
+	x.end("later", Served, 10) // with that a connection to it is open
+	x.ask("last", 0, "page", 500, false)
+	// Output:
+	//    0 push first to c
+	//    0 push first to a
+	//    0 first acked
+	//    0 push next to a
+	//    0 next acked
+	// suspect: false
+	// 1600 push later to c
+	// 1600 later acked
+	// 1600 push last to c
+}
+
+// Where every table is full an op still tries, for places come free.
+func Example_allTablesFull() {
+	x := open(start(), "a", "b")
+	for _, name := range []string{"one", "two"} {
+		x.ask(name, 0, "page", 500, false)
+		x.end(name, Shut, 2)
+		x.end(name, Shut, 2)
+	}
+	x.end("two", Served, 10)
+	// Output:
+	//    0 push one to a
+	//    0 push one to b
+	//    0 push one to a
+	//    0 push two to a
+	//    0 push two to b
+	//    0 push two to a
+	//    0 two acked
+}
+
+// Crossing is cheap here, so keys keep to no zone; but where balancers outnumber the hosts, or tables of connections are
+// found full, they do, for fewer hosts need a connection then.
+func Example_zonesOfMany() {
+	for _, group := range []int{3, 5} {
+		s := start()
+		s.FetchCost, s.Group = 0.03, group
+		x := zones(s)
+		var entries []Entry
+		for i, n := range []string{"A", "B", "c", "d"} {
+			x.hosts[n] = &Host{Name: n}
+			entries = append(entries, Entry{x.hosts[n], Listing{Zone: i / 2, Size: 1}})
+		}
+		x.List(entries, true, false)
+		x.silent = true
+		near := func() int {
+			x.pushes = map[string]int{}
+			for i := range 400 {
+				name := fmt.Sprint("op", i)
+				x.ask(name, 0, name, 900, false)
+				x.end(name, Served, 5)
+			}
+			return x.pushes["A"] + x.pushes["B"]
+		}
+		fmt.Println(group, "balancers:", near(), "of 400 in the zone")
+		for i := range 12 {
+			name := fmt.Sprint("turned away", i)
+			x.ask(name, 0, name, 900, false)
+			x.end(name, Shut, 1)
+			x.end(name, Served, 5)
+		}
+		x.after(20000)
+		fmt.Println("after full tables:", near(), "of 400")
+	}
+	// Output:
+	// 3 balancers: 225 of 400 in the zone
+	// after full tables: 400 of 400
+	// 5 balancers: 395 of 400 in the zone
+	// after full tables: 400 of 400
+}
--- a/balance/port.go
+++ b/balance/port.go
@@ -114,6 +114,8 @@
 	slow             float64  // smoothed latency against the category's usual
 	fail             float64  // smoothed share of failures
 	rest, restUntil  float64  // ms of the last rest, and when it ends
+	shutWait         float64  // ms, the last wait after a new connection was turned away
+	shutUntil        float64  // ms, its end
 	answered         float64  // ms, time of the last answer
 	budget, budgeted float64  // pushes left to a cold host in the span that began then
 }
@@ -151,6 +153,7 @@
 	Cancelled         // called off
 	NotSent           // the push never left
 	Missed            // the host does not hold the key
+	Shut              // turned away with its new connection, as the host holds no more of them
 	Unknown           // an outcome not on this list: it may have run
 )
 
--- a/cmd/larchthread/main_test.go
+++ b/cmd/larchthread/main_test.go
@@ -137,6 +137,12 @@
 			f.note("%s: %s", name, strings.TrimSpace(line))
 			answer := strings.ReplaceAll(say(words), "{id}", strings.TrimPrefix(words[3], "O"))
 			last := strings.HasSuffix(answer, "drop")
+			if last { // the end comes with the last bytes, not some time behind them
+				raw, err := c.(*net.TCPConn).SyscallConn()
+				if err == nil {
+					raw.Control(func(fd uintptr) { syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, syscall.TCP_CORK, 1) })
+				}
+			}
 			io.WriteString(c, strings.TrimSuffix(answer, "drop"))
 			if last {
 				return
@@ -413,6 +419,44 @@
 	//   origin: PUT /hot "hello" 3 c=put,d=..,k=9
 }
 
+// A host whose table of connections is full answers busy and closes the new one. It is left alone for a while, where it once
+// was asked for each key that is its own: at hundreds of balancers that was more than one push an op for nothing.
+func Example_tableFull() {
+	f := &fleet{}
+	f.host("x", func([]string) string { return "SERVER_ERROR busy\r\ndrop" })
+	f.host("b", hit)
+	f.origin(fetch)
+	f.start()
+	defer f.stop()
+	c := f.client()
+	for i := range 8 {
+		c.say(2, fmt.Sprintf("mg key%d v O%d Pc=read,d=500\r\n", i, i))
+	}
+	f.mu.Lock()
+	fmt.Println("asked for a connection:", strings.Count(strings.Join(f.notes, "\n"), "x: mg"))
+	f.mu.Unlock()
+	f.ended("table-full")
+	// Output:
+	// VA 5 O0
+	// value
+	// VA 5 O1
+	// value
+	// VA 5 O2
+	// value
+	// VA 5 O3
+	// value
+	// VA 5 O4
+	// value
+	// VA 5 O5
+	// value
+	// VA 5 O6
+	// value
+	// VA 5 O7
+	// value
+	// asked for a connection: 1
+	// table-full 1
+}
+
 // Commands in one write, or in pieces, are answered in their order, also where a later one is served first.
 func Example_pipeline() {
 	f := &fleet{}
@@ -1322,11 +1366,25 @@
 	}
 	fmt.Println(serve("/nowhere", ""))
 	// Output:
-	// start file FILE: unexpected end of JSON input
+	// start file FILE: line 1: unexpected end of JSON input
 	// start file FILE: listen: "nowhere", want an address with a port
 	// start file FILE: discovery: "", want an address with a port
+	// start file FILE: seed: "", want hex digits of 64 bits
+	// start file FILE: limits.memory_mb: 0, want above 0
+	// start file FILE: limits.sockets: 0, want 1 or more
+	// start file FILE: settings: params: missing
+	// start file FILE: discovery: "", want an address with a port
+	// start file FILE: seed: "", want hex digits of 64 bits
+	// start file FILE: limits.memory_mb: 0, want above 0
+	// start file FILE: limits.sockets: 0, want 1 or more
+	// start file FILE: settings: params: missing
 	// start file FILE: seed: "xyz", want hex digits of 64 bits
 	// start file FILE: limits.memory_mb: 0, want above 0
+	// start file FILE: limits.sockets: 0, want 1 or more
+	// start file FILE: settings: params: missing
+	// start file FILE: limits.memory_mb: 0, want above 0
+	// start file FILE: limits.sockets: 0, want 1 or more
+	// start file FILE: settings: params: missing
 	// start file FILE: settings: params: missing
 	// start file: open /nowhere: no such file or directory
 }
--- a/internal/routing/link.go
+++ b/internal/routing/link.go
@@ -263,7 +263,13 @@
 	}
 	p.move(over)
 	l.push = nil
-	l.spare(a.Close)
+	o := outcomes[a.Kind]
+	if o == balance.Refused && !l.kept && !l.host.Origin && l.conn.AtEnd() {
+		o = balance.Shut
+		l.close(transport.TableFull)
+	} else {
+		l.spare(a.Close)
+	}
 	if a.Kind == protocol.Value || a.Kind == protocol.Receipt {
 		if op.state == open && op.flow == nil {
 			l.router.tallies[op.Category].Acked++
@@ -275,7 +281,7 @@
 	if a.Complaint != "" {
 		l.router.log.Warn("host complains", "peer", l.host.Name, "op", op.command.ID, "answer", a.Complaint)
 	}
-	l.router.ended(p, outcomes[a.Kind], a.Load...)
+	l.router.ended(p, o, a.Load...)
 }
 
 // spare keeps the connection for the next push, if it is good for one.
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -29,6 +29,7 @@
 	SlowReader   Reason = "slow-reader"     // it does not take its answers
 	HalfSent     Reason = "half-sent"       // the rest of a command did not come
 	Silent       Reason = "silent"          // no command came that could be taken
+	TableFull    Reason = "table-full"      // the other side holds no more connections
 	LastAnswer   Reason = "answered-last"   // the other side asked for it to close
 	Stopping     Reason = "stopping"        // the program stops
 	WatchRenewed Reason = "watch-renewed"   // a new watch begins in place of this one
@@ -118,6 +119,16 @@
 	return err == unix.EAGAIN
 }
 
+// AtEnd tells whether nothing more will come: the other side has ended the connection, and all it said is taken.
+func (c *Conn) AtEnd() bool {
+	if c.In.Len() > 0 {
+		return false
+	}
+	var b [1]byte
+	n, _, err := unix.Recvfrom(c.fd, b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+	return c.why != "" || n == 0 && err == nil
+}
+
 // Flush has what stands in Out written when the round is carried out.
 func (c *Conn) Flush() {
 	c.Used = c.loop.now
