--- a/balance/balance.go
+++ b/balance/balance.go
@@ -37,6 +37,8 @@
 	restFirst   = 250.0  // ms off the walk after a first failure, about what a short stall lasts
 	restLongest = 4000.0 // ms; a healed host is tried again no later than this
 	restCost    = 20.0   // times what a failed connect took that a host rests at most
+	tryShare    = 0.01   // ops, for each that comes, that may find a suspect host still bad: many others try it
+	tryBurst    = 3.0    // that may do so together
 	restShare   = 0.8    // part of the hosts that may rest at once; beyond it the evidence is in doubt
 
 	secondLook    = 1.0 // first waits more after which a push that was left is called off all the same
@@ -119,6 +121,7 @@
 	heat                    [cells]float64 // recent ops by key, halved now and then
 	heatAll, cooled         float64        // their sum, and ms, when they were halved
 	copies                  float64        // second copies that may be sent
+	tries                   float64        // ops that may be sent to suspect hosts while others have room
 	pool                    float64        // part of the keys that keep to no zone
 	pooled                  bool           // crossing costs no more than a fetch: best all of them
 	resting, counted        int            // ready hosts that rest; answers of warm ones since the last look
@@ -199,8 +202,8 @@
 // New makes the balancer of one instance at time now.
 func New(s Start, port Port, now float64) *Balancer {
 	b := &Balancer{Start: s, port: port, now: now, rng: pcg(s.Seed), ticked: now,
-		fetches: map[string]*fetch{}, askWait: askFirst, usual: 1, keep: s.ConnIdle, copies: copyBurst, busyFar: 1,
-		wakeAt: math.Inf(1)}
+		fetches: map[string]*fetch{}, askWait: askFirst, usual: 1, keep: s.ConnIdle, busyFar: 1,
+		copies: copyBurst, tries: tryBurst, wakeAt: math.Inf(1)}
 	if b.pooled = b.CrossCost*(1-1/float64(max(b.Zones, 1))) <= b.FetchCost; b.pooled {
 		b.pool = 1
 	}
@@ -494,10 +497,9 @@
 	return b.ColdShare + (1-b.ColdShare)*math.Max(age, 0)/b.ColdFor
 }
 
-// afford tells whether a cold host may be pushed to: its budget for a span of TipFor, judged from what
-// warm hosts of its size get from this balancer, so that the parts of all balancers add up. Where that is
-// less than one push, chance grants it to so many balancers at a time: were each to send one, some
-// hundred at once would push the host over.
+// afford tells whether a cold host may be pushed to: its budget for a span of TipFor, judged from what warm
+// hosts of its size get from this balancer, so that the parts of all balancers add up. Less than one push is
+// granted by chance: were each of some hundred balancers to send one at once, the host would be pushed over.
 func (b *Balancer) afford(h *Host) bool {
 	share := b.warmth(h)
 	if share >= 1 || b.yielded {
@@ -577,7 +579,7 @@
 		left--
 		if h != op.failed && allowed(op, h) && !b.full(op, h, mean) && b.afford(h) {
 			switch {
-			case b.shut(h): // where all are, the one that has waited longest
+			case b.shut(h) || h.rest >= restFirst && b.tries < 1: // where all are, the one that has waited longest
 				if doubt == nil || h.shutUntil < doubt.shutUntil {
 					doubt = h
 				}
@@ -674,6 +676,7 @@
 	b.heat[op.hash%cells]++
 	b.heatAll++
 	b.copies = math.Min(b.copies+copyShare, copyBurst)
+	b.tries = math.Min(b.tries+tryShare, tryBurst)
 	end := b.end(op)
 	if end <= b.now { // a last try with next to no time left could be lost between two looks
 		b.giveUp(op)
@@ -742,7 +745,7 @@
 // out in good time.
 func (b *Balancer) pump(g *gate) {
 	g.line = slices.DeleteFunc(g.line, func(op *Op) bool { return op.state != held })
-	for len(g.line) > 0 && b.open(g) {
+	for len(g.line) > 0 && float64(g.out) < math.Max(g.limit, 1) {
 		op := slices.MaxFunc(g.line, func(x, y *Op) int { return cmp.Compare(worth(x), worth(y)) })
 		h := b.target(g, op)
 		if h == nil && op.failed == nil {
@@ -759,8 +762,8 @@
 		return
 	}
 	for float64(len(g.line)) > math.Max(2, g.limit) {
-		last := func(x, y *Op) int { return cmp.Or(cmp.Compare(worth(x), worth(y)), -1) } // of equals the last
-		least := slices.MinFunc(g.line, last)
+		last := func(x, y *Op) int { return cmp.Or(cmp.Compare(worth(x), worth(y)), -1) }
+		least := slices.MinFunc(g.line, last) // of equals the last
 		g.remove(least)
 		b.drop(least)
 	}
@@ -770,12 +773,8 @@
 	g.line = slices.DeleteFunc(g.line, func(x *Op) bool { return x == op })
 }
 
-// open tells whether a gate lets one more push out.
-func (b *Balancer) open(g *gate) bool { return float64(g.out) < math.Max(g.limit, 1) }
-
 // unlucky tells whether chance turns an op away. A limit under one is the part of ops that go out, and more
-// of those of more worth: one out at each of some hundred balancers would keep a full origin full, and places
-// drawn now and then would leave most of those that see few ops without any.
+// of those of more worth: one out at each of some hundred balancers would keep a full origin full.
 func (b *Balancer) unlucky(g *gate, op *Op) bool {
 	g.worth += (worth(op) - g.worth) * hostStep
 	return g.limit < 1 && b.rng.float()*g.worth >= g.limit*worth(op)
@@ -812,6 +811,9 @@
 	h.out++
 	h.open, h.fresh, h.pushed = true, h.fresh || !h.open, b.now
 	g.out++
+	if h.rest >= restFirst {
+		b.tries = math.Max(b.tries-1, 0)
+	}
 	c, limit := op.Category, op.Due-b.now
 	patience := c.lat + patienceDevs*c.dev
 	switch {
@@ -1057,6 +1059,9 @@
 	case bad:
 		b.blame(h, o, spent, step)
 	case o == Served || o == Missed:
+		if h.rest >= restFirst { // it is well again: that cost nothing
+			b.tries++
+		}
 		h.fail -= h.fail * hostStep
 		if h.fail < failFrom {
 			h.rest = 0
@@ -1164,8 +1169,8 @@
 	}
 	nack := b.mayNack(op)
 	b.move(op, settled)
-	if nack {
-		b.port.Nack(op, b.backoff(op))
+	if nack { // the client is to come back after the time a line takes to clear, spread
+		b.port.Nack(op, math.Min(b.MaxBackoff, op.Category.Target/2*(1+b.rng.float())))
 	} else {
 		b.port.DeadLetter(op)
 	}
@@ -1173,11 +1178,6 @@
 	b.landed(op, false)
 }
 
-// backoff is when a nacked client should come back: after the time a line takes to clear, spread.
-func (b *Balancer) backoff(op *Op) float64 {
-	return math.Min(b.MaxBackoff, op.Category.Target/2*(1+b.rng.float()))
-}
-
 // move is the one place where an op changes state. A settled op stays settled.
 func (b *Balancer) move(op *Op, to state) {
 	if op.state == settled || op.state == streaming && to != settled {
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -1577,3 +1577,44 @@
 	// 5 balancers: 395 of 400 in the zone
 	// after full tables: 400 of 400
 }
+
+// What finds out that a suspect host is still bad is a hundredth of the ops, where others have room: each op that tries is late
+// for it, and each of 300 balancers tried each of two dozen slow hosts every 4 s. A try that is answered costs nothing, so
+// a fleet that is well again is soon in use.
+func Example_triesOfSuspectHosts() {
+	var names []string
+	for i := range 20 {
+		names = append(names, fmt.Sprint("h", i))
+	}
+	x := open(start(), names...)
+	x.silent = true
+	bad := func(h *Host) bool { return len(h.Name) == 2 } // ten of the twenty
+	run := func(well bool) (tried int) {
+		for i := range 3000 {
+			x.after(10)
+			name := fmt.Sprint("op", i)
+			op := x.ask(name, 0, name, 500, false)
+			for op.out > 0 {
+				if p := at(op); bad(p.Host) && !well {
+					tried++
+					x.end(name, Failed, 5)
+					continue
+				}
+				x.end(name, Served, 5)
+			}
+		}
+		return tried
+	}
+	fmt.Println("tried in 30 s:", run(false))
+	run(true)
+	suspect := 0
+	for _, h := range x.hosts {
+		if h.fail > failFrom {
+			suspect++
+		}
+	}
+	fmt.Println("suspect 30 s after all are well:", suspect)
+	// Output:
+	// tried in 30 s: 42
+	// suspect 30 s after all are well: 0
+}
