--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -114,19 +114,21 @@
 	if c.status != up || c.why != "" || c.fresh || c.In.Len() > 0 {
 		return false
 	}
-	var b [1]byte
-	_, _, err := unix.Recvfrom(c.fd, b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+	_, err := c.peek()
 	return err == unix.EAGAIN
 }
 
 // AtEnd tells whether nothing more will come: the other side has ended the connection, and all it said is taken.
 func (c *Conn) AtEnd() bool {
-	if c.In.Len() > 0 {
-		return false
-	}
+	n, err := c.peek()
+	return c.In.Len() == 0 && (c.why != "" || n == 0 && err == nil)
+}
+
+// peek looks for a byte that stands unread at the socket: none and no error is its end.
+func (c *Conn) peek() (n int, err error) {
 	var b [1]byte
-	n, _, err := unix.Recvfrom(c.fd, b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-	return c.why != "" || n == 0 && err == nil
+	n, _, err = unix.Recvfrom(c.fd, b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+	return n, err
 }
 
 // Flush has what stands in Out written when the round is carried out.
