--- a/balance/balance.go
+++ b/balance/balance.go
@@ -9,6 +9,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"strconv"
@@ -128,6 +129,7 @@
 	rate                    float64        // pushes a ms for each unit of warm size
 	wakeAt, ticked          float64        // ms, when the timer calls next, and when hosts were looked at
 	fetches                 map[string]*fetch
+	turns                   map[string]*turn // by key, of ordered ops
 	fleet, origin           gate
 	yielded                 bool    // cold hosts are another process's
 	dues                    []due   // the first one last
@@ -150,6 +152,13 @@
 	value   float64 // benefit that hangs on it
 }
 
+// turn keeps a key's ordered ops apart: only the first in line is on its way. It outlives them while the key rests.
+type turn struct {
+	line  []*Op
+	quiet float64 // ms, when a push that may still run has had its time
+	begun bool    // the first is on its way
+}
+
 // gate lets a learned number of pushes out at once and holds the rest.
 type gate struct {
 	goal, limit float64
@@ -202,7 +211,7 @@
 // New makes the balancer of one instance at time now.
 func New(s Start, port Port, now float64) *Balancer {
 	b := &Balancer{Start: s, port: port, now: now, rng: pcg(s.Seed), ticked: now,
-		fetches: map[string]*fetch{}, askWait: askFirst, usual: 1, keep: s.ConnIdle, busyFar: 1,
+		fetches: map[string]*fetch{}, turns: map[string]*turn{}, askWait: askFirst, usual: 1, keep: s.ConnIdle, busyFar: 1,
 		copies: copyBurst, tries: tryBurst, wakeAt: math.Inf(1)}
 	if b.pooled = b.CrossCost*(1-1/float64(max(b.Zones, 1))) <= b.FetchCost; b.pooled {
 		b.pool = 1
@@ -237,8 +246,10 @@
 		b.dues = b.dues[:len(b.dues)-1]
 		switch {
 		case d.void() || d.op.state == streaming:
-		case d.push == nil && d.op.fetch != nil && d.op.out > 0 && b.now < b.end(d.op):
+		case d.push == nil && d.op.fetch != nil && d.op.out > 0 && b.now >= d.op.until && b.now < b.end(d.op):
 			b.look(b.end(d.op), d.op, nil) // late for this op, but what it fetches is kept for others
+		case d.push == nil && b.now < d.op.until: // its key has rested
+			b.begin(d.op.turn)
 		case d.push == nil:
 			b.giveUp(d.op)
 		default:
@@ -311,6 +322,7 @@
 		for i := range b.heat {
 			b.heat[i] /= 2
 		}
+		maps.DeleteFunc(b.turns, func(_ string, t *turn) bool { return len(t.line) == 0 && b.now >= t.quiet })
 	}
 	b.countResting()
 	b.hangUp()
@@ -367,7 +379,8 @@
 		if h.Origin {
 			set = &b.origins
 		}
-		if e.UpSince > h.UpSince { // a new process: what was learned of the old one is void
+		// A new process: what was learned of the old one is void. Stamps that are off may go back.
+		if e.UpSince > h.UpSince || b.StampDoubt > 0 && e.UpSince != h.UpSince {
 			h.open, h.fresh, h.budget, h.budgeted = false, false, 0, 0
 			h.forgive()
 		}
@@ -462,7 +475,7 @@
 		b.cycle[from+j], end = added[j], from
 	}
 	for _, h := range b.ready {
-		b.coldUntil = math.Max(b.coldUntil, h.UpSince+b.ColdFor)
+		b.coldUntil = math.Max(b.coldUntil, h.UpSince+b.ColdFor+b.StampDoubt)
 		b.join(h)
 		h.slow = math.Max(h.slow, 1)
 	}
@@ -490,7 +503,7 @@
 
 // warmth is the share of its capacity that a host surely has by now.
 func (b *Balancer) warmth(h *Host) float64 {
-	age := b.now - h.UpSince
+	age := b.now - h.UpSince - b.StampDoubt
 	if h.UpSince <= 0 || age >= b.ColdFor {
 		return 1
 	}
@@ -677,20 +690,63 @@
 	b.heatAll++
 	b.copies = math.Min(b.copies+copyShare, copyBurst)
 	b.tries = math.Min(b.tries+tryShare, tryBurst)
-	end := b.end(op)
-	if end <= b.now { // a last try with next to no time left could be lost between two looks
+	if b.LeftOff > 0 { // the clocks may differ: a try has its target latency at the least
+		op.Due = math.Max(op.Due, math.Min(op.Due+b.LeftOff, b.now+op.Category.Target+b.margin()))
+	}
+	op.until = b.end(op)
+	if op.until <= b.now { // a last try with next to no time left could be lost between two looks
 		b.giveUp(op)
 		return
 	}
 	if op.Category.Tardy == 0 { // a late answer is worth nothing and costs others theirs
-		end = math.Min(end, b.now+op.Category.Target)
+		op.until = math.Min(op.until, b.now+op.Category.Target)
 	}
-	b.look(end, op, nil)
-	b.route(op)
+	b.look(op.until, op, nil)
+	if !op.Category.Ordered || op.Key == "" {
+		b.route(op)
+		return
+	}
+	if op.turn = b.turns[op.Key]; op.turn == nil {
+		op.turn = &turn{}
+		b.turns[op.Key] = op.turn
+	}
+	op.turn.line = append(op.turn.line, op)
+	b.begin(op.turn)
+}
+
+// begin sends the first of a key's ordered ops on its way, once all before it are over and the key has rested.
+func (b *Balancer) begin(t *turn) {
+	switch {
+	case t.begun || len(t.line) == 0:
+	case b.now < t.quiet:
+		b.look(t.quiet, t.line[0], nil)
+	default:
+		t.begun = true
+		b.route(t.line[0])
+	}
+}
+
+// pass takes an op of which nothing more can come out of its key's line, and lets the next have its turn.
+func (b *Balancer) pass(op *Op) {
+	t := op.turn
+	if t == nil || !op.Over() {
+		return
+	}
+	op.turn = nil
+	if t.line[0] == op {
+		t.begun = false
+	}
+	t.line = slices.DeleteFunc(t.line, func(x *Op) bool { return x == op })
+	if len(t.line) == 0 && b.now >= t.quiet {
+		delete(b.turns, op.Key)
+	}
+	b.begin(t)
 }
 
 // end is when an op has to be settled, early enough for the next look to come before its TTL.
-func (b *Balancer) end(op *Op) float64 { return op.Due - tick - settleTicks*b.Quantum }
+func (b *Balancer) end(op *Op) float64 { return op.Due - b.margin() }
+
+func (b *Balancer) margin() float64 { return tick + settleTicks*b.Quantum }
 
 // route sends an op on its ordinary way: writes of an aside fleet to the origin, all else to the cycle.
 // While the key is being fetched a push could only miss, so the op waits. The last push is the origin's,
@@ -899,6 +955,7 @@
 	b.move(op, settled)
 	b.callOff(op)
 	b.landed(op, false)
+	b.pass(op)
 }
 
 // callOff cancels pushes whose answers nobody wants.
@@ -920,6 +977,9 @@
 	p.over = true
 	p.never = o == Refused || o == Shut || o == NoConn || o == NotSent || o == Missed
 	op.out--
+	if op.turn != nil && !p.never && o != Served && o != Failed { // it may still run
+		op.turn.quiet = b.now + b.KeyRest
+	}
 	switch {
 	case op.bound != p:
 		h.out--
@@ -967,6 +1027,7 @@
 		op.failed = h
 		b.route(op)
 	}
+	b.pass(op)
 	b.pump(g)
 }
 
@@ -1176,6 +1237,7 @@
 	}
 	b.callOff(op)
 	b.landed(op, false)
+	b.pass(op)
 }
 
 // move is the one place where an op changes state. A settled op stays settled.
--- a/balance/port.go
+++ b/balance/port.go
@@ -40,6 +40,13 @@
 	FetchCost   float64 // price of a fetch from the origin
 
 	ExcessBenefit float64 // part of its benefit that an op over its tenant's share keeps
+
+	KeyRest      float64 // ms that a key of ordered ops rests after a push that may still run
+	LeftOff      float64 // ms by which an op's Due may be off, either way
+	StampDoubt   float64 // ms by which a host's UpSince may be off, either way
+	GoneIsAdvice bool    // a host listed as gone that was never draining may still be sent to
+	KeptPromises bool    // an op nacked within its target latency is no miss, a late answer is one
+	ReplySlots   int     // answers that can be held while clients read them; 0 where that is no matter
 }
 
 // Repeat tells whether an op may run again.
@@ -68,6 +75,7 @@
 	Repeat  Repeat
 	Group   Group
 	Window  float64 // ms for which repeats are dropped
+	Ordered bool    // ops of one key run one at a time, in the order they came
 
 	latency // of hits
 }
@@ -163,7 +171,7 @@
 	Category *Category
 	Tenant   *Tenant // nil where there are none
 	Key      string
-	Due      float64 // ms, when the client stops waiting
+	Due      float64 // ms, when the client stops waiting, as it is told
 	Write    bool
 
 	state   state
@@ -176,6 +184,8 @@
 	wrong   *Host   // host that held the op itself for wrong
 	bound   *Push   // the push whose answer flows
 	fetch   *fetch  // led by this op
+	until   float64 // ms, when it is given up
+	turn    *turn   // its key's, where it is in order; nil once nothing more can come of it
 }
 
 // Push is one attempt at an op. The front gets it with the word to send and hands it back with its outcome.
--- a/internal/params/params.go
+++ b/internal/params/params.go
@@ -22,6 +22,7 @@
 		Repeat  string  `json:"repeat"`
 		Group   string  `json:"group"`
 		Window  float64 `json:"dedupWindowUs"`
+		Ordered bool    `json:"keepOrder"`
 	} `json:"categories"`
 	Projects []struct {
 		Name  string  `json:"name"`
@@ -44,6 +45,10 @@
 		ColdFor     float64 `json:"coldUs"`
 		TipMultiple float64 `json:"tipMultiple"`
 		FallFor     float64 `json:"fallUs"`
+		KeyQuiet    float64 `json:"keyQuietUs"`
+		LeftOff     float64 `json:"leftOffUs"`
+		StampDoubt  float64 `json:"stampDoubtUs"`
+		GoneAdvice  bool    `json:"goneIsAdvice"`
 	} `json:"guarantees"`
 	Limits struct {
 		Cancelling   bool    `json:"cancelling"`
@@ -53,6 +58,7 @@
 		Connect      float64 `json:"connectTimeoutUs"`
 		RetryAfter   bool    `json:"retryAfter"`
 		MaxBackoff   float64 `json:"maxRetryAfterUs"`
+		ReplySlots   *int    `json:"replySlots"`
 	} `json:"limits"`
 	Load struct {
 		Fields []string `json:"fields"`
@@ -61,6 +67,8 @@
 	Blend struct {
 		Availability *float64 `json:"availability"`
 		Wanted       *float64 `json:"ninesWanted"`
+		Promises     *float64 `json:"keptPromises"`
+		MissAllowed  *float64 `json:"missAllowed"`
 	} `json:"blend"`
 	Specifics struct {
 		Mode         string  `json:"mode"`
@@ -123,6 +131,15 @@
 	f.is(p.Blend.Wanted != nil && *p.Blend.Wanted <= 0, "params.blend.ninesWanted: %v, want above 0", value(p.Blend.Wanted))
 	f.is(p.Blend.Wanted != nil && p.Blend.Availability == nil, "params.blend.ninesWanted: set without blend.availability")
 	f.is(p.Blend.Wanted == nil && value(p.Blend.Availability) > 0, "params.blend.availability: set without blend.ninesWanted")
+	f.is(value(p.Blend.Promises) < 0, "params.blend.keptPromises: %v, want 0 or more", value(p.Blend.Promises))
+	f.is(value(p.Blend.Promises) > 0 && p.Blend.MissAllowed == nil, "params.blend.keptPromises: set without blend.missAllowed")
+	f.is(p.Blend.MissAllowed != nil && (*p.Blend.MissAllowed <= 0 || *p.Blend.MissAllowed > 1),
+		"params.blend.missAllowed: %v, want above 0, at most 1", value(p.Blend.MissAllowed))
+	f.is(p.Blend.MissAllowed != nil && p.Blend.Promises == nil, "params.blend.missAllowed: set without blend.keptPromises")
+	f.is(p.Guarantees.KeyQuiet < 0, "params.guarantees.keyQuietUs: %v, want 0 or more", p.Guarantees.KeyQuiet)
+	f.is(p.Guarantees.LeftOff < 0, "params.guarantees.leftOffUs: %v, want 0 or more", p.Guarantees.LeftOff)
+	f.is(p.Guarantees.StampDoubt < 0, "params.guarantees.stampDoubtUs: %v, want 0 or more", p.Guarantees.StampDoubt)
+	f.is(p.Limits.ReplySlots != nil && *p.Limits.ReplySlots < 1, "params.limits.replySlots: want 1 or more")
 	f.is(p.Zone != "" && len(p.Zones) > 0 && !slices.Contains(p.Zones, p.Zone), "params.zone: %q is not among zones", p.Zone)
 	f.is(p.Costs.CrossZone < 0 || p.Costs.Origin < 0,
 		"params.costs: crossZone %v, origin %v, want 0 or more", p.Costs.CrossZone, p.Costs.Origin)
@@ -171,17 +188,24 @@
 		ExcessBenefit: p.ExcessBenefit,
 		Zone:          slices.Index(p.Zones, p.Zone), Zones: len(p.Zones),
 		CrossCost: p.Costs.CrossZone, FetchCost: p.Costs.Origin,
+		KeyRest: p.Guarantees.KeyQuiet / 1000, LeftOff: p.Guarantees.LeftOff / 1000,
+		StampDoubt: p.Guarantees.StampDoubt / 1000, GoneIsAdvice: p.Guarantees.GoneAdvice,
+		KeptPromises: value(p.Blend.Promises) > 0,
 	}
 	if s.ConnIdle <= 0 { // not told: they stay open
 		s.ConnIdle = math.Inf(1)
 	}
+	if p.Limits.ReplySlots != nil {
+		s.ReplySlots = *p.Limits.ReplySlots
+	}
 	if p.Limits.RetryAfter {
 		s.MaxBackoff = p.Limits.MaxBackoff / 1000
 	}
 	categories := map[string]*balance.Category{}
 	for _, c := range p.Categories {
 		row := &balance.Category{Target: c.Target / 1000, Benefit: c.Benefit, Tardy: c.Tardy,
-			Repeat: repeats[c.Repeat], Group: groups[c.Group], Window: c.Window / 1000}
+			Repeat: repeats[c.Repeat], Group: groups[c.Group], Window: c.Window / 1000,
+			Ordered: c.Ordered}
 		s.Categories = append(s.Categories, row)
 		categories[c.Name] = row
 	}
