--- a/balance/balance.go
+++ b/balance/balance.go
@@ -991,8 +991,9 @@
 	if r != nil && r.Busy >= 0 && !h.Origin {
 		b.reported(h, math.Min(r.Busy, 1))
 	}
-	twice := o == Rejected && op.wrong != nil // two agree, so it is the op that is wrong
-	if o == Rejected {
+	wrong := o == Rejected || o == Failed && !h.Origin
+	twice := wrong && op.wrong != nil && op.wrong != h && h.fail <= failFrom // two agree: it is the op that is wrong
+	if wrong {
 		op.wrong = h
 	}
 	switch {
@@ -1086,7 +1087,9 @@
 		}
 	case Missed:
 		h.answered = b.now
-	case Failed, Broken:
+	case Failed: // the op may be at fault: another host has to serve it first
+		bad = h.Origin || !b.mayPush(op)
+	case Broken:
 		bad = true
 	case Spoilt, Stale: // any host closes idle connections, or is at work where it answers: their share tells
 		if bad, step = true, hostStep; o == Spoilt {
@@ -1112,8 +1115,9 @@
 			c.take(spent)
 		}
 	}
-	if o == Served && op.wrong != nil { // another host serves the op: it is not the one to blame
+	if (o == Served || o == Missed) && op.wrong != nil { // another host takes the op: it is not the one to blame
 		b.blame(op.wrong, o, spent, failStep)
+		op.wrong = nil
 	}
 	switch {
 	case o == NotSent || o == Cancelled && op.state == settled:
@@ -1131,7 +1135,7 @@
 	// Hosts fall silent under load, but also where a zone is cut off. A fleet gate that narrowed for pushes
 	// to hosts already known as silent would shut out the ops that the others could serve.
 	if o == Missed && few || o == NotSent || o == Spoilt || o == Stale || o == Rejected || o == Broken ||
-		o == Shut || !h.Origin && (o == NoConn || o == Refused || suspect) {
+		o == Shut || !h.Origin && (o == NoConn || o == Refused || o == Failed || suspect) {
 		return
 	}
 	pain := spent / c.Target
