--- a/balance/balance.go
+++ b/balance/balance.go
@@ -125,6 +125,7 @@
 	tries                   float64        // ops that may be sent to suspect hosts while others have room
 	pool                    float64        // part of the keys that keep to no zone
 	pooled                  bool           // crossing costs no more than a fetch: best all of them
+	failing                 float64        // smoothed failures of the host in the middle of all ready ones
 	resting, counted        int            // ready hosts that rest; answers of warm ones since the last look
 	rate                    float64        // pushes a ms for each unit of warm size
 	wakeAt, ticked          float64        // ms, when the timer calls next, and when hosts were looked at
@@ -325,6 +326,14 @@
 		maps.DeleteFunc(b.turns, func(_ string, t *turn) bool { return len(t.line) == 0 && b.now >= t.quiet })
 	}
 	b.countResting()
+	if len(b.ready) > 0 {
+		fails := make([]float64, len(b.ready))
+		for i, h := range b.ready {
+			fails[i] = h.fail
+		}
+		slices.Sort(fails)
+		b.failing = fails[len(fails)/2]
+	}
 	b.hangUp()
 	if b.origin.limit < 1 { // of so few fetches none may come to tell that the origin is well again
 		b.origin.limit += span / chanceSpan
@@ -538,6 +547,10 @@
 	}
 }
 
+// suspect tells whether a host fails clearly more than half of all do. Where answers are lost on their way from most,
+// those that lose a part of them have to serve on: the few that lose none could not take it all.
+func (b *Balancer) suspect(h *Host) bool { return h.fail > failFrom+b.failing }
+
 // full tells whether a host has no room by the bounded-load rule: its count against its bound. Trouble
 // changes the count: a resting host is full, a suspect one with anything out, a slow one early, and the
 // earlier the more balancers there are.
@@ -547,7 +560,7 @@
 		switch {
 		case b.now < h.restUntil:
 			return true
-		case h.fail > failFrom:
+		case b.suspect(h):
 			bound = 1
 		case b.MayDuplicate:
 			excess := (h.slow - b.usual - crowdSlack) * crowdPart
@@ -992,7 +1005,7 @@
 		b.reported(h, math.Min(r.Busy, 1))
 	}
 	wrong := o == Rejected || o == Failed && !h.Origin
-	twice := wrong && op.wrong != nil && op.wrong != h && h.fail <= failFrom // two agree: it is the op that is wrong
+	twice := wrong && op.wrong != nil && op.wrong != h && !b.suspect(h) // two agree: it is the op that is wrong
 	if wrong {
 		op.wrong = h
 	}
@@ -1022,7 +1035,7 @@
 	case op.fetch != nil && b.mayPush(op): // the origin failed the fetch; its waiters wait on
 		b.offer(g, op)
 	// A good host, which may hold the key while others would miss; one with no room for a connection does not.
-	case o == Shut, h.fail <= failFrom && (o == Spoilt || o == Stale || o == Cancelled && h.answered > p.sent):
+	case o == Shut, !b.suspect(h) && (o == Spoilt || o == Stale || o == Cancelled && h.answered > p.sent):
 		b.route(op)
 	default:
 		op.failed = h
@@ -1055,7 +1068,7 @@
 // learn takes from an outcome what it tells of host and gate.
 func (b *Balancer) learn(p *Push, o Outcome, spent float64) {
 	op, h, g := p.Op, p.Host, p.gate
-	c, bad, suspect, step := op.Category, false, h.fail > failFrom, failStep
+	c, bad, suspect, step := op.Category, false, b.suspect(h), failStep
 	few := float64(b.Group) <= crowdGroup // each knows its own part of hits and of full hosts
 	// Pushes turned away are not counted: of a full fleet's they are half, and no measure of what it can do.
 	if (o == Served || o == Missed) && !h.Origin && b.warmth(h) == 1 {
@@ -1128,7 +1141,7 @@
 			b.tries++
 		}
 		h.fail -= h.fail * hostStep
-		if h.fail < failFrom {
+		if !b.suspect(h) {
 			h.rest = 0
 		}
 	}
@@ -1173,7 +1186,7 @@
 // blame counts a failure against a host, and takes it off the walk for a while once it is suspect.
 func (b *Balancer) blame(h *Host, o Outcome, spent, step float64) {
 	h.fail += (1 - h.fail) * step
-	if h.fail <= failFrom || b.now < h.restUntil || h.Origin && o != Refused {
+	if !b.suspect(h) || b.now < h.restUntil || h.Origin && o != Refused {
 		return
 	}
 	h.rest = math.Min(math.Max(h.rest*2, restFirst), restLongest)
