--- a/balance/balance.go
+++ b/balance/balance.go
@@ -61,18 +61,19 @@
 
 	patienceDevs = 5.0 // mean deviations above the usual latency at which a push is looked at
 
-	gateGoal    = 0.5     // smoothed latency over target above which a gate narrows: most answers just in time
-	originGoal  = 0.3     // the same for the origin, whose latency comes on top of a miss
-	gateCut     = 0.85    // factor of one narrowing
-	originStep  = 0.1     // weight of a new latency of the origin, or of a report in its zone's: 10 answers
-	gatePause   = 100.0   // ms between two narrowings, so that the first can show
-	chancePain  = 0.5     // smoothed latency over target above which a gate turns ops away by chance
-	chanceSpan  = 14000.0 // ms in which it lets out all again by itself
-	fleetFloor  = 2.0     // pushes a host, of all balancers, that the hosts' gate lets out at least
-	fleetStart  = 16.0    // pushes a host, of all balancers, that the hosts' gate starts with
-	originStart = 1.5     // fetches a host, of all balancers, that the origin's gate starts with
-	originOwn   = 4.0     // fetches that the origin's gate starts with at the least: own ops tell of no other's
-	originFloor = 2.0     // fetches, of all balancers, that it lets out at least
+	gateGoal     = 0.5     // smoothed latency over target above which a gate narrows: most answers just in time
+	originGoal   = 0.3     // the same for the origin, whose latency comes on top of a miss
+	gateCut      = 0.85    // factor of one narrowing
+	originStep   = 0.1     // weight of a new latency of the origin, or of a report in its zone's: 10 answers
+	gatePause    = 100.0   // ms between two narrowings, so that the first can show
+	chancePain   = 0.5     // smoothed latency over target above which a gate turns ops away by chance
+	chanceSpan   = 14000.0 // ms in which it lets out all again by itself
+	fleetFloor   = 2.0     // pushes a host, of all balancers, that the hosts' gate lets out at least
+	fleetStart   = 16.0    // pushes a host, of all balancers, that the hosts' gate starts with
+	originStart  = 1.5     // fetches a host, of all balancers, that the origin's gate starts with
+	originOwn    = 4.0     // fetches that the origin's gate starts with at the least: own ops tell of no other's
+	originSilent = 2000.0  // ms without an outcome after which the origin's gate opens by itself
+	originFloor  = 2.0     // fetches, of all balancers, that it lets out at least
 
 	coldSafety = 0.5    // part of the tipping load that all may send a cold host in a span; two can touch
 	rateSpan   = 2000.0 // ms over which the usual rate of pushes is averaged
@@ -169,6 +170,7 @@
 	out   int
 	pain  float64 // smoothed latency over target
 	cutAt float64
+	told  float64 // ms, when an outcome last came
 	worth float64 // smoothed benefit of an op that comes to it
 	line  []*Op
 }
@@ -335,7 +337,7 @@
 		b.failing = fails[len(fails)/2]
 	}
 	b.hangUp()
-	if b.origin.limit < 1 { // of so few fetches none may come to tell that the origin is well again
+	if b.origin.limit < 1 && b.now-b.origin.told > originSilent { // no fetch has come to tell that the origin is well again
 		b.origin.limit += span / chanceSpan
 	}
 }
@@ -494,9 +496,6 @@
 	share := float64(len(b.ready)) / float64(b.Group)
 	b.fleet.floor = fleetFloor * share
 	if math.IsInf(b.fleet.limit, 1) { // the first list
-		if b.Group > len(b.ready) { // no host can be sure to hold a connection for each: found out by making them
-			b.pool = 0
-		}
 		b.origin.limit = math.Max(originStart*share, originOwn)
 		b.fleet.limit = math.Max(1, fleetStart*share)
 	}
@@ -1155,6 +1154,7 @@
 	if op.Write { // it comes on top of no miss: what is usual for it would shut the origin's gate
 		pain *= originGoal / gateGoal
 	}
+	g.told = b.now
 	switch {
 	case o == Served || o == Missed:
 	// Its connection is dead or the op is heavy, as the host answers others; or the client went away first.
