--- a/balance/balance.go
+++ b/balance/balance.go
@@ -1146,7 +1146,7 @@
 	}
 	// Hosts fall silent under load, but also where a zone is cut off. A fleet gate that narrowed for pushes
 	// to hosts already known as silent would shut out the ops that the others could serve.
-	if o == Missed && few || o == NotSent || o == Spoilt || o == Stale || o == Rejected || o == Broken ||
+	if o == Missed && (few || b.origin.limit < originOwn) || o == NotSent || o == Spoilt || o == Stale || o == Rejected || o == Broken ||
 		o == Shut || !h.Origin && (o == NoConn || o == Refused || o == Failed || suspect) {
 		return
 	}
