--- a/balance/balance.go
+++ b/balance/balance.go
@@ -42,6 +42,9 @@
 	tryBurst    = 3.0    // that may do so together
 	restShare   = 0.8    // part of the hosts that may rest at once; beyond it the evidence is in doubt
 
+	carefulFor = 60000.0 // ms after a host in use went down in which one push fills a host: longer than a wave of restarts
+	fellLately = 15000.0 // ms since its last answer in which a host counts as in use: lists are so late
+
 	secondLook    = 1.0 // first waits more after which a push that was left is called off all the same
 	farSlack      = 0.1 // by how much more the own zone's hosts have to be busy for keys to leave it
 	busyNearLeast = 0.6 // and so busy at the least: below, they have room
@@ -126,6 +129,7 @@
 	tries                   float64        // ops that may be sent to suspect hosts while others have room
 	pool                    float64        // part of the keys that keep to no zone
 	pooled                  bool           // crossing costs no more than a fetch: best all of them
+	careful                 float64        // ms, until when one push fills a host
 	failing                 float64        // smoothed failures of the host in the middle of all ready ones
 	resting, counted        int            // ready hosts that rest; answers of warm ones since the last look
 	rate                    float64        // pushes a ms for each unit of warm size
@@ -334,7 +338,7 @@
 			fails[i] = h.fail
 		}
 		slices.Sort(fails)
-		b.failing = fails[len(fails)/2]
+		b.failing = fails[(len(fails)-1)/2]
 	}
 	b.hangUp()
 	if b.origin.limit < 1 && b.now-b.origin.told > originSilent { // no fetch has come to tell that the origin is well again
@@ -392,6 +396,7 @@
 		}
 		// A new process: what was learned of the old one is void. Stamps that are off may go back.
 		if e.UpSince > h.UpSince || b.StampDoubt > 0 && e.UpSince != h.UpSince {
+			b.fell(h)
 			h.open, h.fresh, h.budget, h.budgeted = false, false, 0, 0
 			h.forgive()
 		}
@@ -411,6 +416,13 @@
 	b.layOut()
 }
 
+// fell takes word that a host has gone down. Where it was in use, what all balancers had out there may be why.
+func (b *Balancer) fell(h *Host) {
+	if !h.Origin && h.answered > 0 && b.now-h.answered < fellLately {
+		b.careful = b.now + carefulFor
+	}
+}
+
 func (h *Host) forgive() { h.fail, h.rest, h.restUntil, h.slow = 0, 0, 0, 1 }
 
 // Hosts tells how many cache hosts are listed, and how many of them get no op now.
@@ -559,7 +571,7 @@
 		switch {
 		case b.now < h.restUntil:
 			return true
-		case b.suspect(h):
+		case b.suspect(h), b.now < b.careful: //
 			bound = 1
 		case b.MayDuplicate:
 			excess := (h.slow - b.usual - crowdSlack) * crowdPart
@@ -1108,6 +1120,7 @@
 			h.answered = b.now
 		}
 	case NoConn:
+		b.fell(h)
 		bad, h.open, h.fresh = true, false, false
 		if !h.Origin {
 			b.keep = math.Max(b.keep*keepCut, tick)
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -1538,7 +1538,7 @@
 	//    0 two acked
 }
 
-// Crossing is cheap here, so keys keep to no zone; but where balancers outnumber the hosts, or tables of connections are
+// Crossing is cheap here, so keys keep to no zone, however many balancers there are; but where tables of connections are
 // found full, they do, for fewer hosts need a connection then.
 func Example_zonesOfMany() {
 	for _, group := range []int{3, 5} {
--- a/balance/blame_test.go
+++ b/balance/blame_test.go
@@ -58,5 +58,38 @@
 	}
 	fmt.Printf("avoided of six: %.1f; pushes to the worst: %v\n", all/2000, x.pushes["f"])
 	// Output:
-	// avoided of six: 0.2; pushes to the worst: 15
+	// avoided of six: 0.7; pushes to the worst: 11
+}
+
+// When a host in use goes down, what balancers had out there together may be why: for a minute one push fills a host.
+func Example_carefulAfterFall() {
+	x := open(start(), "a", "b", "c", "d")
+	spread := func() int {
+		x.pushes = map[string]int{}
+		for i := range 4 {
+			x.ask(fmt.Sprint("op", i), 0, "page", 500, false)
+		}
+		hosts := len(x.pushes)
+		for i := range 4 {
+			x.end(fmt.Sprint("op", i), Served, 10)
+		}
+		return hosts
+	}
+	x.silent = true
+	fmt.Println("hosts of four ops:", spread())
+	h := x.ask("fallen", 0, "page", 500, false).tried[0].Host
+	x.end("fallen", NoConn, 1) // it answered a moment ago
+	x.end("fallen", Served, 1)
+	x.after(1000)
+	fmt.Println("after a fall:", spread())
+	x.after(62000)
+	fmt.Println("a minute later:", spread())
+	x.tell(h.Name, Ready, x.t) // a new process of it
+	x.after(6000)
+	fmt.Println("after a restart that the list tells:", spread())
+	// Output:
+	// hosts of four ops: 2
+	// after a fall: 3
+	// a minute later: 2
+	// after a restart that the list tells: 4
 }
