--- a/balance/balance.go
+++ b/balance/balance.go
@@ -58,6 +58,10 @@
 	copyShare = 0.1 // second copies an op: more would be much of a slow fleet's load
 	copyBurst = 3.0 // that may be sent together
 
+	strandStep = 0.05 // weight of an op's end in what is known of its strand: about 20 ops
+	strandOff  = 0.4  // by how much more of a strand than of all ops has to come to nothing for it to be held apart
+	strandPart = 0.1  // part of the pushes that the hosts' gate lets out, or of reply slots, that it may have then
+
 	cells      = 1024   // of counts of ops by key: few of an instance's keys share one
 	spreadBusy = 0.9    // part of its cores' time that a busy key's host may have taken, where hosts tell
 	heatHalf   = 5000.0 // ms between two halvings of these counts: a busy key lasts for some seconds
@@ -136,6 +140,8 @@
 	wakeAt, ticked          float64        // ms, when the timer calls next, and when hosts were looked at
 	fetches                 map[string]*fetch
 	turns                   map[string]*turn // by key, of ordered ops
+	strands                 [cells]strand    // by key
+	all                     strand           // of all ops
 	fleet, origin           gate
 	yielded                 bool    // cold hosts are another process's
 	dues                    []due   // the first one last
@@ -145,50 +151,6 @@
 	askAt, askWait          float64 // ms, when it was made or the next is due, and what a failure puts that off
 }
 
-// point is a host's place on the cycle. It holds no pointer, for there are tens of thousands.
-type point struct {
-	hash uint64
-	slot int32 // the host's place in slots
-	nth  int32 // it counts while the host has more than nth active
-}
-
-// fetch is a key on its way from the origin for the op that leads it; others of the key wait for it.
-type fetch struct {
-	waiters []*Op
-	value   float64 // benefit that hangs on it
-}
-
-// turn keeps a key's ordered ops apart: only the first in line is on its way. It outlives them while the key rests.
-type turn struct {
-	line  []*Op
-	quiet float64 // ms, when a push that may still run has had its time
-	begun bool    // the first is on its way
-}
-
-// gate lets a learned number of pushes out at once and holds the rest.
-type gate struct {
-	goal, limit float64
-	step        float64 // weight of a new latency in pain
-	floor       float64 // least that limit may sink to
-	latency
-	out   int
-	pain  float64 // smoothed latency over target
-	cutAt float64
-	told  float64 // ms, when an outcome last came
-	worth float64 // smoothed benefit of an op that comes to it
-	line  []*Op
-}
-
-// due is a time at which to look at an op: at its end, or at one push of it.
-type due struct {
-	at   float64
-	op   *Op
-	push *Push // nil for the op's end
-}
-
-// void tells whether there is nothing left to look at.
-func (d due) void() bool { return d.op.state == settled || d.push != nil && d.push.over }
-
 // look has an op, or one push of it, looked at then. Those of one time come in the order of the calls.
 func (b *Balancer) look(at float64, op *Op, push *Push) {
 	i, _ := slices.BinarySearchFunc(b.dues, at, func(d due, at float64) int { return cmp.Compare(at, d.at) })
@@ -204,17 +166,6 @@
 	return due{at: math.Inf(1)}
 }
 
-// pcg is a permuted congruential generator (PCG-XSH-RR).
-type pcg uint64
-
-func (p *pcg) float() float64 {
-	s := uint64(*p)
-	*p = pcg(s*6364136223846793005 + 1442695040888963407)
-	x := uint32(((s >> 18) ^ s) >> 27)
-	r := uint(s >> 59)
-	return float64(x>>r|x<<((32-r)&31)) / (1 << 32)
-}
-
 // New makes the balancer of one instance at time now.
 func New(s Start, port Port, now float64) *Balancer {
 	b := &Balancer{Start: s, port: port, now: now, rng: pcg(s.Seed), ticked: now,
@@ -717,6 +668,10 @@
 	if b.LeftOff > 0 { // the clocks may differ: a try has its target latency at the least
 		op.Due = math.Max(op.Due, math.Min(op.Due+b.LeftOff, b.now+op.Category.Target+b.margin()))
 	}
+	op.strands[0] = &b.strands[op.hash%cells]
+	if op.Tenant != nil {
+		op.strands[1] = &op.Tenant.strand
+	}
 	op.until = b.end(op)
 	if op.until <= b.now { // a last try with next to no time left could be lost between two looks
 		b.giveUp(op)
@@ -777,7 +732,7 @@
 // as is the first where hosts are listed and none is ready: held, the op would only be late.
 func (b *Balancer) route(op *Op) {
 	switch f := b.fetches[op.Key]; {
-	case !b.mayPush(op) || b.now+op.Category.lat/2 > op.Due: // none allowed, or answered in time
+	case !b.mayPush(op) || b.now+op.Category.lat/2 > op.Due || b.apart(op): // none allowed, or answered in time
 		b.drop(op)
 	case b.Aside && op.Write:
 		b.offer(&b.origin, op)
@@ -788,6 +743,43 @@
 	}
 }
 
+// apart tells whether op is of a strand (a key or a tenant) whose ops come to nothing at hosts that serve others: it
+// waits for something behind all hosts, for a slow reader, or is itself at fault. Such ops may hold a few places together,
+// so that they take none from others, and are not tried again elsewhere.
+func (b *Balancer) apart(op *Op) bool {
+	room := math.Max(b.fleet.limit, 1)
+	if b.ReplySlots > 0 {
+		room = math.Min(room, float64(b.ReplySlots))
+	}
+	for _, s := range op.strands {
+		if b.off(s) && (len(op.tried) > 0 || float64(s.out) >= math.Max(room*strandPart, 1)) {
+			return true
+		}
+	}
+	return false
+}
+
+// held counts pushes of op that are out.
+func (op *Op) held(n int) {
+	for _, s := range op.strands {
+		if s != nil {
+			s.out += n
+		}
+	}
+}
+
+// off tells whether much more of a strand comes to nothing than of all ops.
+func (b *Balancer) off(s *strand) bool { return s != nil && s.vain > b.all.vain+strandOff }
+
+// strand notes what came of a push of op at a host that is in order as far as is known.
+func (b *Balancer) strand(op *Op, vain float64) {
+	for _, s := range append(op.strands[:], &b.all) {
+		if s != nil {
+			s.vain += (vain - s.vain) * strandStep
+		}
+	}
+}
+
 // lead makes op fetch its key for all that want it, or wait for the fetch that is out.
 func (b *Balancer) lead(op *Op) {
 	if f := b.fetches[op.Key]; f != nil {
@@ -887,6 +879,7 @@
 	p := &Push{Op: op, Host: h, sent: b.now, gate: g}
 	op.tried = append(op.tried, p)
 	op.out++
+	op.held(1)
 	h.out++
 	h.open, h.fresh, h.pushed = true, h.fresh || !h.open, b.now
 	g.out++
@@ -1001,6 +994,7 @@
 	p.over = true
 	p.never = o == Refused || o == Shut || o == NoConn || o == NotSent || o == Missed
 	op.out--
+	op.held(-1)
 	if op.turn != nil && !p.never && o != Served && o != Failed { // it may still run
 		op.turn.quiet = b.now + b.KeyRest
 	}
@@ -1020,11 +1014,15 @@
 	if wrong {
 		op.wrong = h
 	}
+	if twice {
+		b.strand(op, 1)
+	}
 	switch {
 	case op.state == settled:
 	case last || op.bound == p:
 		if o == Served {
 			b.served++
+			op.acked = true
 		}
 		b.move(op, settled)
 		b.landed(op, o == Served)
@@ -1098,6 +1096,14 @@
 			b.refused += latStep
 		}
 	}
+	switch late := spent > c.Target; {
+	case o == Served && !late:
+		b.strand(op, 0)
+	case o == Served || (o == TimedOut || o == Cancelled) && h.answered > p.sent && !op.acked:
+		if b.strand(op, 1); b.off(op.strands[0]) || b.off(op.strands[1]) { // that says nothing of the host
+			return
+		}
+	}
 	switch o {
 	case Served:
 		if g == &b.fleet {
--- a/balance/blame_test.go
+++ b/balance/blame_test.go
@@ -93,3 +93,49 @@
 	// a minute later: 2
 	// after a restart that the list tells: 4
 }
+
+// One key's answers never come through while its hosts serve others. It gets one place, and what finds none is nacked at
+// once; others are pushed as ever. Once its answers come in time again it is free.
+func Example_strand() {
+	s := start()
+	s.ReplySlots = 10
+	x := open(s, "a", "b", "c", "d")
+	n := 0
+	round := func(stuck bool) {
+		n++
+		x.ask("stuck", 0, "page", 500, false)
+		for i := range 8 {
+			x.ask(fmt.Sprint("op", i), 0, fmt.Sprint("leaf", n, i), 500, false)
+		}
+		for i := range 8 {
+			x.after(3)
+			x.end(fmt.Sprint("op", i), Served, float64(3*i+3))
+		}
+		if !stuck {
+			x.end("stuck", Served, 24)
+		}
+		x.after(100)
+	}
+	x.silent = true
+	for range 60 {
+		round(true)
+	}
+	x.silent = false
+	x.ask("one", 0, "page", 500, false)
+	x.ask("two", 0, "page", 500, false)
+	x.ask("other", 0, "leaf", 500, false)
+	x.silent = true
+	x.end("one", Served, 10)
+	for range 30 {
+		round(false)
+	}
+	x.silent = false
+	x.ask("three", 0, "page", 500, false)
+	x.ask("four", 0, "page", 500, false)
+	// Output:
+	// 7440 push one to d
+	// 7440 nack two
+	// 7440 push other to d
+	// 11160 push three to c
+	// 11160 push four to c
+}
--- a/balance/port.go
+++ b/balance/port.go
@@ -90,6 +90,7 @@
 	tokens float64 // ops left of its part of what this balancer gets acked
 	part   float64 // of all quotas
 	filled int     // ops acked when tokens was reckoned
+	strand strand
 }
 
 // Status of a host as the list tells it.
@@ -178,14 +179,16 @@
 	hash    uint64
 	arrived float64
 	value   float64
-	tried   []*Push // all its pushes, the first in front
-	out     int     // pushes that are out: one, or two
-	failed  *Host   // last host that failed it
-	wrong   *Host   // host that held the op itself for wrong
-	bound   *Push   // the push whose answer flows
-	fetch   *fetch  // led by this op
-	until   float64 // ms, when it is given up
-	turn    *turn   // its key's, where it is in order; nil once nothing more can come of it
+	tried   []*Push    // all its pushes, the first in front
+	out     int        // pushes that are out: one, or two
+	failed  *Host      // last host that failed it
+	wrong   *Host      // host that held the op itself for wrong
+	bound   *Push      // the push whose answer flows
+	fetch   *fetch     // led by this op
+	until   float64    // ms, when it is given up
+	strands [2]*strand // its key's and its tenant's
+	acked   bool
+	turn    *turn // its key's, where it is in order; nil once nothing more can come of it
 }
 
 // Push is one attempt at an op. The front gets it with the word to send and hands it back with its outcome.
