--- a/balance/balance.go
+++ b/balance/balance.go
@@ -895,7 +895,7 @@
 		h.budget--
 	}
 	switch {
-	case b.MayDuplicate && (h.Origin || op.out > 1): // one origin, and two pushes at most
+	case h.Origin || b.MayDuplicate && op.out > 1: // one origin, at work on it all the same, and two pushes at most
 	case b.MayDuplicate:
 		patience = c.lat + copyDevs*c.dev
 		b.look(b.now+math.Min(patience, math.Max(c.lat, c.Target-2*c.lat)), op, p)
--- a/balance/blame_test.go
+++ b/balance/blame_test.go
@@ -139,3 +139,18 @@
 	// 11160 push three to c
 	// 11160 push four to c
 }
+
+// A slow fetch is not called off: the one origin is at work on it all the same, and would only be asked again.
+func Example_slowFetch() {
+	s := start()
+	s.Aside = true
+	x := open(s, "a", "b", "origin")
+	x.ask("op", 0, "page", 500, false)
+	x.end("op", Missed, 1)
+	x.after(400)
+	x.end("op", Served, 400)
+	// Output:
+	// 0 push op to a
+	//    0 push op to origin
+	//  400 op acked
+}
