--- a/balance/balance.go
+++ b/balance/balance.go
@@ -42,7 +42,7 @@
 	tryBurst    = 3.0    // that may do so together
 	restShare   = 0.8    // part of the hosts that may rest at once; beyond it the evidence is in doubt
 
-	carefulFor = 60000.0 // ms after a host in use went down in which one push fills a host: longer than a wave of restarts
+	carefulFor = 60000.0 // ms after a host in use went down in which the bound has no floor: longer than a wave of restarts
 	fellLately = 15000.0 // ms since its last answer in which a host counts as in use: lists are so late
 
 	secondLook    = 1.0 // first waits more after which a push that was left is called off all the same
@@ -133,7 +133,7 @@
 	tries                   float64        // ops that may be sent to suspect hosts while others have room
 	pool                    float64        // part of the keys that keep to no zone
 	pooled                  bool           // crossing costs no more than a fetch: best all of them
-	careful                 float64        // ms, until when one push fills a host
+	careful                 float64        // ms, until when the bound has no floor
 	failing                 float64        // smoothed failures of the host in the middle of all ready ones
 	resting, counted        int            // ready hosts that rest; answers of warm ones since the last look
 	rate                    float64        // pushes a ms for each unit of warm size
@@ -517,12 +517,15 @@
 // changes the count: a resting host is full, a suspect one with anything out, a slow one early, and the
 // earlier the more balancers there are.
 func (b *Balancer) full(op *Op, h *Host, mean float64) bool {
-	count, bound := float64(h.out), math.Max(math.Ceil(overMean*mean), floorCount)
+	count, bound := float64(h.out), math.Ceil(overMean*mean)
+	if b.now >= b.careful {
+		bound = math.Max(bound, floorCount)
+	}
 	if float64(b.resting) <= restShare*float64(len(b.ready)) {
 		switch {
 		case b.now < h.restUntil:
 			return true
-		case b.suspect(h), b.now < b.careful: //
+		case b.suspect(h):
 			bound = 1
 		case b.MayDuplicate:
 			excess := (h.slow - b.usual - crowdSlack) * crowdPart
