--- a/balance/balance.go
+++ b/balance/balance.go
@@ -42,7 +42,7 @@
 	tryBurst    = 3.0    // that may do so together
 	restShare   = 0.8    // part of the hosts that may rest at once; beyond it the evidence is in doubt
 
-	carefulFor = 60000.0 // ms after a host in use went down in which the bound has no floor: longer than a wave of restarts
+	carefulFor = 60000.0 // ms after a host in use went down without a floor to the bound: a wave of restarts
 	fellLately = 15000.0 // ms since its last answer in which a host counts as in use: lists are so late
 
 	secondLook    = 1.0 // first waits more after which a push that was left is called off all the same
@@ -59,8 +59,8 @@
 	copyBurst = 3.0 // that may be sent together
 
 	strandStep = 0.05 // weight of an op's end in what is known of its strand: about 20 ops
-	strandOff  = 0.4  // by how much more of a strand than of all ops has to come to nothing for it to be held apart
-	strandPart = 0.1  // part of the pushes that the hosts' gate lets out, or of reply slots, that it may have then
+	strandOff  = 0.4  // by how much more of its ops than of all has to come to nothing for it to be held apart
+	strandPart = 0.1  // part of what the hosts' gate lets out, or of reply slots, that it may have then
 
 	cells      = 1024   // of counts of ops by key: few of an instance's keys share one
 	spreadBusy = 0.9    // part of its cores' time that a busy key's host may have taken, where hosts tell
@@ -169,8 +169,8 @@
 // New makes the balancer of one instance at time now.
 func New(s Start, port Port, now float64) *Balancer {
 	b := &Balancer{Start: s, port: port, now: now, rng: pcg(s.Seed), ticked: now,
-		fetches: map[string]*fetch{}, turns: map[string]*turn{}, askWait: askFirst, usual: 1, keep: s.ConnIdle, busyFar: 1,
-		copies: copyBurst, tries: tryBurst, wakeAt: math.Inf(1)}
+		fetches: map[string]*fetch{}, turns: map[string]*turn{}, askWait: askFirst, usual: 1, keep: s.ConnIdle,
+		busyFar: 1, copies: copyBurst, tries: tryBurst, wakeAt: math.Inf(1)}
 	if b.pooled = b.CrossCost*(1-1/float64(max(b.Zones, 1))) <= b.FetchCost; b.pooled {
 		b.pool = 1
 	}
@@ -292,7 +292,7 @@
 		b.failing = fails[(len(fails)-1)/2]
 	}
 	b.hangUp()
-	if b.origin.limit < 1 && b.now-b.origin.told > originSilent { // no fetch has come to tell that the origin is well again
+	if b.origin.limit < 1 && b.now-b.origin.told > originSilent { // no fetch tells that it is well again
 		b.origin.limit += span / chanceSpan
 	}
 }
@@ -367,7 +367,7 @@
 	b.layOut()
 }
 
-// fell takes word that a host has gone down. Where it was in use, what all balancers had out there may be why.
+// fell takes word that a host has gone down. In use, it may be for what all balancers had out there.
 func (b *Balancer) fell(h *Host) {
 	if !h.Origin && h.answered > 0 && b.now-h.answered < fellLately {
 		b.careful = b.now + carefulFor
@@ -509,8 +509,8 @@
 	}
 }
 
-// suspect tells whether a host fails clearly more than half of all do. Where answers are lost on their way from most,
-// those that lose a part of them have to serve on: the few that lose none could not take it all.
+// suspect tells whether a host fails clearly more than half of all do. Where most lose a part of their
+// answers those have to serve on: the few that lose none could not take it all.
 func (b *Balancer) suspect(h *Host) bool { return h.fail > failFrom+b.failing }
 
 // full tells whether a host has no room by the bounded-load rule: its count against its bound. Trouble
@@ -696,7 +696,7 @@
 	b.begin(op.turn)
 }
 
-// begin sends the first of a key's ordered ops on its way, once all before it are over and the key has rested.
+// begin sends the first of a key's ordered ops on its way, once all before it are over and the key rested.
 func (b *Balancer) begin(t *turn) {
 	switch {
 	case t.begun || len(t.line) == 0:
@@ -746,9 +746,9 @@
 	}
 }
 
-// apart tells whether op is of a strand (a key or a tenant) whose ops come to nothing at hosts that serve others: it
-// waits for something behind all hosts, for a slow reader, or is itself at fault. Such ops may hold a few places together,
-// so that they take none from others, and are not tried again elsewhere.
+// apart tells whether op is of a strand (a key or a tenant) whose ops come to nothing at hosts that serve
+// others: a lock behind all hosts, slow readers, or they are at fault themselves. Such ops hold a few places
+// together, so that they take none from others, and are not tried again elsewhere.
 func (b *Balancer) apart(op *Op) bool {
 	room := math.Max(b.fleet.limit, 1)
 	if b.ReplySlots > 0 {
--- a/balance/blame_test.go
+++ b/balance/blame_test.go
@@ -77,6 +77,7 @@
 		return hosts
 	}
 	x.silent = true
+	x.after(10)
 	fmt.Println("hosts of three ops:", spread())
 	h := x.ask("fallen", 0, "page", 500, false).tried[0].Host
 	x.end("fallen", NoConn, 1) // it answered a moment ago
@@ -90,7 +91,7 @@
 	fmt.Println("after a restart that the list tells:", spread())
 	// Output:
 	// hosts of three ops: 2
-	// after a fall: 2
+	// after a fall: 3
 	// a minute later: 2
 	// after a restart that the list tells: 3
 }
