--- a/internal/params/params_test.go
+++ b/internal/params/params_test.go
@@ -35,6 +35,12 @@
 	read(`Multiple":0`, `Multiple":-1`)
 	read(`"zone":"a"`, `"zone":"c"`)
 	read(`"crossZone":0.1`, `"crossZone":-1`)
+	read(`"blend"`, `"guarantees":{"keyQuietUs":-1,"leftOffUs":-2,"stampDoubtUs":-3},"blend"`)
+	read(`"mostPushes":3`, `"mostPushes":3,"replySlots":0`)
+	read(`"whole"`, `"keptPromises":0.4,"whole"`)
+	read(`"whole"`, `"missAllowed":0.4,"whole"`)
+	read(`"whole"`, `"keptPromises":0.4,"missAllowed":0,"whole"`)
+	read(`"whole"`, `"keptPromises":0.4,"missAllowed":0.01,"whole"`)
 	read(`"repeat":"retryable"`, `"repeat":"often"`, `"groupSize":1`, `"groupSize":0`) // all faults in one go
 	// Output:
 	// false <nil>
@@ -53,10 +59,29 @@
 	// false params.specifics.originFallMultiple: -1, want 0 or more
 	// false params.zone: "c" is not among zones
 	// false params.costs: crossZone -1, origin 0, want 0 or more
+	// false params.guarantees.keyQuietUs: -1, want 0 or more
+	// params.guarantees.leftOffUs: -2, want 0 or more
+	// params.guarantees.stampDoubtUs: -3, want 0 or more
+	// false params.limits.replySlots: 0, want 1 or more
+	// false params.blend.keptPromises: set without blend.missAllowed
+	// false params.blend.missAllowed: set without blend.keptPromises
+	// false params.blend.missAllowed: 0, want above 0, at most 1
+	// false <nil>
 	// false params.groupSize: 0, want 1 or more
 	// params.categories[0].repeat: unknown "often"
 }
 
+// What the settings say of order, clocks, stamps, lists and buffers reaches the module in its units.
+func ExampleParams_Begin() {
+	p, err := Read(json.RawMessage(strings.NewReplacer(`"repeat":"retryable"`, `"repeat":"retryable","keepOrder":true`,
+		`"blend":{`, `"guarantees":{"keyQuietUs":50000,"leftOffUs":1000000,"stampDoubtUs":2000,"goneIsAdvice":true},`+
+			`"blend":{"keptPromises":0.4,"missAllowed":0.01,`, `"mostPushes":3`, `"mostPushes":3,"replySlots":26`).Replace(usual)))
+	s, categories, _ := p.Begin(1)
+	fmt.Println(err, categories["read"].Ordered, s.KeyRest, s.LeftOff, s.StampDoubt, s.GoneIsAdvice, s.KeptPromises, s.ReplySlots)
+	// Output:
+	// <nil> true 50 1000 2 true true 26
+}
+
 // The operators' address may stand in the start file or in the environment, or nowhere. A bad one is named.
 func Example_admin() {
 	read := func(admin, environment string) {
