--- a/balance/balance.go
+++ b/balance/balance.go
@@ -459,6 +459,10 @@
 	share := float64(len(b.ready)) / float64(b.Group)
 	b.fleet.floor = fleetFloor * share
 	if math.IsInf(b.fleet.limit, 1) { // the first list
+		// No host can be sure to hold a connection for each: found out by making them, where that costs little.
+		if b.Group > len(b.ready) && b.CrossCost >= b.FetchCost {
+			b.pool = 0
+		}
 		b.origin.limit = math.Max(originStart*share, originOwn)
 		b.fleet.limit = math.Max(1, fleetStart*share)
 	}
@@ -762,15 +766,6 @@
 	return false
 }
 
-// held counts pushes of op that are out.
-func (op *Op) held(n int) {
-	for _, s := range op.strands {
-		if s != nil {
-			s.out += n
-		}
-	}
-}
-
 // off tells whether much more of a strand comes to nothing than of all ops.
 func (b *Balancer) off(s *strand) bool { return s != nil && s.vain > b.all.vain+strandOff }
 
@@ -816,7 +811,7 @@
 	return op.value
 }
 
-// pump lets out what a gate has room for, the best first, and sheds the worst, of equals the last, beyond what
+// pump lets out what a gate has room for, the best first, and sheds the worst, of equals the last, past what
 // can be let out in good time.
 func (b *Balancer) pump(g *gate) {
 	g.line = slices.DeleteFunc(g.line, func(op *Op) bool { return op.state != held })
@@ -898,7 +893,7 @@
 		h.budget--
 	}
 	switch {
-	case h.Origin || b.MayDuplicate && op.out > 1: // one origin, at work on it all the same, and two pushes at most
+	case b.MayDuplicate && (h.Origin || op.out > 1): // one origin, and two pushes at most
 	case b.MayDuplicate:
 		patience = c.lat + copyDevs*c.dev
 		b.look(b.now+math.Min(patience, math.Max(c.lat, c.Target-2*c.lat)), op, p)
@@ -920,7 +915,8 @@
 	}
 	c := op.Category
 	bound := c.Repeat == AtMostOnce || c.Repeat == Deduplicated && c.Group != AllHosts
-	if bound || p.called || len(op.tried) >= b.MostPushes || b.lookAgain(p, secondLook) {
+	if bound || p.called || len(op.tried) >= b.MostPushes || b.lookAgain(p, secondLook) ||
+		p.Host.Origin && p.Host.passed <= p.sent { // the one origin is at work on it all the same
 		return
 	}
 	p.called = true
@@ -1114,7 +1110,7 @@
 			c.take(spent)
 		}
 		g.take(spent)
-		h.answered = b.now
+		h.answered, h.passed = b.now, math.Max(h.passed, p.sent)
 		if !b.pooled {
 			b.pool -= b.pool * poolFall
 		}
@@ -1168,8 +1164,9 @@
 	}
 	// Hosts fall silent under load, but also where a zone is cut off. A fleet gate that narrowed for pushes
 	// to hosts already known as silent would shut out the ops that the others could serve.
-	if o == Missed && (few || b.origin.limit < originOwn) || o == NotSent || o == Spoilt || o == Stale || o == Rejected || o == Broken ||
-		o == Shut || !h.Origin && (o == NoConn || o == Refused || o == Failed || suspect) {
+	if o == Missed && (few || b.origin.limit < originOwn) || o == NotSent || o == Spoilt || o == Stale ||
+		o == Rejected || o == Broken || o == Shut ||
+		!h.Origin && (o == NoConn || o == Refused || o == Failed || suspect) {
 		return
 	}
 	pain := spent / c.Target
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -1538,7 +1538,7 @@
 	//    0 two acked
 }
 
-// Crossing is cheap here, so keys keep to no zone, however many balancers there are; but where tables of connections are
+// Crossing is cheap here, so keys keep to no zone; but where balancers outnumber the hosts, or tables of connections are
 // found full, they do, for fewer hosts need a connection then.
 func Example_zonesOfMany() {
 	for _, group := range []int{3, 5} {
@@ -1574,7 +1574,7 @@
 	// Output:
 	// 3 balancers: 225 of 400 in the zone
 	// after full tables: 400 of 400
-	// 5 balancers: 225 of 400 in the zone
+	// 5 balancers: 395 of 400 in the zone
 	// after full tables: 400 of 400
 }
 
--- a/balance/parts.go
+++ b/balance/parts.go
@@ -60,3 +60,12 @@
 	r := uint(s >> 59)
 	return float64(x>>r|x<<((32-r)&31)) / (1 << 32)
 }
+
+// held counts pushes of op that are out.
+func (op *Op) held(n int) {
+	for _, s := range op.strands {
+		if s != nil {
+			s.out += n
+		}
+	}
+}
--- a/balance/port.go
+++ b/balance/port.go
@@ -126,6 +126,7 @@
 	shutWait         float64  // ms, the last wait after a new connection was turned away
 	shutUntil        float64  // ms, its end
 	answered         float64  // ms, time of the last answer
+	passed           float64  // ms, when the last sent of the pushes that it has answered was sent
 	budget, budgeted float64  // pushes left to a cold host in the span that began then
 }
 
