--- a/balance/balance.go
+++ b/balance/balance.go
@@ -79,7 +79,7 @@
 	fleetStart   = 16.0    // pushes a host, of all balancers, that the hosts' gate starts with
 	originStart  = 1.5     // fetches a host, of all balancers, that the origin's gate starts with
 	originOwn    = 4.0     // fetches that the origin's gate starts with at the least: own ops tell of no other's
-	originSilent = 2000.0  // ms without an outcome after which the origin's gate opens by itself
+	originSilent = 200.0   // ms, a fetch's time, without an outcome: the origin's gate opens by itself
 	originFloor  = 2.0     // fetches, of all balancers, that it lets out at least
 
 	coldSafety = 0.5    // part of the tipping load that all may send a cold host in a span; two can touch
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -266,8 +266,8 @@
 	}
 	// Output:
 	// second 1: 3382 fetches of 10000 misses
-	// second 2: 1037 fetches of 10000 misses
-	// second 3: 676 fetches of 10000 misses
+	// second 2: 1038 fetches of 10000 misses
+	// second 3: 689 fetches of 10000 misses
 }
 
 // What may follow each outcome, for each kind of repeat.
@@ -1235,10 +1235,10 @@
 	x.end("well", Served, 10)
 	fmt.Println("a timely answer doubles it:", x.origin.limit == 0.5)
 	// Output:
-	// 4 s: limit 0.15, fetches 0 of 4
-	//  8 s: limit 0.43, fetches 0 of 4
-	// 12 s: limit 0.50, fetches 2 of 4
-	// 16 s: limit 0.50, fetches 3 of 4
+	// 4 s: limit 0.23, fetches 2 of 4
+	//  8 s: limit 0.52, fetches 0 of 4
+	// 12 s: limit 0.76, fetches 2 of 4
+	// 16 s: limit 0.96, fetches 4 of 4
 	// a timely answer doubles it: true
 }
 
