Reread: a turn's state is its first op's, and no slice is made for each outcome

Behaviour stays. Two cases of At stand in the order that needs no second condition. Op.held, named as a state is, is count. Left: the two tests of six alike lines (a failed op in a loop, a turned-away one in a loop) share their shape alone.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -134,7 +134,8 @@
 	pool                    float64        // part of the keys that keep to no zone
 	pooled                  bool           // crossing costs no more than a fetch: best all of them
 	careful                 float64        // ms, until when the bound has no floor
-	failing                 float64        // smoothed failures of the host in the middle of all ready ones
+	fails                   []float64      // of all ready hosts at the last look, in order
+	failing                 float64        // smoothed failures of the host in the middle of them
 	resting, counted        int            // ready hosts that rest; answers of warm ones since the last look
 	rate                    float64        // pushes a ms for each unit of warm size
 	wakeAt, ticked          float64        // ms, when the timer calls next, and when hosts were looked at
@@ -204,10 +205,10 @@
 		b.dues = b.dues[:len(b.dues)-1]
 		switch {
 		case d.void() || d.op.state == streaming:
-		case d.push == nil && d.op.fetch != nil && d.op.out > 0 && b.now >= d.op.until && b.now < b.end(d.op):
-			b.look(b.end(d.op), d.op, nil) // late for this op, but what it fetches is kept for others
 		case d.push == nil && b.now < d.op.until: // its key has rested
 			b.begin(d.op.turn)
+		case d.push == nil && d.op.fetch != nil && d.op.out > 0 && b.now < b.end(d.op):
+			b.look(b.end(d.op), d.op, nil) // late for this op, but what it fetches is kept for others
 		case d.push == nil:
 			b.giveUp(d.op)
 		default:
@@ -284,12 +285,12 @@
 	}
 	b.countResting()
 	if len(b.ready) > 0 {
-		fails := make([]float64, len(b.ready))
-		for i, h := range b.ready {
-			fails[i] = h.fail
+		b.fails = b.fails[:0]
+		for _, h := range b.ready {
+			b.fails = append(b.fails, h.fail)
 		}
-		slices.Sort(fails)
-		b.failing = fails[(len(fails)-1)/2]
+		slices.Sort(b.fails)
+		b.failing = b.fails[(len(b.fails)-1)/2]
 	}
 	b.hangUp()
 	if b.origin.limit < 1 && b.now-b.origin.told > originSilent { // no fetch tells that it is well again
@@ -696,18 +697,18 @@
 		op.turn = &turn{}
 		b.turns[op.Key] = op.turn
 	}
-	op.turn.line = append(op.turn.line, op)
-	b.begin(op.turn)
+	if op.turn.line = append(op.turn.line, op); len(op.turn.line) == 1 { // else an earlier one sees to it
+		b.begin(op.turn)
+	}
 }
 
 // begin sends the first of a key's ordered ops on its way, once all before it are over and the key rested.
 func (b *Balancer) begin(t *turn) {
 	switch {
-	case t.begun || len(t.line) == 0:
+	case len(t.line) == 0 || t.line[0].state != fresh:
 	case b.now < t.quiet:
 		b.look(t.quiet, t.line[0], nil)
 	default:
-		t.begun = true
 		b.route(t.line[0])
 	}
 }
@@ -719,9 +720,6 @@
 		return
 	}
 	op.turn = nil
-	if t.line[0] == op {
-		t.begun = false
-	}
 	t.line = slices.DeleteFunc(t.line, func(x *Op) bool { return x == op })
 	if len(t.line) == 0 && b.now >= t.quiet {
 		delete(b.turns, op.Key)
@@ -771,7 +769,7 @@
 
 // strand notes what came of a push of op at a host that is in order as far as is known.
 func (b *Balancer) strand(op *Op, vain float64) {
-	for _, s := range append(op.strands[:], &b.all) {
+	for _, s := range [...]*strand{op.strands[0], op.strands[1], &b.all} {
 		if s != nil {
 			s.vain += (vain - s.vain) * strandStep
 		}
@@ -877,7 +875,7 @@
 	p := &Push{Op: op, Host: h, sent: b.now, gate: g}
 	op.tried = append(op.tried, p)
 	op.out++
-	op.held(1)
+	op.count(1)
 	h.out++
 	h.open, h.fresh, h.pushed = true, h.fresh || !h.open, b.now
 	g.out++
@@ -993,7 +991,7 @@
 	p.over = true
 	p.never = o == Refused || o == Shut || o == NoConn || o == NotSent || o == Missed
 	op.out--
-	op.held(-1)
+	op.count(-1)
 	if op.turn != nil && !p.never && o != Served && o != Failed { // it may still run
 		op.turn.quiet = b.now + b.KeyRest
 	}
@@ -1099,7 +1097,7 @@
 	case o == Served && !late:
 		b.strand(op, 0)
 	case o == Served || (o == TimedOut || o == Cancelled) && h.answered > p.sent && !op.acked:
-		if b.strand(op, 1); b.off(op.strands[0]) || b.off(op.strands[1]) { // that says nothing of the host
+		if b.strand(op, 1); slices.ContainsFunc(op.strands[:], b.off) { // that says nothing of the host
 			return
 		}
 	}
--- a/balance/parts.go
+++ b/balance/parts.go
@@ -13,11 +13,11 @@
 	value   float64 // benefit that hangs on it
 }
 
-// turn keeps a key's ordered ops apart: only the first in line is on its way. It outlives them while the key rests.
+// turn keeps a key's ordered ops apart: only the first in line is on its way, the others are fresh. It outlives them
+// while the key rests.
 type turn struct {
 	line  []*Op
 	quiet float64 // ms, when a push that may still run has had its time
-	begun bool    // the first is on its way
 }
 
 // strand is what is known of a key's or a tenant's ops together.
@@ -61,8 +61,8 @@
 	return float64(x>>r|x<<((32-r)&31)) / (1 << 32)
 }
 
-// held counts pushes of op that are out.
-func (op *Op) held(n int) {
+// count adds n to the pushes that are out, of all of op's strands.
+func (op *Op) count(n int) {
 	for _, s := range op.strands {
 		if s != nil {
 			s.out += n
--- a/balance/port.go
+++ b/balance/port.go
@@ -44,8 +44,8 @@
 	KeyRest      float64 // ms that a key of ordered ops rests after a push that may still run
 	LeftOff      float64 // ms by which an op's Due may be off, either way
 	StampDoubt   float64 // ms by which a host's UpSince may be off, either way
-	GoneIsAdvice bool    // a host listed as gone that was never draining may still be sent to
-	KeptPromises bool    // an op nacked within its target latency is no miss, a late answer is one
+	GoneIsAdvice bool    // a host listed as gone that was never draining may be sent to; not used yet
+	KeptPromises bool    // an op nacked within its target is no miss, a late answer is one; not used yet
 	ReplySlots   int     // answers that can be held while clients read them; 0 where that is no matter
 }
 
@@ -90,7 +90,7 @@
 	tokens float64 // ops left of its part of what this balancer gets acked
 	part   float64 // of all quotas
 	filled int     // ops acked when tokens was reckoned
-	strand strand
+	strand strand  // what is known of its ops together
 }
 
 // Status of a host as the list tells it.
@@ -173,7 +173,7 @@
 	Category *Category
 	Tenant   *Tenant // nil where there are none
 	Key      string
-	Due      float64 // ms, when the client stops waiting, as it is told
+	Due      float64 // ms, when the client stops waiting; Arrive puts it off where clocks may differ
 	Write    bool
 
 	state   state
@@ -183,13 +183,13 @@
 	tried   []*Push    // all its pushes, the first in front
 	out     int        // pushes that are out: one, or two
 	failed  *Host      // last host that failed it
-	wrong   *Host      // host that held the op itself for wrong
+	wrong   *Host      // host that held the op itself for wrong, or failed it
 	bound   *Push      // the push whose answer flows
 	fetch   *fetch     // led by this op
 	until   float64    // ms, when it is given up
 	strands [2]*strand // its key's and its tenant's
-	acked   bool
-	turn    *turn // its key's, where it is in order; nil once nothing more can come of it
+	acked   bool       // an answer of it was taken
+	turn    *turn      // its key's, where it is in order; nil once nothing more can come of it
 }
 
 // Push is one attempt at an op. The front gets it with the word to send and hands it back with its outcome.
--- a/internal/params/params.go
+++ b/internal/params/params.go
@@ -139,7 +139,7 @@
 	f.is(p.Guarantees.KeyQuiet < 0, "params.guarantees.keyQuietUs: %v, want 0 or more", p.Guarantees.KeyQuiet)
 	f.is(p.Guarantees.LeftOff < 0, "params.guarantees.leftOffUs: %v, want 0 or more", p.Guarantees.LeftOff)
 	f.is(p.Guarantees.StampDoubt < 0, "params.guarantees.stampDoubtUs: %v, want 0 or more", p.Guarantees.StampDoubt)
-	f.is(p.Limits.ReplySlots != nil && *p.Limits.ReplySlots < 1, "params.limits.replySlots: %d, want 1 or more", number(p.Limits.ReplySlots))
+	f.is(p.Limits.ReplySlots != nil && *p.Limits.ReplySlots < 1, "params.limits.replySlots: %d, want 1 or more", value(p.Limits.ReplySlots))
 	f.is(p.Zone != "" && len(p.Zones) > 0 && !slices.Contains(p.Zones, p.Zone), "params.zone: %q is not among zones", p.Zone)
 	f.is(p.Costs.CrossZone < 0 || p.Costs.Origin < 0,
 		"params.costs: crossZone %v, origin %v, want 0 or more", p.Costs.CrossZone, p.Costs.Origin)
@@ -150,19 +150,11 @@
 }
 
 // value is a figure that may be missing, 0 where it is.
-func value(p *float64) float64 {
-	if p == nil {
-		return 0
+func value[T int | float64](p *T) (figure T) {
+	if p != nil {
+		figure = *p
 	}
-	return *p
-}
-
-// number is the same for whole ones.
-func number(p *int) int {
-	if p == nil {
-		return 0
-	}
-	return *p
+	return figure
 }
 
 // loads are the names that a report's values may have. Only busy is read.
@@ -198,7 +190,7 @@
 		CrossCost: p.Costs.CrossZone, FetchCost: p.Costs.Origin,
 		KeyRest: p.Guarantees.KeyQuiet / 1000, LeftOff: p.Guarantees.LeftOff / 1000,
 		StampDoubt: p.Guarantees.StampDoubt / 1000, GoneIsAdvice: p.Guarantees.GoneAdvice,
-		KeptPromises: value(p.Blend.Promises) > 0, ReplySlots: number(p.Limits.ReplySlots),
+		KeptPromises: value(p.Blend.Promises) > 0, ReplySlots: value(p.Limits.ReplySlots),
 	}
 	if s.ConnIdle <= 0 { // not told: they stay open
 		s.ConnIdle = math.Inf(1)
