Pushes are looked at once a round's input is heard; what is due lies in one heap

Cause: with hosts at some 20 µs pushes were called off whose answers stood among what the same round had read: At looked at pushes before the front handed over the round's input. Each call-off costs a connection and is held against a host that is well, so past one core's work next to nobody was served. Beside it, what was due lay in a sorted slice until its time, settled or not: each op moved all of the last TTL.

Change: pushes are looked at by the timer's call, which comes after the round's input. Ends, rests and looks lie in two heaps, and leave them as soon as they are void; they are part of the op and the push. It also guards against any other pause of the process (collector, a large list, a stopped host machine): what came meanwhile is heard before anything is judged. A look can be late by the timer, 1 ms.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -145,28 +145,13 @@
 	all                     strand           // of all ops
 	fleet, origin           gate
 	yielded                 bool    // cold hosts are another process's
-	dues                    []due   // the first one last
+	ends, looks             dues    // at ops, and at pushes
 	usual                   float64 // smoothed over all hosts, what slow is smoothed of for each
 	keep                    float64 // ms for which an idle connection is kept
 	asking                  bool    // a call for the list is out
 	askAt, askWait          float64 // ms, when it was made or the next is due, and what a failure puts that off
 }
 
-// look has an op, or one push of it, looked at then. Those of one time come in the order of the calls.
-func (b *Balancer) look(at float64, op *Op, push *Push) {
-	i, _ := slices.BinarySearchFunc(b.dues, at, func(d due, at float64) int { return cmp.Compare(at, d.at) })
-	b.dues = slices.Insert(b.dues, i, due{at, op, push})
-	b.arm(at)
-}
-
-// first is what is due next.
-func (b *Balancer) first() due {
-	if n := len(b.dues); n > 0 {
-		return b.dues[n-1]
-	}
-	return due{at: math.Inf(1)}
-}
-
 // New makes the balancer of one instance at time now.
 func New(s Start, port Port, now float64) *Balancer {
 	b := &Balancer{Start: s, port: port, now: now, rng: pcg(s.Seed), ticked: now,
@@ -201,27 +186,35 @@
 // At takes the time and does what has fallen due.
 func (b *Balancer) At(now float64) {
 	b.now = now
-	for d := b.first(); d.at <= now; d = b.first() {
-		b.dues = b.dues[:len(b.dues)-1]
-		switch {
-		case d.void() || d.op.state == streaming:
-		case d.push == nil && b.now < d.op.until: // its key has rested
-			b.begin(d.op.turn)
-		case d.push == nil && d.op.fetch != nil && d.op.out > 0 && b.now < b.end(d.op):
-			b.look(b.end(d.op), d.op, nil) // late for this op, but what it fetches is kept for others
-		case d.push == nil:
-			b.giveUp(d.op)
+	for d := b.ends.due(now); d != nil; d = b.ends.due(now) {
+		switch op := d.op; {
+		case op == nil: // a key has rested
+			b.begin(d.turn)
+		case op.fetch != nil && op.out > 0 && b.now < b.end(op):
+			b.look(&b.ends, d, b.end(op)) // late for this op, but what it fetches is kept for others
 		default:
-			b.impatient(d.push)
+			b.giveUp(op)
 		}
 	}
 }
 
+// look has d looked at then.
+func (b *Balancer) look(all *dues, d *due, at float64) {
+	all.set(d, at)
+	b.arm(at)
+}
+
 // Woke is the timer's call: all periodic work.
 func (b *Balancer) Woke() {
 	if b.now < b.wakeAt-tick/10 { // an earlier call has taken this one's place
 		return
 	}
+	// Only now has all been heard that has come: the answer to a push may stand among what a round has read.
+	for d := b.looks.due(b.now); d != nil; d = b.looks.due(b.now) {
+		if p := d.push; p.Op.state < streaming {
+			b.impatient(p)
+		}
+	}
 	if b.now-b.ticked >= sweepEvery {
 		b.sweep(b.now - b.ticked)
 	}
@@ -239,11 +232,7 @@
 		}
 		b.pump(g)
 	}
-	d := b.first()
-	for ; d.op != nil && d.void(); d = b.first() {
-		b.dues = b.dues[:len(b.dues)-1]
-	}
-	next := math.Min(b.ticked+sweepEvery, d.at)
+	next := min(b.ticked+sweepEvery, b.ends.next(), b.looks.next())
 	if len(b.fleet.line)+len(b.origin.line) > 0 {
 		next = math.Min(next, b.now+tick)
 	}
@@ -688,13 +677,15 @@
 	if op.Category.Tardy == 0 { // a late answer is worth nothing and costs others theirs
 		op.until = math.Min(op.until, b.now+op.Category.Target)
 	}
-	b.look(op.until, op, nil)
+	op.ends.op = op
+	b.look(&b.ends, &op.ends, op.until)
 	if !op.Category.Ordered || op.Key == "" {
 		b.route(op)
 		return
 	}
 	if op.turn = b.turns[op.Key]; op.turn == nil {
 		op.turn = &turn{}
+		op.turn.rest.turn = op.turn
 		b.turns[op.Key] = op.turn
 	}
 	if op.turn.line = append(op.turn.line, op); len(op.turn.line) == 1 { // else an earlier one sees to it
@@ -707,7 +698,7 @@
 	switch {
 	case len(t.line) == 0 || t.line[0].state != fresh:
 	case b.now < t.quiet:
-		b.look(t.quiet, t.line[0], nil)
+		b.look(&b.ends, &t.rest, t.quiet)
 	default:
 		b.route(t.line[0])
 	}
@@ -873,6 +864,7 @@
 func (b *Balancer) push(g *gate, op *Op, h *Host) {
 	b.move(op, out)
 	p := &Push{Op: op, Host: h, sent: b.now, gate: g}
+	p.look.push = p
 	op.tried = append(op.tried, p)
 	op.out++
 	op.count(1)
@@ -894,9 +886,9 @@
 	case b.MayDuplicate && (h.Origin || op.out > 1): // one origin, and two pushes at most
 	case b.MayDuplicate:
 		patience = c.lat + copyDevs*c.dev
-		b.look(b.now+math.Min(patience, math.Max(c.lat, c.Target-2*c.lat)), op, p)
+		b.look(&b.looks, &p.look, b.now+math.Min(patience, math.Max(c.lat, c.Target-2*c.lat)))
 	case b.MayCancel:
-		b.look(b.now+patience, op, p)
+		b.look(&b.looks, &p.look, b.now+patience)
 	case c.Repeat == Redeliverable:
 		limit = math.Min(limit, patience)
 	}
@@ -927,7 +919,7 @@
 		return false
 	}
 	p.looked = true
-	b.look(b.now+waits*(b.now-p.sent), p.Op, p)
+	b.look(&b.looks, &p.look, b.now+waits*(b.now-p.sent))
 	return true
 }
 
@@ -989,6 +981,7 @@
 		return
 	}
 	p.over = true
+	b.looks.stop(&p.look)
 	p.never = o == Refused || o == Shut || o == NoConn || o == NotSent || o == Missed
 	op.out--
 	op.count(-1)
@@ -1279,5 +1272,7 @@
 	if op.state == settled || op.state == streaming && to != settled {
 		return
 	}
-	op.state = to
+	if op.state = to; to >= streaming {
+		b.ends.stop(&op.ends)
+	}
 }
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -836,7 +836,7 @@
 	}
 	fmt.Println("big:", served[big], "of 540, small:", served[small], "of 60")
 	// Output:
-	// big: 152 of 540, small: 48 of 60
+	// big: 151 of 540, small: 49 of 60
 }
 
 // A tenant's share is reckoned from what this balancer gets acked: with a part of 1/100 of the quota one that carries far more
--- a/balance/parts.go
+++ b/balance/parts.go
@@ -18,6 +18,7 @@
 type turn struct {
 	line  []*Op
 	quiet float64 // ms, when a push that may still run has had its time
+	rest  due     // then
 }
 
 // strand is what is known of a key's or a tenant's ops together.
@@ -40,16 +41,6 @@
 	line  []*Op
 }
 
-// due is a time at which to look at an op: at its end, or at one push of it.
-type due struct {
-	at   float64
-	op   *Op
-	push *Push // nil for the op's end
-}
-
-// void tells whether there is nothing left to look at.
-func (d due) void() bool { return d.op.state == settled || d.push != nil && d.push.over }
-
 // pcg is a permuted congruential generator (PCG-XSH-RR).
 type pcg uint64
 
--- a/balance/port.go
+++ b/balance/port.go
@@ -189,6 +189,7 @@
 	until   float64    // ms, when it is given up
 	strands [2]*strand // its key's and its tenant's
 	acked   bool       // an answer of it was taken
+	ends    due        // until
 	turn    *turn      // its key's, where it is in order; nil once nothing more can come of it
 }
 
@@ -200,10 +201,11 @@
 
 	sent   float64 // ms
 	gate   *gate   // whose place it takes
-	looked bool    // it has been looked at, and left
-	called bool    // it has been called off
-	over   bool    // its outcome has come
-	never  bool    // that proves that it never ran
+	look   due
+	looked bool // it has been looked at, and left
+	called bool // it has been called off
+	over   bool // its outcome has come
+	never  bool // that proves that it never ran
 }
 
 // Report is what a host tells of its load with an answer, old and not exact; below 0 what it does not.
--- a/balance/trace_test.go
+++ b/balance/trace_test.go
@@ -72,18 +72,24 @@
 		next := math.Min(end, x.wake)
 		x.t = next
 		x.At(next)
-		for _, p := range x.called {
-			x.Ended(p, Cancelled, x.t-p.sent, p.Op.state == settled, nil)
-		}
-		x.called = x.called[:0]
+		x.hear()
 		if next == x.wake && next < end {
 			x.Woke()
+			x.hear()
 			continue
 		}
 		return
 	}
 }
 
+// hear tells of the pushes that have been called off.
+func (x *scene) hear() {
+	for _, p := range x.called {
+		x.Ended(p, Cancelled, x.t-p.sent, p.Op.state == settled, nil)
+	}
+	x.called = x.called[:0]
+}
+
 // ask lets an op of a row arrive for a key, with ttl ms left; its handle is its name.
 func (x *scene) ask(name string, row int, key string, ttl float64, write bool) *Op {
 	op := &Op{Ref: name, Category: x.Categories[row], Key: key, Due: x.t + ttl, Write: write}
--- a/cmd/larchthread/main_test.go
+++ b/cmd/larchthread/main_test.go
@@ -26,8 +26,14 @@
 // The tests start this binary again as the program itself, and speak to it over sockets.
 func TestMain(m *testing.M) {
 	if os.Getenv("LARCHTHREAD_SERVE") != "" {
-		main()
-		return
+		done := tellCost()
+		code := execute(command())
+		done()
+		os.Exit(code)
+	}
+	if to := strings.Split(os.Getenv("LARCHTHREAD_RELAY"), ","); to[0] != "" {
+		fmt.Fprintln(os.Stderr, relay(to[0], to[1:]))
+		os.Exit(1)
 	}
 	os.Exit(m.Run())
 }
--- /dev/null
+++ b/cmd/larchthread/speed_test.go
@@ -0,0 +1,393 @@
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"os"
+	"os/exec"
+	"runtime"
+	"runtime/pprof"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+const (
+	speedHosts = 10
+	speedKeys  = 10000
+	speedFor   = time.Second // of one run: some thousand ops at the least
+)
+
+const speedLimits = `{"cores":1,"memory_mb":512,"sockets":8192}` // 400 clients at rest between two ops are no surplus
+
+// quick adds a cache host that answers each command with one byte after a while, and notes nothing.
+func (f *fleet) quick(name string, delay time.Duration) {
+	l := listenAnywhere()
+	f.members = append(f.members, member(name, l.Addr().String(), "box", "in_service"))
+	f.serve(l, func(c net.Conn) { quickly(c, delay) })
+}
+
+func quickly(c net.Conn, delay time.Duration) {
+	var answer []byte
+	for r := bufio.NewReader(c); ; {
+		line, err := r.ReadSlice('\n')
+		if err != nil {
+			return
+		}
+		_, id, _ := bytes.Cut(line, []byte(" O"))
+		id, _, _ = bytes.Cut(id, []byte(" "))
+		if delay > 0 { // the runtime's own timers round up to a millisecond where all is idle
+			wait := unix.NsecToTimespec(delay.Nanoseconds())
+			unix.Nanosleep(&wait, nil)
+		}
+		answer = append(append(append(answer[:0], "VA 1 O"...), id...), "\r\nx\r\n"...)
+		if r.Buffered() == 0 || delay > 0 {
+			c.Write(answer)
+		}
+	}
+}
+
+// relay is what a balancer's sockets cost at the least: one thread, one epoll, and for each client one
+// connection to a host, to which bytes are passed on unread.
+func relay(listen string, hosts []string) error {
+	runtime.GOMAXPROCS(1)
+	address := func(s string) *unix.SockaddrInet4 {
+		a, err := net.ResolveTCPAddr("tcp4", s)
+		if err != nil {
+			panic(err)
+		}
+		return &unix.SockaddrInet4{Port: a.Port, Addr: [4]byte(a.IP.To4())}
+	}
+	door, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_NONBLOCK, 0)
+	if err != nil {
+		return err
+	}
+	if err := errors.Join(unix.Bind(door, address(listen)), unix.Listen(door, 1024)); err != nil {
+		return err
+	}
+	poll, err := unix.EpollCreate1(0)
+	if err != nil {
+		return err
+	}
+	watch := func(fd int) {
+		unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_NODELAY, 1)
+		unix.EpollCtl(poll, unix.EPOLL_CTL_ADD, fd, &unix.EpollEvent{Events: unix.EPOLLIN, Fd: int32(fd)})
+	}
+	watch(door)
+	other := map[int]int{}
+	events, bytes := make([]unix.EpollEvent, 512), make([]byte, 64<<10)
+	for {
+		n, err := unix.EpollWait(poll, events, -1)
+		if err != nil && err != unix.EINTR {
+			return err
+		}
+		for _, e := range events[:max(n, 0)] {
+			from := int(e.Fd)
+			if from == door {
+				c, _, err := unix.Accept4(door, unix.SOCK_NONBLOCK)
+				if err != nil {
+					continue
+				}
+				h, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM, 0)
+				if err != nil {
+					return err
+				}
+				if err := unix.Connect(h, address(hosts[len(other)/2%len(hosts)])); err != nil {
+					return err
+				}
+				other[c], other[h] = h, c
+				watch(c)
+				watch(h)
+				continue
+			}
+			if n, err := unix.Read(from, bytes); n > 0 && err == nil {
+				unix.Write(other[from], bytes[:n])
+			} else if err != unix.EAGAIN {
+				unix.Close(from)
+				unix.Shutdown(other[from], unix.SHUT_RDWR)
+				delete(other, from)
+			}
+		}
+	}
+}
+
+// tellCost lets the program write what it has allocated, and its profile, as it ends.
+func tellCost() (done func()) {
+	var profile *os.File
+	if path := os.Getenv("LARCHTHREAD_PROFILE"); path != "" {
+		profile, _ = os.Create(path)
+		pprof.StartCPUProfile(profile)
+	}
+	return func() {
+		if profile != nil {
+			pprof.StopCPUProfile()
+			profile.Close()
+		}
+		var m runtime.MemStats
+		runtime.ReadMemStats(&m)
+		fmt.Fprintf(os.Stderr, "allocations=%d\n", m.Mallocs)
+	}
+}
+
+// speed is what clients saw of a run.
+type speed struct {
+	served, late, nacked, failed int
+	latencies                    []time.Duration // of ops served
+	took                         time.Duration
+	cpu                          time.Duration // of the process between
+}
+
+func (s *speed) add(o *speed) {
+	s.served, s.late, s.nacked, s.failed = s.served+o.served, s.late+o.late, s.nacked+o.nacked, s.failed+o.failed
+	s.latencies = append(s.latencies, o.latencies...)
+}
+
+// quantile is the latency over which a part of the ops served were, in µs.
+func (s *speed) quantile(part float64) float64 {
+	if len(s.latencies) == 0 {
+		return 0
+	}
+	slices.Sort(s.latencies)
+	return float64(s.latencies[min(int(part*float64(len(s.latencies))), len(s.latencies)-1)].Nanoseconds()) / 1000
+}
+
+// report gives the figures of one run; added is what the hosts take.
+func (s *speed) report(b *testing.B, hosts time.Duration) {
+	ops := float64(max(s.served+s.nacked+s.failed, 1))
+	own := float64(hosts.Nanoseconds()) / 1000
+	b.ReportMetric(0, "ns/op") // says nothing where many ops are under way
+	b.ReportMetric(float64(s.served-s.late)/s.took.Seconds(), "served/s")
+	b.ReportMetric(float64(s.nacked)/ops, "nacks/op")
+	b.ReportMetric(float64(s.failed)/ops, "failed/op")
+	b.ReportMetric(s.quantile(0.5)-own, "p50-µs")
+	b.ReportMetric(s.quantile(0.99)-own, "p99-µs")
+	b.ReportMetric(s.quantile(0.999)-own, "p99.9-µs")
+	b.ReportMetric(float64(s.cpu.Microseconds())/float64(max(s.served, 1)), "cpu-µs/served")
+}
+
+// cpuOf is the time that a process has had of its cores.
+func cpuOf(pid int) time.Duration {
+	text, _ := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	_, rest, _ := strings.Cut(string(text), ") ")
+	words := strings.Fields(rest)
+	user, _ := strconv.Atoi(words[11])
+	system, _ := strconv.Atoi(words[12])
+	return time.Duration(user+system) * 10 * time.Millisecond
+}
+
+// closed has so many clients send one op after another for a while.
+func closed(address string, clients int, ttl time.Duration, span time.Duration) *speed {
+	var all speed
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	began := time.Now()
+	for i := range clients {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			s := one(address, i, ttl, began.Add(span))
+			mu.Lock()
+			defer mu.Unlock()
+			all.add(s)
+		}()
+	}
+	wg.Wait()
+	all.took = time.Since(began)
+	return &all
+}
+
+// one is a client in a closed loop. It heeds no word on when to come back: that is the harder case.
+func one(address string, name int, ttl time.Duration, until time.Time) *speed {
+	s := &speed{}
+	var out []byte
+	rng := rand.New(rand.NewPCG(uint64(name), 1))
+	for n := 0; time.Now().Before(until); {
+		c, err := net.Dial("tcp", address)
+		if err != nil {
+			s.failed++
+			return s
+		}
+		for r := bufio.NewReader(c); err == nil && time.Now().Before(until); n++ {
+			out = get(out[:0], name, n, rng.IntN(speedKeys), ttl)
+			began := time.Now()
+			if _, err = c.Write(out); err == nil && !s.take(r, began) {
+				break
+			}
+		}
+		c.Close()
+	}
+	return s
+}
+
+func get(out []byte, client, n, key int, ttl time.Duration) []byte {
+	return fmt.Appendf(out, "mg k%d v O%d-%d Pc=read,d=%d\r\n", key, client, n, ttl.Milliseconds())
+}
+
+// take reads one answer.
+func (s *speed) take(r *bufio.Reader, began time.Time) (more bool) {
+	line, err := r.ReadSlice('\n')
+	switch {
+	case err != nil:
+		s.failed++
+		return false
+	case bytes.HasPrefix(line, []byte("VA")):
+		if _, err := r.ReadSlice('\n'); err != nil {
+			s.failed++
+			return false
+		}
+		s.served++
+		took := time.Since(began)
+		if s.latencies = append(s.latencies, took); took > 200*time.Millisecond {
+			s.late++
+		}
+	case bytes.HasPrefix(line, []byte("SERVER_ERROR busy")):
+		s.nacked++
+	default:
+		s.failed++
+	}
+	return true
+}
+
+// streams has clients send at a rate whatever comes back, each on one connection, for a while.
+func streams(address string, clients int, rate float64, ttl, span time.Duration) *speed {
+	var all speed
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	for i := range clients {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			s := stream(address, i, rate/float64(clients), ttl, span)
+			mu.Lock()
+			defer mu.Unlock()
+			all.add(s)
+		}()
+	}
+	wg.Wait()
+	all.took = span
+	return &all
+}
+
+// stream is a client that sends at a rate. Its ops count from when they were due, also where they could not be written.
+func stream(address string, name int, rate float64, ttl, span time.Duration) *speed {
+	s := &speed{}
+	c, err := net.Dial("tcp", address)
+	if err != nil {
+		s.failed++
+		return s
+	}
+	defer c.Close()
+	began := time.Now().Add(time.Duration(rand.Float64() / rate * 1e9))
+	due := func(n int) time.Time { return began.Add(time.Duration(float64(n) / rate * 1e9)) }
+	most := int(span.Seconds() * rate)
+	go func() {
+		var out []byte
+		rng := rand.New(rand.NewPCG(uint64(name), 2))
+		for n := 0; n < most; {
+			out = out[:0]
+			for ; n < most && !due(n).After(time.Now()); n++ {
+				out = get(out, name, n, rng.IntN(speedKeys), ttl)
+			}
+			if _, err := c.Write(out); err != nil {
+				return
+			}
+			time.Sleep(time.Until(due(n)))
+		}
+	}()
+	c.SetReadDeadline(began.Add(span + 2*time.Second))
+	for r, n := bufio.NewReader(c), 0; n < most && s.take(r, due(n)); n++ {
+	}
+	return s
+}
+
+// with runs a program of its own beside the hosts, and gives its address and process.
+func (f *fleet) relay() (string, *exec.Cmd) {
+	listen := freeAddress()
+	var hosts []string
+	for _, m := range f.members {
+		_, rest, _ := strings.Cut(m, `"host_port":"`)
+		host, _, _ := strings.Cut(rest, `"`)
+		hosts = append(hosts, host)
+	}
+	p := exec.Command(os.Args[0])
+	p.Env = append(os.Environ(), "LARCHTHREAD_RELAY="+strings.Join(append([]string{listen}, hosts...), ","))
+	p.Stderr = os.Stderr
+	if err := p.Start(); err != nil {
+		panic(err)
+	}
+	for range 500 {
+		if c, err := net.Dial("tcp", listen); err == nil {
+			c.Close()
+			break
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	return listen, p
+}
+
+// BenchmarkSpeed has clients in closed loops ask fast hosts through the balancer, and through a bare relay in the same run.
+func BenchmarkSpeed(b *testing.B) {
+	for _, delay := range []time.Duration{0, 200 * time.Microsecond, time.Millisecond} {
+		f := &fleet{logTo: io.Discard}
+		for i := range speedHosts {
+			f.quick(fmt.Sprint("h", i), delay)
+		}
+		f.limits = speedLimits
+		f.start()
+		bare, p := f.relay()
+		for _, clients := range []int{1, 8, 32, 100, 400} {
+			b.Run(fmt.Sprintf("host=%v/clients=%d/relay", delay, clients), func(b *testing.B) {
+				measure(b, p.Process.Pid, delay, func() *speed { return closed(bare, clients, time.Second, speedFor) })
+			})
+			for _, ttl := range []time.Duration{600 * time.Millisecond, 4 * time.Second} {
+				b.Run(fmt.Sprintf("host=%v/clients=%d/ttl=%v", delay, clients, ttl), func(b *testing.B) {
+					measure(b, f.process.Process.Pid, delay, func() *speed { return closed(f.listen, clients, ttl, speedFor) })
+				})
+			}
+		}
+		p.Process.Kill()
+		p.Wait()
+		f.stop()
+	}
+}
+
+// BenchmarkOverload sends what a core serves, and more, whatever comes back.
+func BenchmarkOverload(b *testing.B) {
+	f := &fleet{logTo: io.Discard}
+	for i := range speedHosts {
+		f.quick(fmt.Sprint("h", i), 0)
+	}
+	f.limits = speedLimits
+	f.start()
+	defer f.stop()
+	top := 0.0
+	for _, clients := range []int{8, 32, 100, 400} {
+		s := closed(f.listen, clients, 600*time.Millisecond, speedFor)
+		top = max(top, float64(s.served)/s.took.Seconds())
+	}
+	for _, times := range []float64{0.5, 1, 1.5, 2, 4} {
+		b.Run(fmt.Sprintf("times=%v", times), func(b *testing.B) {
+			measure(b, f.process.Process.Pid, 0, func() *speed {
+				return streams(f.listen, 100, times*top, 600*time.Millisecond, 3*speedFor)
+			})
+			b.ReportMetric(top, "top/s")
+		})
+	}
+}
+
+func measure(b *testing.B, pid int, hosts time.Duration, run func() *speed) {
+	before := cpuOf(pid)
+	s := run()
+	s.cpu = cpuOf(pid) - before
+	s.report(b, hosts)
+}
