What is the process's own is told apart from the hosts', and answered by a decision of its own

Cause, with hosts at some 20 µs: a push's wait to be written and an answer's wait to be read counted as its host's time; patience had no floor, so a pause of the machine had pushes called off at hosts that were well; and past one core's work nothing told that the process itself was short: rounds and buffers grew (16 KB for each nack that waited for its turn) until next to nobody was served.

Change, in the module: Went tells how long a push had to wait here, and its look is put off by that, and for a push whose connection had to be made by what that has added lately. Patience is a fiftieth of the target at the least: a call-off costs a connection and gains nothing while there is time. Where half the hosts are as silent a push is left for a tenth of its target: no host is at fault, and none is better; it guards against pauses of network or machine, and could leave a push a little longer where all hosts die at once. Below the shortest round latencies count as alike. Where answers take next to no time the hosts' gate opens by one for each. Behind takes how long input may have waited, and Room says by chance which ops the process has room for. In the front: rounds read all that is ready, answers first, and give clients half a ms; what is left waits for the next, first come first. What there is no room for is nacked unread where its category can be told, in its place of the line. Short answers hold no buffer while they wait.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -12,7 +12,6 @@
 	"maps"
 	"math"
 	"slices"
-	"strconv"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -66,7 +65,14 @@
 	spreadBusy = 0.9    // part of its cores' time that a busy key's host may have taken, where hosts tell
 	heatHalf   = 5000.0 // ms between two halvings of these counts: a busy key lasts for some seconds
 
-	patienceDevs = 5.0 // mean deviations above the usual latency at which a push is looked at
+	patienceDevs  = 5.0  // mean deviations above the usual latency at which a push is looked at
+	hushPart      = 0.1  // of its target for which a push is left where all hosts are as silent
+	patienceLeast = 0.02 // of its target: a call-off costs a connection, and gains nothing where there is time
+
+	ownGoal  = 0.2        // of the shortest target for which input may wait: answers may have to wait as long
+	ownLeast = 1.0 / 16   // part of that below which one wait is like another
+	ownStep  = 2.0        // factor, the most by which the part of ops taken changes at once
+	ownFloor = 1.0 / 1024 // least part of the ops that are taken
 
 	gateGoal     = 0.5     // smoothed latency over target above which a gate narrows: most answers just in time
 	originGoal   = 0.3     // the same for the origin, whose latency comes on top of a miss
@@ -119,8 +125,7 @@
 
 	hosts                   []*Host // listed cache hosts, by name
 	ready                   []*Host // those that may be pushed to
-	cycle                   []point
-	slots                   []*Host // hosts that stand on it, or have and are still listed
+	cycle                   cycle
 	coldUntil               float64 // ms, when the last of them is warm
 	unit, sizes             float64 // size that gets pointsPerHost places, and the sum of the ready hosts'
 	origins                 []*Host
@@ -133,7 +138,7 @@
 	tries                   float64        // ops that may be sent to suspect hosts while others have room
 	pool                    float64        // part of the keys that keep to no zone
 	pooled                  bool           // crossing costs no more than a fetch: best all of them
-	careful                 float64        // ms, until when the bound has no floor
+	answered, careful       float64        // ms, time of the last answer; until when the bound has no floor
 	fails                   []float64      // of all ready hosts at the last look, in order
 	failing                 float64        // smoothed failures of the host in the middle of them
 	resting, counted        int            // ready hosts that rest; answers of warm ones since the last look
@@ -144,9 +149,12 @@
 	strands                 [cells]strand    // by key
 	all                     strand           // of all ops
 	fleet, origin           gate
+	part, behind            float64 // of new ops that the own process has room for; how long input waits, of round
+	round, steered          float64 // ms, how long it may wait, and when that was last looked at
 	yielded                 bool    // cold hosts are another process's
 	ends, looks             dues    // at ops, and at pushes
 	usual                   float64 // smoothed over all hosts, what slow is smoothed of for each
+	making                  latency // that a connection that has to be made adds
 	keep                    float64 // ms for which an idle connection is kept
 	asking                  bool    // a call for the list is out
 	askAt, askWait          float64 // ms, when it was made or the next is due, and what a failure puts that off
@@ -156,7 +164,8 @@
 func New(s Start, port Port, now float64) *Balancer {
 	b := &Balancer{Start: s, port: port, now: now, rng: pcg(s.Seed), ticked: now,
 		fetches: map[string]*fetch{}, turns: map[string]*turn{}, askWait: askFirst, usual: 1, keep: s.ConnIdle,
-		busyFar: 1, copies: copyBurst, tries: tryBurst, wakeAt: math.Inf(1)}
+		busyFar: 1, copies: copyBurst, tries: tryBurst, wakeAt: math.Inf(1), round: math.Inf(1),
+		part: 1}
 	if b.pooled = b.CrossCost*(1-1/float64(max(b.Zones, 1))) <= b.FetchCost; b.pooled {
 		b.pool = 1
 	}
@@ -166,6 +175,7 @@
 		floor: originFloor / float64(s.Group), limit: math.Inf(1)}
 	for _, c := range s.Categories {
 		c.lat, c.dev = c.Target/4, c.Target/8
+		b.round = math.Max(math.Min(b.round, c.Target*ownGoal), 2*b.Quantum)
 		b.origin.lat, b.origin.dev = max(b.origin.lat, c.lat), max(b.origin.dev, c.dev)
 		b.fleet.lat = b.origin.lat
 	}
@@ -198,6 +208,30 @@
 	}
 }
 
+// Behind takes word that what is read in this round may have waited for so many ms. Past what one core can do
+// that grows for ever. Then a part of the ops is taken, so that they wait no longer than leaves time to serve
+// them. Whatever slows the process is met alike. After a long stall some ops are turned away needlessly.
+func (b *Balancer) Behind(late float64) {
+	if b.now < b.steered+b.round/2 {
+		return
+	}
+	last, now := b.behind, math.Max(late/b.round, ownLeast)
+	b.behind, b.steered = now, b.now
+	if now > 1 || b.part < 1 { // by how the wait changes, and by how long it is
+		change := math.Sqrt(last / now / math.Sqrt(now))
+		b.part = clamp(b.part*clamp(change, 1/ownStep, ownStep), ownFloor, 1)
+	}
+}
+
+// Room tells whether the own process has room for one more op, by chance; else it is nacked, if need be unread,
+// for reading takes the core from those that are taken, and may come back after backoff ms.
+func (b *Balancer) Room() (room bool, backoff float64) {
+	if b.part == 1 || b.rng.float() < b.part {
+		return true, 0
+	}
+	return false, b.backoff(b.round / ownGoal)
+}
+
 // look has d looked at then.
 func (b *Balancer) look(all *dues, d *due, at float64) {
 	all.set(d, at)
@@ -211,7 +245,14 @@
 	}
 	// Only now has all been heard that has come: the answer to a push may stand among what a round has read.
 	for d := b.looks.due(b.now); d != nil; d = b.looks.due(b.now) {
-		if p := d.push; p.Op.state < streaming {
+		switch p := d.push; {
+		case p.waited > 0:
+			if p.made {
+				p.waited += b.making.lat + patienceDevs*b.making.dev
+			}
+			b.look(&b.looks, d, d.at+p.waited)
+			p.waited = 0
+		case p.Op.state < streaming:
 			b.impatient(p)
 		}
 	}
@@ -375,8 +416,7 @@
 	return len(b.hosts), avoided
 }
 
-// layOut puts the ready hosts on the cycle, at places that depend on a host's name and size alone. Only what
-// has changed is hashed and sorted: a thousand balancers that sorted all points took most of their CPU.
+// layOut puts the ready hosts on the cycle, at places that depend on a host's name and size alone.
 func (b *Balancer) layOut() {
 	gone := func(h *Host) bool { return h.Status == Gone }
 	all := slices.Clone(b.hosts)
@@ -394,50 +434,12 @@
 		// Sizes have no unit. A power of two near their mean is the same at balancers whose lists differ.
 		b.unit = math.Exp2(math.Round(math.Log2(b.sizes / float64(len(b.ready)))))
 	}
-	left := false
-	var added []point
-	for _, h := range all {
-		n := 0
-		if h.Usable() {
-			n = max(1, int(math.Round(pointsPerHost*math.Sqrt(h.Size/b.unit))))
-		}
-		if h.moved = h.placed != n; !h.moved {
-			continue
-		}
-		left = left || h.placed > 0
-		if h.points == nil { // it has no slot yet, or was gone
-			if h.slot = int32(slices.Index(b.slots, nil)); h.slot < 0 {
-				h.slot = int32(len(b.slots))
-				b.slots = append(b.slots, nil)
-			}
-			b.slots[h.slot] = h
-		}
-		if h.placed = n; n > 0 && len(h.points) != n {
-			h.points = h.points[:0]
-			for i := range n {
-				h.points = append(h.points, xxhash.Sum64String(h.Name+"/"+strconv.Itoa(i)))
-			}
-		}
-		for i, p := range h.points[:n] {
-			added = append(added, point{p, h.slot, int32(i)})
-		}
-	}
-	if left {
-		b.cycle = slices.DeleteFunc(b.cycle, func(p point) bool { return b.slots[p.slot].moved })
-	}
-	for _, h := range all { // gone for good, as far as is known: its slot is the next one's
-		if gone(h) && h.points != nil {
-			b.slots[h.slot], h.points = nil, nil
+	b.cycle.lay(all, func(h *Host) int {
+		if !h.Usable() {
+			return 0
 		}
-	}
-	slices.SortFunc(added, func(x, y point) int { return cmp.Compare(x.hash, y.hash) })
-	end := len(b.cycle)
-	b.cycle = append(b.cycle, added...)
-	for j := len(added) - 1; j >= 0; j-- { // merged from the back, in runs
-		from, _ := slices.BinarySearchFunc(b.cycle[:end], added[j].hash, byHash)
-		copy(b.cycle[from+j+1:], b.cycle[from:end])
-		b.cycle[from+j], end = added[j], from
-	}
+		return max(1, int(math.Round(pointsPerHost*math.Sqrt(h.Size/b.unit))))
+	})
 	for _, h := range b.ready {
 		b.coldUntil = math.Max(b.coldUntil, h.UpSince+b.ColdFor+b.StampDoubt)
 		b.join(h)
@@ -461,8 +463,6 @@
 	b.pump(&b.fleet)
 }
 
-func byHash(p point, hash uint64) int { return cmp.Compare(p.hash, hash) }
-
 // join lets a host stand on the cycle with as many of its points as it is warm.
 func (b *Balancer) join(h *Host) { h.active = int(math.Ceil(float64(len(h.points)) * b.warmth(h))) }
 
@@ -542,11 +542,11 @@
 
 // walk goes clockwise from the op's place to the first host that is not full.
 func (b *Balancer) walk(op *Op) *Host {
-	if len(b.cycle) == 0 {
+	if len(b.cycle.points) == 0 {
 		return nil
 	}
 	mean := float64(b.fleet.out+1) / float64(len(b.ready))
-	from, _ := slices.BinarySearchFunc(b.cycle, op.hash, byHash)
+	from := b.cycle.from(op.hash)
 	b.walks++
 	near, pass := b.near(op), 0
 	if spread := b.spread(op); spread > 1 {
@@ -554,9 +554,9 @@
 	}
 	var spill, doubt *Host
 	left := len(b.ready) // each host is judged once: where most are full its other points cost too much
-	for i := 0; i < len(b.cycle) && left > 0; i++ {
-		p := b.cycle[(from+i)%len(b.cycle)]
-		h := b.slots[p.slot]
+	for i := 0; i < len(b.cycle.points) && left > 0; i++ {
+		p := b.cycle.points[(from+i)%len(b.cycle.points)]
+		h := b.cycle.slots[p.slot]
 		if h.walked == b.walks || int(p.nth) >= h.active {
 			continue
 		}
@@ -792,14 +792,6 @@
 	b.pump(g)
 }
 
-// worth orders a line: what benefit hangs on an op.
-func worth(op *Op) float64 {
-	if op.fetch != nil {
-		return op.fetch.value
-	}
-	return op.value
-}
-
 // pump lets out what a gate has room for, the best first, and sheds the worst, of equals the last, past what
 // can be let out in good time.
 func (b *Balancer) pump(g *gate) {
@@ -827,10 +819,6 @@
 	}
 }
 
-func (g *gate) remove(op *Op) {
-	g.line = slices.DeleteFunc(g.line, func(x *Op) bool { return x == op })
-}
-
 // unlucky tells whether chance turns an op away. A limit under one is the part of ops that go out, and more
 // of those of more worth: one out at each of some hundred balancers would keep a full origin full.
 func (b *Balancer) unlucky(g *gate, op *Op) bool {
@@ -875,17 +863,17 @@
 		b.tries = math.Max(b.tries-1, 0)
 	}
 	c, limit := op.Category, op.Due-b.now
-	patience := c.lat + patienceDevs*c.dev
+	patience := math.Max(c.lat+patienceDevs*c.dev, c.Target*patienceLeast)
 	switch {
 	case h.Origin:
-		patience = g.lat + patienceDevs*g.dev
+		patience = math.Max(g.lat+patienceDevs*g.dev, c.Target*patienceLeast)
 	case b.warmth(h) < 1:
 		h.budget--
 	}
 	switch {
 	case b.MayDuplicate && (h.Origin || op.out > 1): // one origin, and two pushes at most
 	case b.MayDuplicate:
-		patience = c.lat + copyDevs*c.dev
+		patience = math.Max(c.lat+copyDevs*c.dev, c.Target*patienceLeast)
 		b.look(&b.looks, &p.look, b.now+math.Min(patience, math.Max(c.lat, c.Target-2*c.lat)))
 	case b.MayCancel:
 		b.look(&b.looks, &p.look, b.now+patience)
@@ -895,6 +883,9 @@
 	b.port.Push(p, limit)
 }
 
+// Went takes word that a push had to wait here for so many ms, and whether a connection had to be made for it.
+func (b *Balancer) Went(p *Push, wait float64, made bool) { p.waited, p.made = wait, made }
+
 // impatient looks at a push that has been out for unusually long. A host that has answered others since
 // is at work on a heavy op; one that has answered none is suspect, and the op tries its luck elsewhere.
 func (b *Balancer) impatient(p *Push) {
@@ -905,7 +896,7 @@
 	}
 	c := op.Category
 	bound := c.Repeat == AtMostOnce || c.Repeat == Deduplicated && c.Group != AllHosts
-	if bound || p.called || len(op.tried) >= b.MostPushes || b.lookAgain(p, secondLook) ||
+	if bound || p.called || len(op.tried) >= b.MostPushes || b.hush(p) || b.lookAgain(p, secondLook) ||
 		p.Host.Origin && p.Host.passed <= p.sent { // the one origin is at work on it all the same
 		return
 	}
@@ -915,7 +906,7 @@
 
 // lookAgain leaves a push whose host has answered others for some first waits more, once.
 func (b *Balancer) lookAgain(p *Push, waits float64) bool {
-	if p.Host.answered <= p.sent || p.looked {
+	if p.looked || p.Host.answered <= p.sent {
 		return false
 	}
 	p.looked = true
@@ -923,6 +914,17 @@
 	return true
 }
 
+// hush tells whether nobody has answered since a push was sent, though as many are out as would have half the
+// hosts answer. A short while of that is the network's pause, or the machine's, and no host is better.
+func (b *Balancer) hush(p *Push) bool {
+	if b.answered > p.sent || b.now-p.sent > p.Op.Category.Target*hushPart ||
+		2*(b.fleet.out-p.Host.out) < len(b.ready) {
+		return false
+	}
+	b.look(&b.looks, &p.look, b.now+secondLook*(b.now-p.sent))
+	return true
+}
+
 // copy sends a second copy of an op whose push has been out for unusually long, which stays: what comes first
 // counts. A host that has answered nobody since is suspect. Copies are a part of the ops: where all hosts are
 // slow each op would have one, and all be twice as slow.
@@ -1096,17 +1098,20 @@
 	}
 	switch o {
 	case Served:
-		if g == &b.fleet {
-			b.slowed(h, spent/c.lat)
-			c.take(spent)
+		switch {
+		case p.made:
+			b.making.take(math.Max(spent-c.lat, 0))
+		case g == &b.fleet:
+			b.slowed(h, b.seen(spent)/c.lat)
+			c.take(b.seen(spent))
 		}
-		g.take(spent)
-		h.answered, h.passed = b.now, math.Max(h.passed, p.sent)
+		g.take(b.seen(spent))
+		h.answered, b.answered, h.passed = b.now, b.now, math.Max(h.passed, p.sent)
 		if !b.pooled {
 			b.pool -= b.pool * poolFall
 		}
 	case Missed:
-		h.answered = b.now
+		h.answered, b.answered = b.now, b.now
 	case Failed: // the op may be at fault: another host has to serve it first
 		bad = h.Origin || !b.mayPush(op)
 	case Broken:
@@ -1132,7 +1137,10 @@
 		}
 	case TimedOut, Cancelled:
 		bad = h.answered < p.sent
-		if g == &b.fleet && spent > c.lat && !suspect { // else only the quick would count as usual
+		switch known := g == &b.fleet && spent > c.lat && !suspect; { // else only the quick would count as usual
+		case known && p.made:
+			b.making.take(spent - c.lat)
+		case known:
 			c.take(spent)
 		}
 	}
@@ -1188,6 +1196,8 @@
 		}
 		g.limit = math.Max(math.Min(g.limit, least), math.Min(g.limit, float64(g.out+1))*gateCut)
 		g.cutAt = b.now + gatePause
+	case g.pain < patienceLeast && float64(g.out+1) > g.limit/2: // there is no queue
+		g.limit++
 	case g.pain < g.goal && float64(g.out+1) > g.limit/2:
 		g.limit += math.Min(1/g.limit, g.limit) // from next to none it doubles
 	}
@@ -1210,10 +1220,8 @@
 	b.countResting()
 }
 
-func (l *latency) take(spent float64) {
-	l.dev += (math.Abs(spent-l.lat) - l.dev) * latStep
-	l.lat += (spent - l.lat) * latStep
-}
+// seen is a latency as far as it can be told: below the shortest round all are alike.
+func (b *Balancer) seen(spent float64) float64 { return max(spent, b.Quantum, tick/100) }
 
 // slowed takes the latency of a push, in usual ones, as a sign of how crowded its host is.
 func (b *Balancer) slowed(h *Host, ratio float64) {
@@ -1258,7 +1266,7 @@
 	nack := b.mayNack(op)
 	b.move(op, settled)
 	if nack { // the client is to come back after the time a line takes to clear, spread
-		b.port.Nack(op, math.Min(b.MaxBackoff, op.Category.Target/2*(1+b.rng.float())))
+		b.port.Nack(op, b.backoff(op.Category.Target))
 	} else {
 		b.port.DeadLetter(op)
 	}
@@ -1267,6 +1275,10 @@
 	b.pass(op)
 }
 
+func (b *Balancer) backoff(target float64) float64 {
+	return math.Min(b.MaxBackoff, target/2*(1+b.rng.float()))
+}
+
 // move is the one place where an op changes state. A settled op stays settled.
 func (b *Balancer) move(op *Op, to state) {
 	if op.state == settled || op.state == streaming && to != settled {
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -836,7 +836,7 @@
 	}
 	fmt.Println("big:", served[big], "of 540, small:", served[small], "of 60")
 	// Output:
-	// big: 151 of 540, small: 49 of 60
+	// big: 152 of 540, small: 48 of 60
 }
 
 // A tenant's share is reckoned from what this balancer gets acked: with a part of 1/100 of the quota one that carries far more
@@ -1196,9 +1196,10 @@
 		left = append(left, h.Name)
 	}
 	y := open(start(), left...)
-	same := len(x.cycle) == len(y.cycle)
-	for i := range x.cycle {
-		same = same && x.cycle[i].hash == y.cycle[i].hash && x.slots[x.cycle[i].slot].Name == y.slots[y.cycle[i].slot].Name
+	same := len(x.cycle.points) == len(y.cycle.points)
+	for i, p := range x.cycle.points {
+		q := y.cycle.points[i]
+		same = same && p.hash == q.hash && x.cycle.slots[p.slot].Name == y.cycle.slots[q.slot].Name
 	}
 	looks, last := 0, x.ticked
 	for range 100 {
--- a/balance/parts.go
+++ b/balance/parts.go
@@ -1,11 +1,9 @@
 package balance
 
-// point is a host's place on the cycle. It holds no pointer, for there are tens of thousands.
-type point struct {
-	hash uint64
-	slot int32 // the host's place in slots
-	nth  int32 // it counts while the host has more than nth active
-}
+import (
+	"math"
+	"slices"
+)
 
 // fetch is a key on its way from the origin for the op that leads it; others of the key wait for it.
 type fetch struct {
@@ -60,3 +58,22 @@
 		}
 	}
 }
+
+func (l *latency) take(spent float64) {
+	l.dev += (math.Abs(spent-l.lat) - l.dev) * latStep
+	l.lat += (spent - l.lat) * latStep
+}
+
+func (g *gate) remove(op *Op) {
+	g.line = slices.DeleteFunc(g.line, func(x *Op) bool { return x == op })
+}
+
+// worth orders a line: what benefit hangs on an op.
+func worth(op *Op) float64 {
+	if op.fetch != nil {
+		return op.fetch.value
+	}
+	return op.value
+}
+
+func clamp(x, least, most float64) float64 { return math.Min(math.Max(x, least), most) }
--- a/balance/port.go
+++ b/balance/port.go
@@ -200,8 +200,10 @@
 	Host *Host
 
 	sent   float64 // ms
+	waited float64 // ms that it had to wait for its own process, not yet reckoned with
 	gate   *gate   // whose place it takes
 	look   due
+	made   bool // a connection was made for it
 	looked bool // it has been looked at, and left
 	called bool // it has been called off
 	over   bool // its outcome has come
--- a/cmd/larchthread/speed_test.go
+++ b/cmd/larchthread/speed_test.go
@@ -5,7 +5,6 @@
 	"bytes"
 	"errors"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net"
 	"os"
@@ -16,6 +15,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -310,7 +310,17 @@
 	return s
 }
 
-// with runs a program of its own beside the hosts, and gives its address and process.
+// end stops what start began in good order, and tells how many allocations the program made.
+func (f *fleet) end() int {
+	f.process.Process.Signal(syscall.SIGTERM)
+	f.process.Wait()
+	f.stop()
+	_, n, _ := strings.Cut(f.log.String(), "allocations=")
+	all, _ := strconv.Atoi(strings.TrimSpace(n))
+	return all
+}
+
+// relay runs a bare relay to the same hosts, and gives its address and process.
 func (f *fleet) relay() (string, *exec.Cmd) {
 	listen := freeAddress()
 	var hosts []string
@@ -338,7 +348,7 @@
 // BenchmarkSpeed has clients in closed loops ask fast hosts through the balancer, and through a bare relay in the same run.
 func BenchmarkSpeed(b *testing.B) {
 	for _, delay := range []time.Duration{0, 200 * time.Microsecond, time.Millisecond} {
-		f := &fleet{logTo: io.Discard}
+		f := &fleet{}
 		for i := range speedHosts {
 			f.quick(fmt.Sprint("h", i), delay)
 		}
@@ -357,19 +367,19 @@
 		}
 		p.Process.Kill()
 		p.Wait()
-		f.stop()
+		f.end()
 	}
 }
 
 // BenchmarkOverload sends what a core serves, and more, whatever comes back.
 func BenchmarkOverload(b *testing.B) {
-	f := &fleet{logTo: io.Discard}
+	f := &fleet{}
 	for i := range speedHosts {
 		f.quick(fmt.Sprint("h", i), 0)
 	}
 	f.limits = speedLimits
 	f.start()
-	defer f.stop()
+	defer f.end()
 	top := 0.0
 	for _, clients := range []int{8, 32, 100, 400} {
 		s := closed(f.listen, clients, 600*time.Millisecond, speedFor)
--- a/internal/protocol/answer.go
+++ b/internal/protocol/answer.go
@@ -201,11 +201,16 @@
 
 // WriteNack tells a client that trying again is harmless, in backoff ms at the earliest.
 func WriteNack(out *transport.Chain, backoff float64) {
-	if ms := int(backoff + 0.5); ms > 0 {
-		out.WriteString("SERVER_ERROR busy " + strconv.Itoa(ms) + "\r\n")
-		return
+	out.Write(AppendNack(make([]byte, 0, 32), backoff))
+}
+
+// AppendNack appends the same to bytes.
+func AppendNack(to []byte, backoff float64) []byte {
+	to = append(to, "SERVER_ERROR busy"...)
+	if ms := int64(backoff + 0.5); ms > 0 {
+		to = strconv.AppendInt(append(to, ' '), ms, 10)
 	}
-	out.WriteString("SERVER_ERROR busy\r\n")
+	return append(to, "\r\n"...)
 }
 
 // WriteDeadLetter tells a client that its op has failed, with no word on whether it ran.
--- a/internal/protocol/command.go
+++ b/internal/protocol/command.go
@@ -4,6 +4,7 @@
 package protocol
 
 import (
+	"bytes"
 	"errors"
 	"fmt"
 	"slices"
@@ -80,6 +81,31 @@
 	return c, nil
 }
 
+// Skip takes a whole command that asks for a value off the front, unread but for its category. It returns false, and takes
+// nothing, where none stands there or its category is not one of those.
+func Skip[T any](r *Commands, in *transport.Chain, categories map[string]T) (category T, skipped bool) {
+	line := in.Head()
+	if r.set != nil || !bytes.HasPrefix(line, []byte("mg ")) {
+		return category, false
+	}
+	_, attrs, _ := bytes.Cut(line, []byte(" P"))
+	for !bytes.HasPrefix(attrs, []byte("c=")) {
+		_, rest, more := bytes.Cut(attrs, []byte(","))
+		if !more {
+			return category, false
+		}
+		attrs = rest
+	}
+	end := bytes.IndexAny(attrs, ", \r\n")
+	if end < 0 {
+		return category, false
+	}
+	if category, skipped = categories[string(attrs[2:end])]; skipped {
+		in.Drop(len(line))
+	}
+	return category, skipped
+}
+
 // takeLine takes a line off the front, once it is whole.
 func takeLine(in *transport.Chain) (line string, whole bool, err error) {
 	line, whole = in.Line()
--- a/internal/routing/client.go
+++ b/internal/routing/client.go
@@ -23,9 +23,11 @@
 	balance.Op
 	client  *client
 	command *protocol.Command
-	reply   transport.Chain
-	flow    *flow // of its long answer, or nil
-	bulk    int   // bytes reserved for its long value
+	reply   transport.Chain // its answer, where that has to wait for its turn
+	short   []byte          // the same, where that is short: a buffer each would be most of the memory
+	behind  []byte          // answers to commands right behind it that were turned away unread
+	flow    *flow           // of its long answer, or nil
+	bulk    int             // bytes reserved for its long value
 	state   opState
 }
 
@@ -40,6 +42,30 @@
 	}
 }
 
+// out is where the op's answer is written to: to the client, or behind ops that have none yet.
+func (o *op) out() *transport.Chain {
+	if c := o.client; o.state == open && len(c.line) > 0 && c.line[0] == o {
+		return &c.conn.Out
+	}
+	return &o.reply
+}
+
+// pass moves the answer on to the client.
+func (o *op) pass() {
+	out := &o.client.conn.Out
+	out.Write(o.short)
+	out.Move(&o.reply)
+	out.Write(o.behind)
+}
+
+// keep has a short answer that waits give its buffer back.
+func (o *op) keep() {
+	if n := o.reply.Len(); n > 0 && n <= shortMost {
+		o.short = o.reply.Bytes()
+		o.reply.Free()
+	}
+}
+
 // client is a connection from a client.
 type client struct {
 	router   *Router
@@ -133,7 +159,7 @@
 	case c.half():
 		c.ending = transport.HalfSent
 		c.conn.Pause(true)
-		c.take(&protocol.Command{Bad: protocol.ErrHalf})
+		c.take(&protocol.Command{Bad: protocol.ErrHalf}, true, 0)
 	case c.proven:
 		c.finish(transport.IdleTooLong)
 	default:
@@ -157,6 +183,11 @@
 	}
 	took := false
 	for c.ending == "" && len(c.line) < lineMost && conn.Out.Len() < replyMost {
+		room, backoff := c.router.balancer.Room()
+		if !room && c.turnAway(backoff) {
+			took = true
+			continue
+		}
 		command, err := c.commands.Next(&conn.In)
 		if err != nil { // what was taken before it is still answered
 			c.router.log.Warn("command not understood", "peer", conn.Peer(), "error", err)
@@ -169,31 +200,60 @@
 			return
 		}
 		took = true
-		c.take(command)
+		c.take(command, room, backoff)
+		if c.router.loop.Spent() && conn.In.Len() > 0 && c.ending == "" {
+			c.router.loop.Rest(conn)
+			c.attend(took)
+			return
+		}
 	}
 	conn.Pause(true)
 	c.attend(took)
 }
 
-// take serves one command.
-func (c *client) take(command *protocol.Command) {
+// turnAway nacks a command that is not read, if it can be told what it is. Its answer stands behind that of the last which
+// has been.
+func (c *client) turnAway(backoff float64) bool {
+	last := len(c.line) - 1
+	if last >= 0 && len(c.line[last].behind) > shortMost {
+		return false
+	}
+	category, skipped := protocol.Skip(&c.commands, &c.conn.In, c.router.categories)
+	if !skipped {
+		return false
+	}
+	c.router.tallies[category].Nacked++
+	if last >= 0 {
+		c.line[last].behind = protocol.AppendNack(c.line[last].behind, backoff)
+		return true
+	}
+	protocol.WriteNack(&c.conn.Out, backoff)
+	c.conn.Flush()
+	return true
+}
+
+// take serves one command, where there is room for it.
+func (c *client) take(command *protocol.Command, room bool, backoff float64) {
 	r := c.router
 	o := &op{client: c, command: command, reply: r.loop.Pool.Chain(), bulk: c.bulk}
 	c.bulk = 0
 	c.line = append(c.line, o)
 	switch category := r.categories[command.Category]; {
 	case command.Bad != nil:
-		protocol.WriteBad(&o.reply, command.Bad)
+		protocol.WriteBad(o.out(), command.Bad)
 	case command.Verb == protocol.Ping:
-		protocol.WritePong(&o.reply)
+		protocol.WritePong(o.out())
 	case category == nil:
-		protocol.WriteBad(&o.reply, protocol.ErrCategory(command))
+		protocol.WriteBad(o.out(), protocol.ErrCategory(command))
 	case r.ops[command.ID] != nil: // hosts would take the two for one, and turn both away
-		protocol.WriteBad(&o.reply, protocol.ErrOpen(command))
+		protocol.WriteBad(o.out(), protocol.ErrOpen(command))
+	case !room:
+		r.tallies[category].Nacked++
+		protocol.WriteNack(o.out(), backoff)
 	default:
 		r.ops[command.ID] = o
 		c.proven = true
-		o.Op = balance.Op{Ref: o, Category: category, Key: command.Key, Due: r.came() + command.TTL,
+		o.Op = balance.Op{Ref: o, Category: category, Key: command.Key, Due: c.came() + command.TTL,
 			Write: command.Verb == protocol.Set}
 		r.balancer.Arrive(&o.Op)
 		return
@@ -201,13 +261,13 @@
 	c.answer(o)
 }
 
-// came is when a command that is read now has come. After a stall of the process it may have waited for as long
-// as that: its client may be about to give up.
-func (r *Router) came() float64 {
-	if before := r.loop.Before(); r.loop.Now()-before > stall {
-		return before
+// came is when a command that is read now has come. Where it may have waited for as long as a stall of the process, its
+// client may be about to give up.
+func (c *client) came() float64 {
+	if now := c.router.loop.Now(); now-c.conn.Came <= stall {
+		return now
 	}
-	return r.loop.Now()
+	return c.conn.Came
 }
 
 // answer passes on the answers at the head of the line; one behind an op without an answer waits.
@@ -217,6 +277,7 @@
 		return
 	}
 	o.move(answered)
+	o.keep()
 	r := c.router
 	full := len(c.line) >= lineMost
 	n := 0
@@ -224,7 +285,7 @@
 		if o.state == open {
 			break
 		}
-		c.conn.Out.Move(&o.reply)
+		o.pass()
 		o.command.Value.Free()
 		r.release(&o.bulk)
 		n++
--- a/internal/routing/link.go
+++ b/internal/routing/link.go
@@ -24,9 +24,10 @@
 	router  *Router
 	op      *op
 	link    *link
-	began   float64 // ms
+	began   float64 // ms, when it was written, or the connection for it was begun to be made
 	limit   transport.Timer
 	state   pushState
+	gone    bool            // it has left this process, or its connection is being made
 	whole   bool            // its last byte has been written
 	took    float64         // ms until its answer began to flow
 	outcome balance.Outcome // of one called off
@@ -145,9 +146,23 @@
 	l.conn.Flush()
 }
 
+// left tells the balancer how long a push had to wait for this process: its host's time begins when it is written, or with
+// the connection for it.
+func (p *push) left() {
+	if !p.gone {
+		p.gone = true
+		now := p.router.loop.Clock()
+		p.router.balancer.Went(p.Push, now-p.began, !p.link.kept)
+		p.began = now
+	}
+}
+
 // wrote goes on with a long value, and counts a push once its last byte is written.
 func (l *link) wrote() {
 	p := l.push
+	if p != nil {
+		p.left()
+	}
 	switch {
 	case p == nil:
 	case !l.rest.Over() && p.op.state != open: // the value is no more; half a command is of no use to the host
@@ -273,7 +288,7 @@
 	if a.Kind == protocol.Value || a.Kind == protocol.Receipt {
 		if op.state == open && op.flow == nil {
 			l.router.tallies[op.Category].Acked++
-			protocol.WriteAnswer(&op.reply, op.command, a)
+			protocol.WriteAnswer(op.out(), op.command, a)
 			op.client.answer(op)
 		}
 		a.Value.Free()
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -25,6 +25,7 @@
 	connectFor  = 250.0    // ms in which a connection has to come up where the start does not say: some round trips, one lost packet
 	memoryShare = 0.4      // part of the memory that buffers may take; the rest is the heap's and its collector's
 	lineMost    = 256      // commands of one connection without an answer at which reading stops: well over what a client needs
+	shortMost   = 1 << 10  // bytes of an answer that waits for its turn without a buffer of its own
 	replyMost   = 1 << 20  // bytes of answers not taken at which reading stops: a dozen of the largest
 	flowMost    = 64 << 10 // bytes of a long value that wait for the client: what a short one may have
 	bulkShare   = 0.5      // part of the buffers that long values of writes may take together
@@ -134,6 +135,7 @@
 func (r *Router) round(now float64) {
 	r.stop.heed(r)
 	r.balancer.At(now)
+	r.balancer.Behind(r.loop.Waits())
 	r.reload()
 	r.takeInventory()
 	if r.stop.closing && r.successor != nil {
@@ -248,14 +250,14 @@
 func (r *Router) Nack(o *balance.Op, backoff float64) {
 	op := o.Ref.(*op)
 	r.tallies[op.Category].Nacked++
-	protocol.WriteNack(&op.reply, backoff)
+	protocol.WriteNack(op.out(), backoff)
 	op.client.answer(op)
 }
 
 func (r *Router) DeadLetter(o *balance.Op) {
 	op := o.Ref.(*op)
 	r.tallies[op.Category].DeadLettered++
-	protocol.WriteDeadLetter(&op.reply)
+	protocol.WriteDeadLetter(op.out())
 	op.client.answer(op)
 }
 
@@ -278,8 +280,11 @@
 		}
 	}
 	spent := r.loop.Now() - p.began
-	if p.took > 0 { // a long value counts by its first bytes
+	switch {
+	case p.took > 0: // a long value counts by its first bytes
 		spent = p.took
+	case o == balance.Served || o == balance.Missed:
+		spent = max(0, r.loop.Heard()-p.began)
 	}
 	r.balancer.Ended(p.Push, o, spent, p.op.state != open, report)
 }
--- a/internal/transport/buffer.go
+++ b/internal/transport/buffer.go
@@ -145,6 +145,16 @@
 	return "", false
 }
 
+// Head is the line at the front with its end, where it is whole in the first buffer, or nil. It is good until the chain
+// is next changed.
+func (c *Chain) Head() []byte {
+	if len(c.bufs) == 0 {
+		return nil
+	}
+	part := c.bufs[0].data[c.bufs[0].r:c.bufs[0].w]
+	return part[:bytes.IndexByte(part, '\n')+1]
+}
+
 // Bytes returns a copy of what the chain holds.
 func (c *Chain) Bytes() []byte {
 	p := make([]byte, 0, c.size)
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -70,10 +70,11 @@
 type Conn struct {
 	In, Out Chain
 	Owner   Owner
-	Wrote   func()     // hears that some of Out has been written; nil where nobody wants to
+	Wrote   func()     // hears that some of Out has been written, or that a dial has begun; nil where nobody wants to
 	Use     func() Use // tells whether the connection may be closed to make room
 	Used    float64    // ms, when it last carried anything
 	Began   float64    // ms
+	Came    float64    // ms, before which nothing came of what stands in In
 
 	loop   *Loop
 	door   *Door  // through which it came, or nil
@@ -226,6 +227,22 @@
 	c.news = true
 }
 
+// puts tells whether the other side puts work to this one: what it asks may wait, what answers may not.
+func (c *Conn) puts() bool { return c.door != nil && !c.reserved() }
+
+// tell hands what has come to the owner.
+func (c *Conn) tell() {
+	c.news = false
+	if c.fresh && c.status != closed {
+		c.fresh = false
+		c.Owner.Received(c)
+	}
+	if c.why != "" && c.status != closed {
+		c.Owner.Ended(c, c.why)
+		c.Close(c.why)
+	}
+}
+
 // broke remembers an end that the owner has still to be told.
 func (c *Conn) broke(why Reason) {
 	if c.why == "" {
@@ -278,6 +295,12 @@
 
 // read takes what has come.
 func (c *Conn) read() {
+	if c.news && c.In.Len() >= BufferSize { // it has still to be heard
+		return
+	}
+	if !c.fresh {
+		c.Came = c.loop.Heard()
+	}
 	for got := 0; got < readMost; {
 		b := c.In.tail()
 		n, err := unix.Read(c.fd, b.data[b.w:])
@@ -341,6 +364,14 @@
 
 // Later has the owner look in the next round at what stands in In.
 func (l *Loop) Later(c *Conn) {
+	if !c.fresh {
+		c.Came = l.now
+	}
+	l.Rest(c)
+}
+
+// Rest does the same for what the owner had no time for in this round: it waits on.
+func (l *Loop) Rest(c *Conn) {
 	if c.status == up {
 		c.fresh = true
 		c.noted()
--- a/internal/transport/loop.go
+++ b/internal/transport/loop.go
@@ -22,7 +22,8 @@
 	poolKept   = 512            // free buffers that the pool holds on to: 8 MB; more go back to the garbage collector
 	readMost   = 5 * BufferSize // bytes read from one connection in a round: the largest value and its line
 
-	eventsMost  = 512    // events taken in one round: half of a thousand connections
+	sliceFor    = 0.5    // ms of a round for what clients ask: a hundred ops
+	eventsMost  = 512    // events taken in one round at the least
 	acceptMost  = 256    // connections accepted in one round, so that those that are open are heard in between
 	backlog     = 4096   // connections that the kernel may accept for us between two rounds: its own upper end
 	finishMost  = 5000.0 // ms that a slow reader may take over the answers before our last word: over any TTL
@@ -58,6 +59,8 @@
 	began       time.Time
 	now         float64 // ms, Unix time
 	before      float64 // ms, when the last round had read what there was
+	slice       float64 // ms, when clients have had their time in this round
+	waited      bool    // what was read in this round came while the loop had nothing to do
 	ready       []*Conn // with news
 	dirty       []*Conn // to write to
 	shut        []*Conn // to close
@@ -90,16 +93,24 @@
 }
 
 // tick reads the clock: the wall's time at the start, and steady from there.
-func (l *Loop) tick() {
-	since := time.Since(l.began)
-	l.now = float64(l.began.UnixMicro())/1000 + float64(since.Nanoseconds())/1e6
-}
+func (l *Loop) tick() { l.now = l.Clock() }
 
 // Now is the time of this round, in Unix ms.
 func (l *Loop) Now() float64 { return l.now }
 
-// Before is a time before which nothing came of what was read in this round: that of the round before it.
-func (l *Loop) Before() float64 { return l.before }
+// Clock reads the clock within a round: how long what came first in it has taken.
+func (l *Loop) Clock() float64 {
+	return float64(l.began.UnixMicro())/1000 + float64(time.Since(l.began).Nanoseconds())/1e6
+}
+
+// Heard is the earliest time at which what was read in this round can have come: where there was something to read as the
+// round began, it may have waited for the one before to end.
+func (l *Loop) Heard() float64 {
+	if l.waited {
+		return l.now
+	}
+	return l.before
+}
 
 func (l *Loop) look(fd int, events uint32) error {
 	return unix.EpollCtl(l.epoll, unix.EPOLL_CTL_ADD, fd, &unix.EpollEvent{Events: events, Fd: int32(fd)})
@@ -126,9 +137,12 @@
 
 // Run serves until End.
 func (l *Loop) Run() error {
-	events := make([]unix.EpollEvent, eventsMost)
+	events := make([]unix.EpollEvent, max(eventsMost, l.most+SpareFiles)) // all that is ready belongs to one round
 	for !l.ended {
-		n, err := unix.EpollWait(l.epoll, events, l.patience())
+		n, err := unix.EpollWait(l.epoll, events, 0)
+		if l.waited = n == 0 && err == nil; l.waited {
+			n, err = unix.EpollWait(l.epoll, events, l.patience())
+		}
 		if err == unix.EINTR { // as after a stop of the process: what came meanwhile belongs to this round
 			continue
 		}
@@ -141,7 +155,7 @@
 			l.gather(int(e.Fd), e.Events)
 		}
 		l.hand()
-		if n < eventsMost { // else more stands ready that came before
+		if n < len(events) { // else more stands ready that came before
 			l.before = l.now
 		}
 		l.carryOut()
@@ -252,19 +266,39 @@
 	ready := l.ready
 	l.ready = nil
 	for _, c := range ready {
-		c.news = false
-		if c.fresh && c.status != closed {
-			c.fresh = false
-			c.Owner.Received(c)
+		if !c.puts() {
+			c.tell()
 		}
-		if c.why != "" && c.status != closed {
-			c.Owner.Ended(c, c.why)
-			c.Close(c.why)
+	}
+	l.slice = l.Clock() + sliceFor
+	for i, c := range ready {
+		if !c.puts() {
+			continue
 		}
+		if l.Spent() {
+			rest := slices.DeleteFunc(slices.Clone(ready[i:]), func(c *Conn) bool { return !c.puts() })
+			l.ready = append(rest, l.ready...)
+			break
+		}
+		c.tell()
 	}
 	l.fire()
 }
 
+// Spent tells whether what clients ask has had its time in this round. The rest waits for the next, first come first: short
+// rounds cost less, as what they touch is still at hand, and no answer waits long to be read.
+func (l *Loop) Spent() bool { return l.Clock() >= l.slice }
+
+// Waits is for how long what has not been handed over may have waited, at the most.
+func (l *Loop) Waits() float64 {
+	for _, c := range l.ready {
+		if c.puts() && c.fresh {
+			return l.now - c.Came
+		}
+	}
+	return l.now - l.Heard()
+}
+
 // carryOut closes, opens and writes.
 func (l *Loop) carryOut() {
 	for _, c := range l.shut {
@@ -318,6 +352,9 @@
 	case nil:
 		c.fd, c.events = fd, unix.EPOLLOUT
 		l.adopt(c)
+		if c.Wrote != nil {
+			c.Wrote()
+		}
 	case unix.EMFILE, unix.ENFILE, unix.ENOBUFS, unix.ENOMEM:
 		c.broke(OutOfSockets)
 	default:
