--- a/internal/routing/client.go
+++ b/internal/routing/client.go
@@ -223,6 +223,7 @@
 		return false
 	}
 	c.router.tallies[category].Nacked++
+	c.proven = true
 	if last >= 0 {
 		c.line[last].behind = protocol.AppendNack(c.line[last].behind, backoff)
 		return true
