--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -86,7 +86,6 @@
 	why    Reason  // of an end that the owner has not been told yet
 	news   bool    // in the loop's list of connections with news
 	fresh  bool    // bytes have come that the owner has not seen
-	unread bool    // something stands at the socket, to be read once it is the turn of the connection
 	marked bool    // in the loop's list of connections to write to
 	paused bool    // nothing is read for now
 	since  float64 // ms, before which nothing came of what is unread; 0 where nothing is
@@ -114,7 +113,7 @@
 // Quiet tells whether the connection is open and nothing stands unread at its socket: what has come behind the last
 // answer, or its end, may not have been gathered yet.
 func (c *Conn) Quiet() bool {
-	if c.status != up || c.why != "" || c.fresh || c.unread || c.In.Len() > 0 {
+	if c.status != up || c.why != "" || c.fresh || c.In.Len() > 0 {
 		return false
 	}
 	if c.loop.Clock()-c.loop.now < quietFor { // this round has looked at all sockets
@@ -237,10 +236,7 @@
 
 // tell hands what has come to the owner.
 func (c *Conn) tell() {
-	if c.unread && c.status != closed {
-		c.read()
-	}
-	c.news, c.unread = false, false
+	c.news = false
 	if c.fresh && c.status != closed {
 		c.fresh = false
 		c.Owner.Received(c)
@@ -288,18 +284,9 @@
 	if events&unix.EPOLLOUT != 0 {
 		c.mark()
 	}
-	if events&(unix.EPOLLIN|unix.EPOLLHUP|unix.EPOLLERR) == 0 {
-		return
-	}
-	if c.since == 0 {
-		c.since = c.loop.Heard()
-	}
-	if c.puts() { // it waits at the socket for its turn: one read then takes more, into a buffer still at hand
-		c.unread = true
-		c.noted()
-		return
+	if events&(unix.EPOLLIN|unix.EPOLLHUP|unix.EPOLLERR) != 0 {
+		c.read()
 	}
-	c.read()
 }
 
 // mark puts the connection on the list of those to write to.
@@ -312,6 +299,12 @@
 
 // read takes what has come.
 func (c *Conn) read() {
+	if c.since == 0 {
+		c.since = c.loop.Heard()
+	}
+	if c.news && c.fresh && c.puts() { // what is read has still to be heard: one read then takes more
+		return
+	}
 	if !c.fresh {
 		c.Came = c.since
 	}
--- a/internal/transport/loop.go
+++ b/internal/transport/loop.go
@@ -225,7 +225,7 @@
 	var oldest, unproven *Conn
 	n := 0
 	for _, c := range l.conns {
-		if c == nil || c.status != up && c.status != finishing || c.why != "" || c.fresh || c.unread || c.Use == nil || c.reserved() {
+		if c == nil || c.status != up && c.status != finishing || c.why != "" || c.fresh || c.Use == nil || c.reserved() {
 			continue
 		}
 		switch c.Use() {
@@ -293,11 +293,8 @@
 // Waits is for how long what has not been handed over may have waited, at the most.
 func (l *Loop) Waits() float64 {
 	for _, c := range l.ready {
-		switch {
-		case c.puts() && c.fresh:
+		if c.puts() && c.fresh {
 			return l.now - c.Came
-		case c.puts() && c.unread:
-			return l.now - c.since
 		}
 	}
 	return l.now - l.Heard()
