A wait that a signal broke off is not taken for the process's own lateness

Cause: the runtime sends itself signals, which break off the loop's wait; what was read next counted as waiting since the round before, up to 100 ms, and a part of new ops could be turned away on an idle process. Change: own lateness and hosts' latencies take a broken wait for a wait; the time that a client has left still takes it for a stop of the process, which looks the same.

--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -89,6 +89,8 @@
 	marked bool    // in the loop's list of connections to write to
 	paused bool    // nothing is read for now
 	since  float64 // ms, before which nothing came of what is unread; 0 where nothing is
+	first  float64 // ms, since when it can be this process that has it wait
+	heard  float64 // the same of what stands in In
 	last   Timer   // until a finishing connection is closed
 	took   uint64  // bytes read
 	gave   uint64  // bytes written
@@ -300,13 +302,13 @@
 // read takes what has come.
 func (c *Conn) read() {
 	if c.since == 0 {
-		c.since = c.loop.Heard()
+		c.since, c.first = c.loop.least(), c.loop.Heard()
 	}
 	if c.news && c.fresh && c.puts() { // what is read has still to be heard: one read then takes more
 		return
 	}
 	if !c.fresh {
-		c.Came = c.since
+		c.Came, c.heard = c.since, c.first
 	}
 	c.since = 0
 	for got := 0; got < readMost; {
@@ -373,7 +375,7 @@
 // Later has the owner look in the next round at what stands in In.
 func (l *Loop) Later(c *Conn) {
 	if !c.fresh {
-		c.Came = l.now
+		c.Came, c.heard = l.now, l.now
 	}
 	l.Rest(c)
 }
--- a/internal/transport/loop.go
+++ b/internal/transport/loop.go
@@ -47,27 +47,28 @@
 	Pool  *Pool
 	Round func(now float64) // called first in each round, before anything is handed over
 
-	epoll, bell int
-	most        int // sockets that may be open
-	kernel      int // bytes of the kernel's buffer for one direction of a connection
-	open        int
-	conns       []*Conn // by descriptor
-	doors       []*Door
-	boxes       []*PostBox
-	posts       []*Post
-	resend      Timer // after letters had to wait
-	timers      timers
-	began       time.Time
-	now         float64 // ms, Unix time
-	before      float64 // ms, when the last round had read what there was
-	slice       float64 // ms, when clients have had their time in this round
-	waited      bool    // what was read in this round came while the loop had nothing to do
-	ready       []*Conn // with news
-	dirty       []*Conn // to write to
-	shut        []*Conn // to close
-	dialed      []*Conn // to open
-	again       bool    // the next round must not wait
-	ended       bool
+	epoll, bell  int
+	most         int // sockets that may be open
+	kernel       int // bytes of the kernel's buffer for one direction of a connection
+	open         int
+	conns        []*Conn // by descriptor
+	doors        []*Door
+	boxes        []*PostBox
+	posts        []*Post
+	resend       Timer // after letters had to wait
+	timers       timers
+	began        time.Time
+	now          float64 // ms, Unix time
+	before       float64 // ms, when the last round had read what there was
+	slice        float64 // ms, when clients have had their time in this round
+	waited       bool    // what was read in this round came while the loop had nothing to do
+	broken, idle bool    // a signal has broken off the last wait; there was nothing to do before this round
+	ready        []*Conn // with news
+	dirty        []*Conn // to write to
+	shut         []*Conn // to close
+	dialed       []*Conn // to open
+	again        bool    // the next round must not wait
+	ended        bool
 }
 
 // NewLoop makes a loop for so many descriptors at the most, in so many bytes of memory.
@@ -106,8 +107,10 @@
 
 // Heard is the earliest time at which what was read in this round can have come: where there was something to read as the
 // round began, it may have waited for the one before to end.
+//
+// A wait that a signal broke off says nothing of this process being late: the runtime sends itself such signals.
 func (l *Loop) Heard() float64 {
-	if l.waited {
+	if l.idle {
 		return l.now
 	}
 	return l.before
@@ -144,7 +147,8 @@
 		if l.waited = n == 0 && err == nil; l.waited {
 			n, err = unix.EpollWait(l.epoll, events, l.patience())
 		}
-		if err == unix.EINTR { // as after a stop of the process: what came meanwhile belongs to this round
+		if err == unix.EINTR { // as after a stop of the process: what came meanwhile belongs to the next round
+			l.broken = l.waited
 			continue
 		}
 		if err != nil {
@@ -152,6 +156,7 @@
 		}
 		l.tick()
 		l.again = false
+		l.idle, l.broken = l.waited || l.broken, false
 		for _, e := range events[:n] {
 			l.gather(int(e.Fd), e.Events)
 		}
@@ -290,11 +295,19 @@
 // rounds cost less, as what they touch is still at hand, and no answer waits long to be read.
 func (l *Loop) Spent() bool { return l.Clock() >= l.slice }
 
+// least is the same for what must not be taken for later than it is, where a stop of the process may have broken a wait.
+func (l *Loop) least() float64 {
+	if l.waited {
+		return l.now
+	}
+	return l.before
+}
+
 // Waits is for how long what has not been handed over may have waited, at the most.
 func (l *Loop) Waits() float64 {
 	for _, c := range l.ready {
 		if c.puts() && c.fresh {
-			return l.now - c.Came
+			return l.now - c.heard
 		}
 	}
 	return l.now - l.Heard()
