Reread: one agenda for what is due, in the balancer and in the loop; twins made one

Behaviour stays. Patience is computed once for both kinds of further push, seen is folded into its one caller, the loop's hand keeps one list of those that ask, chains write bytes and text by one function, and the speed test has one fan-out for its clients.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -149,7 +149,7 @@
 	strands                 [cells]strand    // by key
 	all                     strand           // of all ops
 	fleet, origin           gate
-	part, behind            float64 // of new ops that the own process has room for; how long input waits, of round
+	part, behind            float64 // of new ops that there is room for; how long input waits, of round
 	round, steered          float64 // ms, how long it may wait, and when that was last looked at
 	yielded                 bool    // cold hosts are another process's
 	ends, looks             dues    // at ops, and at pushes
@@ -196,7 +196,7 @@
 // At takes the time and does what has fallen due.
 func (b *Balancer) At(now float64) {
 	b.now = now
-	for d := b.ends.due(now); d != nil; d = b.ends.due(now) {
+	for d, ok := b.ends.Due(now); ok; d, ok = b.ends.Due(now) {
 		switch op := d.op; {
 		case op == nil: // a key has rested
 			b.begin(d.turn)
@@ -223,8 +223,8 @@
 	}
 }
 
-// Room tells whether the own process has room for one more op, by chance; else it is nacked, if need be unread,
-// for reading takes the core from those that are taken, and may come back after backoff ms.
+// Room tells whether the own process has room for one more op, by chance; else it is nacked, if need be
+// unread, for reading takes the core from those that are taken, and may come back after backoff ms.
 func (b *Balancer) Room() (room bool, backoff float64) {
 	if b.part == 1 || b.rng.float() < b.part {
 		return true, 0
@@ -234,7 +234,7 @@
 
 // look has d looked at then.
 func (b *Balancer) look(all *dues, d *due, at float64) {
-	all.set(d, at)
+	all.Set(d, at)
 	b.arm(at)
 }
 
@@ -244,13 +244,13 @@
 		return
 	}
 	// Only now has all been heard that has come: the answer to a push may stand among what a round has read.
-	for d := b.looks.due(b.now); d != nil; d = b.looks.due(b.now) {
+	for d, ok := b.looks.Due(b.now); ok; d, ok = b.looks.Due(b.now) {
 		switch p := d.push; {
 		case p.waited > 0:
 			if p.made {
 				p.waited += b.making.lat + patienceDevs*b.making.dev
 			}
-			b.look(&b.looks, d, d.at+p.waited)
+			b.look(&b.looks, d, d.At()+p.waited)
 			p.waited = 0
 		case p.Op.state < streaming:
 			b.impatient(p)
@@ -273,7 +273,7 @@
 		}
 		b.pump(g)
 	}
-	next := min(b.ticked+sweepEvery, b.ends.next(), b.looks.next())
+	next := min(b.ticked+sweepEvery, b.ends.Next(), b.looks.Next())
 	if len(b.fleet.line)+len(b.origin.line) > 0 {
 		next = math.Min(next, b.now+tick)
 	}
@@ -863,17 +863,20 @@
 		b.tries = math.Max(b.tries-1, 0)
 	}
 	c, limit := op.Category, op.Due-b.now
-	patience := math.Max(c.lat+patienceDevs*c.dev, c.Target*patienceLeast)
+	usual, devs := c.latency, patienceDevs
 	switch {
 	case h.Origin:
-		patience = math.Max(g.lat+patienceDevs*g.dev, c.Target*patienceLeast)
+		usual = g.latency
 	case b.warmth(h) < 1:
 		h.budget--
 	}
+	if b.MayDuplicate {
+		devs = copyDevs
+	}
+	patience := math.Max(usual.lat+devs*usual.dev, c.Target*patienceLeast)
 	switch {
 	case b.MayDuplicate && (h.Origin || op.out > 1): // one origin, and two pushes at most
 	case b.MayDuplicate:
-		patience = math.Max(c.lat+copyDevs*c.dev, c.Target*patienceLeast)
 		b.look(&b.looks, &p.look, b.now+math.Min(patience, math.Max(c.lat, c.Target-2*c.lat)))
 	case b.MayCancel:
 		b.look(&b.looks, &p.look, b.now+patience)
@@ -883,7 +886,7 @@
 	b.port.Push(p, limit)
 }
 
-// Went takes word that a push had to wait here for so many ms, and whether a connection had to be made for it.
+// Went takes word that a push had to wait here for so many ms, and whether a connection is made for it.
 func (b *Balancer) Went(p *Push, wait float64, made bool) { p.waited, p.made = wait, made }
 
 // impatient looks at a push that has been out for unusually long. A host that has answered others since
@@ -983,7 +986,7 @@
 		return
 	}
 	p.over = true
-	b.looks.stop(&p.look)
+	b.looks.Stop(&p.look)
 	p.never = o == Refused || o == Shut || o == NoConn || o == NotSent || o == Missed
 	op.out--
 	op.count(-1)
@@ -1098,14 +1101,15 @@
 	}
 	switch o {
 	case Served:
+		seen := max(spent, b.Quantum, tick/100) // less than a round can't be told: below it all are alike
 		switch {
 		case p.made:
 			b.making.take(math.Max(spent-c.lat, 0))
 		case g == &b.fleet:
-			b.slowed(h, b.seen(spent)/c.lat)
-			c.take(b.seen(spent))
+			b.slowed(h, seen/c.lat)
+			c.take(seen)
 		}
-		g.take(b.seen(spent))
+		g.take(seen)
 		h.answered, b.answered, h.passed = b.now, b.now, math.Max(h.passed, p.sent)
 		if !b.pooled {
 			b.pool -= b.pool * poolFall
@@ -1220,9 +1224,6 @@
 	b.countResting()
 }
 
-// seen is a latency as far as it can be told: below the shortest round all are alike.
-func (b *Balancer) seen(spent float64) float64 { return max(spent, b.Quantum, tick/100) }
-
 // slowed takes the latency of a push, in usual ones, as a sign of how crowded its host is.
 func (b *Balancer) slowed(h *Host, ratio float64) {
 	h.slow += (ratio - h.slow) * hostStep
@@ -1285,6 +1286,6 @@
 		return
 	}
 	if op.state = to; to >= streaming {
-		b.ends.stop(&op.ends)
+		b.ends.Stop(&op.ends)
 	}
 }
--- a/balance/parts.go
+++ b/balance/parts.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"slices"
+
+	"larchthread/internal/agenda"
 )
 
 // fetch is a key on its way from the origin for the op that leads it; others of the key wait for it.
@@ -19,6 +21,18 @@
 	rest  due     // then
 }
 
+// due is a time at which something is looked at: an op at its end, a push, or a key's ordered ops. It lies in what it
+// belongs to.
+type due struct {
+	agenda.Mark
+	op   *Op // one of the three is set
+	push *Push
+	turn *turn
+}
+
+// dues is what is due, in order.
+type dues = agenda.Queue[*due]
+
 // strand is what is known of a key's or a tenant's ops together.
 type strand struct {
 	vain float64 // smoothed part of them that came to nothing at hosts that served others
--- a/balance/rounds_test.go
+++ b/balance/rounds_test.go
@@ -37,9 +37,9 @@
 }
 
 func rounds(s Start, clients int, hosts func(h *Host) float64, work func() float64) *loop {
-	x := &loop{scene: &scene{silent: true, ops: map[string]*Op{}, hosts: map[string]*Host{}, pushes: map[string]int{}},
-		hosts: hosts, work: work, each: 0.02, rng: 1, sent: map[*Op]float64{}}
-	x.Balancer = New(s, x, 0)
+	x := &loop{scene: boot(s), hosts: hosts, work: work, each: 0.02, rng: 1, sent: map[*Op]float64{}}
+	x.silent, x.wake = true, 0
+	x.Balancer = New(s, x, 0) // behind this front, not the scene's
 	x.scene.list(true, "a", "b", "c", "d", "e", "f", "g", "h", "i", "j")
 	for i := range clients {
 		x.arrive = append(x.arrive, float64(i)*0.01)
--- a/cmd/larchthread/main_test.go
+++ b/cmd/larchthread/main_test.go
@@ -249,13 +249,7 @@
 	f.watched = f.discovery("discovery")
 	f.write(f.watched)
 	f.process = f.run()
-	for range 500 {
-		if c, err := net.Dial("tcp", f.listen); err == nil {
-			c.Close()
-			break
-		}
-		time.Sleep(10 * time.Millisecond)
-	}
+	reach(f.listen)
 	if f.args == nil {
 		f.await("discovery: 1", 2)
 	}
@@ -264,6 +258,17 @@
 	f.mu.Unlock()
 }
 
+// reach waits until an address takes connections.
+func reach(address string) {
+	for range 500 {
+		if c, err := net.Dial("tcp", address); err == nil {
+			c.Close()
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
 // run starts the program with the configuration as it stands.
 func (f *fleet) run() *exec.Cmd {
 	p := exec.Command(os.Args[0], f.args...)
--- a/cmd/larchthread/speed_test.go
+++ b/cmd/larchthread/speed_test.go
@@ -61,12 +61,13 @@
 // hosts is that process: it prints the hosts' addresses.
 func hosts(told string) {
 	n, text, _ := strings.Cut(told, ",")
-	delay, err := time.ParseDuration(text)
-	if err != nil {
+	many, err := strconv.Atoi(n)
+	delay, bad := time.ParseDuration(text)
+	if err := errors.Join(err, bad); err != nil {
 		panic(err)
 	}
 	f := &fleet{}
-	for range must(strconv.Atoi(n)) {
+	for range many {
 		l := listenAnywhere()
 		f.serve(l, func(c net.Conn) { quickly(c, delay) })
 		fmt.Println(l.Addr())
@@ -74,13 +75,6 @@
 	select {}
 }
 
-func must[T any](x T, err error) T {
-	if err != nil {
-		panic(err)
-	}
-	return x
-}
-
 func quickly(c net.Conn, delay time.Duration) {
 	var answer []byte
 	for r := bufio.NewReader(c); ; {
@@ -238,22 +232,28 @@
 
 // closed has so many clients send one op after another for a while.
 func closed(address string, clients int, ttl time.Duration, span time.Duration) *speed {
+	began := time.Now()
+	all := together(clients, func(i int) *speed { return one(address, i, ttl, began.Add(span)) })
+	all.took = time.Since(began)
+	return all
+}
+
+// together adds up what so many clients see.
+func together(clients int, each func(i int) *speed) *speed {
 	var all speed
 	var mu sync.Mutex
 	var wg sync.WaitGroup
-	began := time.Now()
 	for i := range clients {
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
-			s := one(address, i, ttl, began.Add(span))
+			s := each(i)
 			mu.Lock()
 			defer mu.Unlock()
 			all.add(s)
 		}()
 	}
 	wg.Wait()
-	all.took = time.Since(began)
 	return &all
 }
 
@@ -311,22 +311,9 @@
 
 // streams has clients send at a rate whatever comes back, each on one connection, for a while.
 func streams(address string, clients int, rate float64, ttl, span time.Duration) *speed {
-	var all speed
-	var mu sync.Mutex
-	var wg sync.WaitGroup
-	for i := range clients {
-		wg.Add(1)
-		go func() {
-			defer wg.Done()
-			s := stream(address, i, rate/float64(clients), ttl, span)
-			mu.Lock()
-			defer mu.Unlock()
-			all.add(s)
-		}()
-	}
-	wg.Wait()
+	all := together(clients, func(i int) *speed { return stream(address, i, rate/float64(clients), ttl, span) })
 	all.took = span
-	return &all
+	return all
 }
 
 // stream is a client that sends at a rate. Its ops count from when they were due, also where they could not be written.
@@ -386,13 +373,7 @@
 	if err := p.Start(); err != nil {
 		panic(err)
 	}
-	for range 500 {
-		if c, err := net.Dial("tcp", listen); err == nil {
-			c.Close()
-			break
-		}
-		time.Sleep(10 * time.Millisecond)
-	}
+	reach(listen)
 	return listen, p
 }
 
--- a/internal/protocol/command.go
+++ b/internal/protocol/command.go
@@ -179,7 +179,7 @@
 			return nil, 0, err
 		}
 	}
-	c.flags, c.Attrs = rest, nil
+	c.flags = rest
 	c.Bad = c.read()
 	return c, size, nil
 }
--- a/internal/transport/buffer.go
+++ b/internal/transport/buffer.go
@@ -69,24 +69,20 @@
 
 // Write appends bytes. It never fails.
 func (c *Chain) Write(p []byte) (int, error) {
-	for left := p; len(left) > 0; {
-		b := c.tail()
-		n := copy(b.data[b.w:], left)
-		b.w += n
-		c.size += n
-		left = left[n:]
-	}
+	write(c, p)
 	return len(p), nil
 }
 
 // WriteString appends a string.
-func (c *Chain) WriteString(s string) {
-	for len(s) > 0 {
+func (c *Chain) WriteString(s string) { write(c, s) }
+
+func write[T []byte | string](c *Chain, left T) {
+	for len(left) > 0 {
 		b := c.tail()
-		n := copy(b.data[b.w:], s)
+		n := copy(b.data[b.w:], left)
 		b.w += n
 		c.size += n
-		s = s[n:]
+		left = left[n:]
 	}
 }
 
--- a/internal/transport/loop.go
+++ b/internal/transport/loop.go
@@ -15,6 +15,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"larchthread/internal/agenda"
 )
 
 const (
@@ -56,7 +58,7 @@
 	boxes        []*PostBox
 	posts        []*Post
 	resend       Timer // after letters had to wait
-	timers       timers
+	timers       agenda.Queue[*Timer]
 	began        time.Time
 	now          float64 // ms, Unix time
 	before       float64 // ms, when the last round had read what there was
@@ -116,6 +118,15 @@
 	return l.before
 }
 
+// least is the same for the time that a client has left: that must not be taken for more than it is, where a stop of the
+// process may have broken the wait.
+func (l *Loop) least() float64 {
+	if l.waited {
+		return l.now
+	}
+	return l.before
+}
+
 func (l *Loop) look(fd int, events uint32) error {
 	return unix.EpollCtl(l.epoll, unix.EPOLL_CTL_ADD, fd, &unix.EpollEvent{Events: events, Fd: int32(fd)})
 }
@@ -174,11 +185,12 @@
 	if l.again || len(l.ready) > 0 {
 		return 0
 	}
-	if len(l.timers.all) == 0 {
+	next := l.timers.Next()
+	if math.IsInf(next, 1) {
 		return -1
 	}
 	l.tick()
-	return int(math.Ceil(max(0, l.timers.all[0].at-l.now)))
+	return int(math.Ceil(max(0, next-l.now)))
 }
 
 // gather takes what is ready at one descriptor.
@@ -271,23 +283,20 @@
 	}
 	ready := l.ready
 	l.ready = nil
+	asking := ready[:0]
 	for _, c := range ready {
-		if !c.puts() {
+		if c.puts() {
+			asking = append(asking, c)
+		} else {
 			c.tell()
 		}
 	}
 	l.slice = l.Clock() + sliceFor
-	for i, c := range ready {
-		if !c.puts() {
-			continue
-		}
-		if l.Spent() {
-			rest := slices.DeleteFunc(slices.Clone(ready[i:]), func(c *Conn) bool { return !c.puts() })
-			l.ready = append(rest, l.ready...)
-			break
-		}
-		c.tell()
+	for len(asking) > 0 && !l.Spent() {
+		asking[0].tell()
+		asking = asking[1:]
 	}
+	l.ready = append(asking, l.ready...)
 	l.fire()
 }
 
@@ -295,14 +304,6 @@
 // rounds cost less, as what they touch is still at hand, and no answer waits long to be read.
 func (l *Loop) Spent() bool { return l.Clock() >= l.slice }
 
-// least is the same for what must not be taken for later than it is, where a stop of the process may have broken a wait.
-func (l *Loop) least() float64 {
-	if l.waited {
-		return l.now
-	}
-	return l.before
-}
-
 // Waits is for how long what has not been handed over may have waited, at the most.
 func (l *Loop) Waits() float64 {
 	for _, c := range l.ready {
