--- a/balance/balance.go
+++ b/balance/balance.go
@@ -61,6 +61,9 @@
 	strandOff  = 0.4  // by how much more of its ops than of all has to come to nothing for it to be held apart
 	strandPart = 0.1  // part of what the hosts' gate lets out, or of reply slots, that it may have then
 
+	agreeMost = 0.8 // smoothed part of errors that a second host repeats above which one host's word is enough
+	agreeTry  = 0.1 // part of ops that are put to a second host all the same, so that it is seen when that ends
+
 	cells      = 1024   // of counts of ops by key: few of an instance's keys share one
 	spreadBusy = 0.9    // part of its cores' time that a busy key's host may have taken, where hosts tell
 	heatHalf   = 5000.0 // ms between two halvings of these counts: a busy key lasts for some seconds
@@ -105,17 +108,6 @@
 	shareLeast  = 8.0 // ops that a tenant may be ahead of its part of those acked: chance sends some together
 )
 
-// state of an op.
-type state uint8
-
-const (
-	fresh     state = iota // accepted, nothing done yet
-	held                   // nothing out: in a gate's line, or waiting for a fetch of its key
-	out                    // a push is out
-	streaming              // bound to a push whose answer flows
-	settled                // acked, nacked or dead-lettered
-)
-
 // Balancer decides for one instance.
 type Balancer struct {
 	Start
@@ -140,7 +132,7 @@
 	pooled                  bool           // crossing costs no more than a fetch: best all of them
 	answered, careful       float64        // ms, time of the last answer; until when the bound has no floor
 	fails                   []float64      // of all ready hosts at the last look, in order
-	failing                 float64        // smoothed failures of the host in the middle of them
+	failing, agree          float64        // smoothed failures of the middle host, and errors that a second repeats
 	resting, counted        int            // ready hosts that rest; answers of warm ones since the last look
 	rate                    float64        // pushes a ms for each unit of warm size
 	wakeAt, ticked          float64        // ms, when the timer calls next, and when hosts were looked at
@@ -1005,13 +997,19 @@
 		b.reported(h, math.Min(r.Busy, 1))
 	}
 	wrong := o == Rejected || o == Failed && !h.Origin
-	twice := wrong && op.wrong != nil && op.wrong != h && !b.suspect(h) // two agree: it is the op that is wrong
+	known := wrong && !b.suspect(h)
+	twice := known && op.wrong != nil && op.wrong != h // two agree: it is the op that is wrong
+	// Or would: no error that is no host's own gets a second push then; a few ops of hosts that begin to fail do not.
+	alone := known && op.wrong == nil && b.agree > agreeMost && b.rng.float() > agreeTry
 	if wrong {
 		op.wrong = h
 	}
-	if twice {
+	if twice || alone {
 		b.strand(op, 1)
 	}
+	if twice {
+		b.agree += (1 - b.agree) * hostStep
+	}
 	switch {
 	case op.state == settled:
 	case last || op.bound == p:
@@ -1028,7 +1026,7 @@
 		if h.Origin {
 			b.landed(op, false)
 		}
-	case twice || b.now >= op.Due-tick:
+	case twice || alone || b.now >= op.Due-tick:
 		b.giveUp(op)
 	case o == Refused && !h.Origin && b.crowded(op):
 		if b.origin.pain > b.origin.goal || !b.Aside || !b.mayPush(op) {
@@ -1150,6 +1148,7 @@
 	}
 	if (o == Served || o == Missed) && op.wrong != nil { // another host takes the op: it is not the one to blame
 		b.blame(op.wrong, o, spent, failStep)
+		b.agree -= b.agree * hostStep
 		op.wrong = nil
 	}
 	switch {
--- a/balance/parts.go
+++ b/balance/parts.go
@@ -7,6 +7,17 @@
 	"larchthread/internal/agenda"
 )
 
+// state of an op.
+type state uint8
+
+const (
+	fresh     state = iota // accepted, nothing done yet
+	held                   // nothing out: in a gate's line, or waiting for a fetch of its key
+	out                    // a push is out
+	streaming              // bound to a push whose answer flows
+	settled                // acked, nacked or dead-lettered
+)
+
 // fetch is a key on its way from the origin for the op that leads it; others of the key wait for it.
 type fetch struct {
 	waiters []*Op
