--- a/balance/balance.go
+++ b/balance/balance.go
@@ -23,7 +23,7 @@
 	sweepEvery    = 100.0 // ms between two looks at all hosts: little beside warming, rests and idle times
 	tick          = 10.0  // ms, the timer's period while ops are held, and part of each margin
 
-	latStep  = 0.05 // weight of a new latency in a category's average: about 20 ops
+	latStep  = 0.05 // weight of a new latency in a category's average, or of an end in a strand's: about 20 ops
 	hostStep = 0.2  // weight of a new outcome in a host's or their gate's averages: about 5 ops
 
 	crowdGroup  = 3.0    // balancers at which twice the usual latency counts twice; more see less each
@@ -38,7 +38,7 @@
 	restLongest = 4000.0 // ms; a healed host is tried again no later than this
 	restCost    = 20.0   // times what a failed connect took that a host rests at most
 	tryShare    = 0.01   // ops, for each that comes, that may find a suspect host still bad: many others try it
-	tryBurst    = 3.0    // that may do so together
+	mostAtOnce  = 3.0    // of these that may do so together; of second copies, too
 	restShare   = 0.8    // part of the hosts that may rest at once; beyond it the evidence is in doubt
 
 	carefulFor = 60000.0 // ms after a host in use went down without a floor to the bound: a wave of restarts
@@ -48,18 +48,15 @@
 	farSlack      = 0.1 // by how much more the own zone's hosts have to be busy for keys to leave it
 	busyNearLeast = 0.6 // and so busy at the least: below, they have room
 
-	poolStep = 0.1                // part of the keys that a late fetch puts there, or a full table takes off
-	poolFall = 0.01               // part of these that an answer takes back
-	partHash = 0x9e3779b97f4a7c15 // odd; tells a key's part in something from its place on the cycle
+	poolStep = 0.1  // part of the keys that a late fetch puts there, or a full table takes off
+	poolFall = 0.01 // part of these that an answer takes back
 
 	copyDevs  = 3.0 // mean deviations above the usual latency at which a second copy is sent
 	copyLook  = 0.5 // first waits more after which it is where the host answers others: the op may be heavy
 	copyShare = 0.1 // second copies an op: more would be much of a slow fleet's load
-	copyBurst = 3.0 // that may be sent together
 
-	strandStep = 0.05 // weight of an op's end in what is known of its strand: about 20 ops
-	strandOff  = 0.4  // by how much more of its ops than of all has to come to nothing for it to be held apart
-	strandPart = 0.1  // part of what the hosts' gate lets out, or of reply slots, that it may have then
+	strandOff  = 0.4 // by how much more of its ops than of all has to come to nothing for it to be held apart
+	strandPart = 0.1 // part of what the hosts' gate lets out, or of reply slots, that it may have then
 
 	agreeMost = 0.8 // smoothed part of errors that a second host repeats above which one host's word is enough
 	agreeTry  = 0.1 // part of ops that are put to a second host all the same, so that it is seen when that ends
@@ -81,6 +78,8 @@
 	originGoal   = 0.3     // the same for the origin, whose latency comes on top of a miss
 	gateCut      = 0.85    // factor of one narrowing
 	originStep   = 0.1     // weight of a new latency of the origin, or of a report in its zone's: 10 answers
+	fullCut      = 0.5     // factor of one narrowing while the origin answers nobody for a target
+	fullPain     = 2.0     // targets that a fetch counts as having waited then: it is told by few outcomes
 	gatePause    = 100.0   // ms between two narrowings, so that the first can show
 	chancePain   = 0.5     // smoothed latency over target above which a gate turns ops away by chance
 	chanceSpan   = 14000.0 // ms in which it lets out all again by itself
@@ -132,7 +131,7 @@
 	pooled                  bool           // crossing costs no more than a fetch: best all of them
 	answered, careful       float64        // ms, time of the last answer; until when the bound has no floor
 	fails                   []float64      // of all ready hosts at the last look, in order
-	failing, agree          float64        // smoothed failures of the middle host, and errors that a second repeats
+	failing, agree          float64        // smoothed failures of the middle host; errors that a second repeats
 	resting, counted        int            // ready hosts that rest; answers of warm ones since the last look
 	rate                    float64        // pushes a ms for each unit of warm size
 	wakeAt, ticked          float64        // ms, when the timer calls next, and when hosts were looked at
@@ -156,8 +155,7 @@
 func New(s Start, port Port, now float64) *Balancer {
 	b := &Balancer{Start: s, port: port, now: now, rng: pcg(s.Seed), ticked: now,
 		fetches: map[string]*fetch{}, turns: map[string]*turn{}, askWait: askFirst, usual: 1, keep: s.ConnIdle,
-		busyFar: 1, copies: copyBurst, tries: tryBurst, wakeAt: math.Inf(1), round: math.Inf(1),
-		part: 1}
+		busyFar: 1, copies: mostAtOnce, tries: mostAtOnce, wakeAt: math.Inf(1), round: math.Inf(1), part: 1}
 	if b.pooled = b.CrossCost*(1-1/float64(max(b.Zones, 1))) <= b.FetchCost; b.pooled {
 		b.pool = 1
 	}
@@ -500,8 +498,7 @@
 func (b *Balancer) suspect(h *Host) bool { return h.fail > failFrom+b.failing }
 
 // full tells whether a host has no room by the bounded-load rule: its count against its bound. Trouble
-// changes the count: a resting host is full, a suspect one with anything out, a slow one early, and the
-// earlier the more balancers there are.
+// changes them: a resting host is full, a suspect one with anything out, a slow one early if many see it.
 func (b *Balancer) full(op *Op, h *Host, mean float64) bool {
 	count, bound := float64(h.out), math.Ceil(overMean*mean)
 	if b.now >= b.careful {
@@ -594,9 +591,6 @@
 // shut tells whether a host's table of connections was full lately, and none to it is free.
 func (b *Balancer) shut(h *Host) bool { return b.now < h.shutUntil && (!h.open || h.out > 0) }
 
-// part spreads hashes over 0 to 1, whatever their places on the cycle.
-func part(hash uint64) float64 { return float64(hash*partHash>>11) / (1 << 53) }
-
 // mayHaveRun is the first push of op that has run, may have, or may yet; nil where all provably never ran.
 func (op *Op) mayHaveRun() *Push {
 	if i := slices.IndexFunc(op.tried, func(p *Push) bool { return !p.never }); i >= 0 {
@@ -652,8 +646,8 @@
 	}
 	b.heat[op.hash%cells]++
 	b.heatAll++
-	b.copies = math.Min(b.copies+copyShare, copyBurst)
-	b.tries = math.Min(b.tries+tryShare, tryBurst)
+	b.copies = math.Min(b.copies+copyShare, mostAtOnce)
+	b.tries = math.Min(b.tries+tryShare, mostAtOnce)
 	if b.LeftOff > 0 { // the clocks may differ: a try has its target latency at the least
 		op.Due = math.Max(op.Due, math.Min(op.Due+b.LeftOff, b.now+op.Category.Target+b.margin()))
 	}
@@ -754,7 +748,7 @@
 func (b *Balancer) strand(op *Op, vain float64) {
 	for _, s := range [...]*strand{op.strands[0], op.strands[1], &b.all} {
 		if s != nil {
-			s.vain += (vain - s.vain) * strandStep
+			s.vain += (vain - s.vain) * latStep
 		}
 	}
 }
@@ -784,8 +778,7 @@
 	b.pump(g)
 }
 
-// pump lets out what a gate has room for, the best first, and sheds the worst, of equals the last, past what
-// can be let out in good time.
+// pump lets out what a gate has room for, the best first, and sheds the worst, of equals the last, past that.
 func (b *Balancer) pump(g *gate) {
 	g.line = slices.DeleteFunc(g.line, func(op *Op) bool { return op.state != held })
 	for len(g.line) > 0 && float64(g.out) < math.Max(g.limit, 1) {
@@ -921,8 +914,7 @@
 }
 
 // copy sends a second copy of an op whose push has been out for unusually long, which stays: what comes first
-// counts. A host that has answered nobody since is suspect. Copies are a part of the ops: where all hosts are
-// slow each op would have one, and all be twice as slow.
+// counts. A host that has answered nobody since is suspect. Copies are few: slow hosts would else get twice as much.
 func (b *Balancer) copy(p *Push) {
 	op, h := p.Op, p.Host
 	if h.answered < p.sent {
@@ -999,7 +991,7 @@
 	wrong := o == Rejected || o == Failed && !h.Origin
 	known := wrong && !b.suspect(h)
 	twice := known && op.wrong != nil && op.wrong != h // two agree: it is the op that is wrong
-	// Or would: no error that is no host's own gets a second push then; a few ops of hosts that begin to fail do not.
+	// Or would: an error that is no host's own gets no second push then, nor do a few of hosts that turn bad.
 	alone := known && op.wrong == nil && b.agree > agreeMost && b.rng.float() > agreeTry
 	if wrong {
 		op.wrong = h
@@ -1171,7 +1163,7 @@
 		!h.Origin && (o == NoConn || o == Refused || o == Failed || suspect) {
 		return
 	}
-	pain := spent / c.Target
+	pain, cut := spent/c.Target, gateCut
 	if op.Write { // it comes on top of no miss: what is usual for it would shut the origin's gate
 		pain *= originGoal / gateGoal
 	}
@@ -1184,6 +1176,9 @@
 		return
 	default:
 		pain = math.Max(pain, 2*g.goal)
+		if h.Origin && b.now-h.answered > c.Target { // it stands full: what waits there for long comes to nothing
+			pain, cut = math.Max(pain, fullPain), fullCut
+		}
 	}
 	if g == &b.origin && pain > g.goal && !b.pooled {
 		b.pool = math.Min(1, b.pool+poolStep)
@@ -1197,7 +1192,7 @@
 		if g.pain <= chancePain {
 			least = math.Max(least, 1)
 		}
-		g.limit = math.Max(math.Min(g.limit, least), math.Min(g.limit, float64(g.out+1))*gateCut)
+		g.limit = math.Max(math.Min(g.limit, least), math.Min(g.limit, float64(g.out+1))*cut)
 		g.cutAt = b.now + gatePause
 	case g.pain < patienceLeast && float64(g.out+1) > g.limit/2: // there is no queue
 		g.limit++
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -265,9 +265,9 @@
 		fmt.Printf("second %d: %d fetches of 10000 misses\n", sec+1, fetches)
 	}
 	// Output:
-	// second 1: 3382 fetches of 10000 misses
-	// second 2: 1038 fetches of 10000 misses
-	// second 3: 689 fetches of 10000 misses
+	// second 1: 2067 fetches of 10000 misses
+	// second 2: 370 fetches of 10000 misses
+	// second 3: 357 fetches of 10000 misses
 }
 
 // What may follow each outcome, for each kind of repeat.
@@ -872,6 +872,36 @@
 	// fair: 30 of 30, heavy: 66 of 90
 }
 
+// Fetches wait at a full origin until nobody waits for them, and it goes on with them for nothing. Where it has answered nobody
+// for a target the gate narrows by half, so that the origin can work off what stands there; where it answers others the op
+// may be a heavy one.
+func Example_standingOrigin() {
+	for _, answers := range []bool{false, true} {
+		s := start()
+		s.Aside, s.Group = true, 50
+		x := open(s, "a", "b", "origin")
+		x.silent = true
+		fetch := func(name string) {
+			x.ask(name, 0, name, 200, false)
+			x.end(name, Missed, 1)
+		}
+		fmt.Print("answers others ", answers, ", limit")
+		for i := range 5 {
+			fetch(fmt.Sprint("stuck", i))
+			x.after(150)
+			if fetch(fmt.Sprint("other", i)); answers {
+				x.end(fmt.Sprint("other", i), Served, 10)
+			}
+			x.after(250)
+			fmt.Printf(" %.2f", x.origin.limit)
+		}
+		fmt.Println()
+	}
+	// Output:
+	// answers others false, limit 0.50 0.12 0.14 0.17 0.10
+	// answers others true, limit 4.00 4.00 4.00 4.00 4.00
+}
+
 // A host takes so many connections. When one cannot be made, idle ones are given back sooner, so that others
 // find room; with room they are kept again.
 func Example_idleConnections() {
--- a/balance/parts.go
+++ b/balance/parts.go
@@ -101,4 +101,9 @@
 	return op.value
 }
 
+const partHash = 0x9e3779b97f4a7c15 // odd; tells a key's part in something from its place on the cycle
+
+// part spreads hashes over 0 to 1, whatever their places on the cycle.
+func part(hash uint64) float64 { return float64(hash*partHash>>11) / (1 << 53) }
+
 func clamp(x, least, most float64) float64 { return math.Min(math.Max(x, least), most) }
