--- a/balance/balance.go
+++ b/balance/balance.go
@@ -638,7 +638,8 @@
 	if t := op.Tenant; t != nil {
 		t.tokens = math.Min(t.tokens+t.part*float64(b.served-t.filled), shareLeast)
 		t.filled = b.served
-		if t.tokens >= 1 {
+		if op.paid = t.tokens >= 1; op.paid { // it counts once acked; whoever is furthest behind comes first
+			op.value *= t.tokens
 			t.tokens--
 		} else {
 			op.value *= b.ExcessBenefit
@@ -914,7 +915,7 @@
 }
 
 // copy sends a second copy of an op whose push has been out for unusually long, which stays: what comes first
-// counts. A host that has answered nobody since is suspect. Copies are few: slow hosts would else get twice as much.
+// counts. A host that has answered nobody since is suspect. Copies are few: they crowd slow hosts.
 func (b *Balancer) copy(p *Push) {
 	op, h := p.Op, p.Host
 	if h.answered < p.sent {
@@ -1282,4 +1283,7 @@
 	if op.state = to; to >= streaming {
 		b.ends.Stop(&op.ends)
 	}
+	if to == settled && op.paid && !op.acked {
+		op.Tenant.tokens++
+	}
 }
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -836,7 +836,7 @@
 	}
 	fmt.Println("big:", served[big], "of 540, small:", served[small], "of 60")
 	// Output:
-	// big: 152 of 540, small: 48 of 60
+	// big: 144 of 540, small: 56 of 60
 }
 
 // A tenant's share is reckoned from what this balancer gets acked: with a part of 1/100 of the quota one that carries far more
@@ -872,6 +872,36 @@
 	// fair: 30 of 30, heavy: 66 of 90
 }
 
+// An op counts for its tenant's share once it is acked. Of two within theirs the tenant further behind comes first: one that
+// sends three times its share would else have it all, for what is turned away of its ops others of them replace.
+func Example_sharesByAckedOps() {
+	s := start()
+	greedy, modest := &Tenant{Quota: 50}, &Tenant{Quota: 50}
+	s.Tenants = []*Tenant{greedy, modest}
+	x := open(s, "a")
+	arrive := func(t *Tenant, o Outcome) *Op {
+		op := &Op{Category: x.Categories[0], Tenant: t, Due: x.t + 500}
+		x.Arrive(op)
+		x.Ended(at(op), o, 5, true, nil)
+		return op
+	}
+	x.silent = true
+	within := 0
+	for range 20 {
+		if arrive(modest, TimedOut).paid {
+			within++
+		}
+	}
+	fmt.Println("of 20 that came to nothing, within the share:", within)
+	for range 5 {
+		arrive(greedy, Served)
+	}
+	fmt.Println("modest first:", arrive(modest, Served).value > arrive(greedy, Served).value)
+	// Output:
+	// of 20 that came to nothing, within the share: 20
+	// modest first: true
+}
+
 // Fetches wait at a full origin until nobody waits for them, and it goes on with them for nothing. Where it has answered nobody
 // for a target the gate narrows by half, so that the origin can work off what stands there; where it answers others the op
 // may be a heavy one.
--- a/balance/port.go
+++ b/balance/port.go
@@ -190,6 +190,7 @@
 	until   float64    // ms, when it is given up
 	strands [2]*strand // its key's and its tenant's
 	acked   bool       // an answer of it was taken
+	paid    bool       // it counts as within its tenant's share
 	ends    due        // until
 	turn    *turn      // its key's, where it is in order; nil once nothing more can come of it
 }
