--- a/balance/balance.go
+++ b/balance/balance.go
@@ -78,6 +78,7 @@
 	originGoal   = 0.3     // the same for the origin, whose latency comes on top of a miss
 	gateCut      = 0.85    // factor of one narrowing
 	originStep   = 0.1     // weight of a new latency of the origin, or of a report in its zone's: 10 answers
+	fewStep      = 0.5     // the same at a gate that turns ops away by chance: two answers tell
 	fullCut      = 0.5     // factor of one narrowing while the origin answers nobody for a target
 	fullPain     = 2.0     // targets that a fetch counts as having waited then: it is told by few outcomes
 	gatePause    = 100.0   // ms between two narrowings, so that the first can show
@@ -342,8 +343,7 @@
 	b.askWait = math.Min(b.askWait*2, askLongest)
 }
 
-// ListMoved takes word that another service tells the list now. It is asked at once: a wait that failures
-// of the old one have run up says nothing of it, and what it has to tell counts as told soon.
+// ListMoved takes word that another service tells the list now. It is asked at once, whatever failed before.
 func (b *Balancer) ListMoved() {
 	if b.OnRequest {
 		b.askWait = askFirst
@@ -1157,8 +1157,7 @@
 			h.rest = 0
 		}
 	}
-	// Hosts fall silent under load, but also where a zone is cut off. A fleet gate that narrowed for pushes
-	// to hosts already known as silent would shut out the ops that the others could serve.
+	// A gate that narrowed for hosts already known as silent would shut out what the others could serve.
 	if o == Missed && (few || b.origin.limit < originOwn) || o == NotSent || o == Spoilt || o == Stale ||
 		o == Rejected || o == Broken || o == Shut ||
 		!h.Origin && (o == NoConn || o == Refused || o == Failed || suspect) {
@@ -1184,10 +1183,12 @@
 	if g == &b.origin && pain > g.goal && !b.pooled {
 		b.pool = math.Min(1, b.pool+poolStep)
 	}
-	g.pain += (pain - g.pain) * g.step
+	if step = g.step; g.limit < 1 { // of few outcomes each tells more
+		step = fewStep
+	}
+	g.pain += (pain - g.pain) * step
 	switch {
-	// Timely answers do not narrow it: where an op a second comes by, one heavy op is smoothed over for long,
-	// and would be paid for again with each answer after it.
+	// Timely answers do not narrow it: a heavy op, smoothed over for long, would be paid for with each of them.
 	case g.pain > g.goal && pain > g.goal && b.now >= g.cutAt:
 		least := g.floor
 		if g.pain <= chancePain {
@@ -1225,8 +1226,7 @@
 	b.usual += (ratio - b.usual) * latStep
 }
 
-// landed ends the fetch that op led. Those that waited go to the host that holds the key now; after a
-// failure the first of them that may fetches in its place.
+// landed ends the fetch that op led. Those that waited go on; after a failure the first that may fetches.
 func (b *Balancer) landed(op *Op, served bool) {
 	f := op.fetch
 	if f == nil {
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -932,6 +932,31 @@
 	// answers others true, limit 4.00 4.00 4.00 4.00 4.00
 }
 
+// Past a gate that turns ops away by chance few fetches go out, and each tells more: once two came in time it opens by
+// doubling, where some twenty had to before.
+func Example_fullOriginIsWell() {
+	s := start()
+	s.Aside, s.Group = true, 100
+	x := open(s, "a", "b", "origin")
+	x.silent = true
+	x.origin.limit, x.origin.pain = 0.02, 2
+	fetches := 0
+	for i := 0; x.origin.limit < 1; i++ {
+		x.origin.told = x.t // it does not open by itself
+		name := fmt.Sprint("op", i)
+		x.ask(name, 0, name, 200, false)
+		x.end(name, Missed, 1)
+		if at(x.ops[name]) != nil {
+			x.end(name, Served, 10)
+			fetches++
+		}
+		x.after(1)
+	}
+	fmt.Println("open after", fetches, "timely fetches")
+	// Output:
+	// open after 9 timely fetches
+}
+
 // A host takes so many connections. When one cannot be made, idle ones are given back sooner, so that others
 // find room; with room they are kept again.
 func Example_idleConnections() {
