--- /dev/null
+++ b/cmd/larchthread/clients_test.go
@@ -0,0 +1,304 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+)
+
+// Where many connections have nothing open, those that have been idle for the longest time are closed, and new clients are
+// served.
+func Example_sockets() {
+	f := &fleet{limits: `{"cores":1,"memory_mb":64,"sockets":96}`}
+	f.host("a", hit)
+	f.start()
+	defer f.stop()
+	answered := 0
+	var all []*client
+	for range 200 {
+		c := f.client()
+		all = append(all, c)
+		io.WriteString(c, "mg k v O1 Pc=read,d=500\r\n")
+		if _, err := c.r.ReadString('\n'); err == nil {
+			answered++
+		}
+	}
+	fmt.Println(answered, "answered")
+	f.process.Process.Signal(syscall.SIGTERM)
+	f.process.Wait()
+	fmt.Println("closed some:", strings.Count(f.log.String(), "reason=surplus") > 100)
+	for _, c := range all {
+		c.Close()
+	}
+	// Output:
+	// 200 answered
+	// closed some: true
+}
+
+// A flood of connections that say nothing makes room before those of usual clients, which once went first, being older.
+func Example_flood() {
+	f := &fleet{limits: `{"cores":1,"memory_mb":64,"sockets":96}`}
+	f.host("a", hit)
+	f.start()
+	defer f.stop()
+	c := f.client()
+	c.say(2, "mg k v O1 Pc=read,d=500\r\n")
+	for range 300 {
+		defer f.client().Close()
+	}
+	c.say(2, "mg k v O2 Pc=read,d=500\r\n")
+	f.client().say(2, "mg k v O3 Pc=read,d=500\r\n")
+	// Output:
+	// VA 5 O1
+	// value
+	// VA 5 O2
+	// value
+	// VA 5 O3
+	// value
+}
+
+// Clients that open a connection for each op and keep it find room: that with nothing open for longest is closed. Where
+// clients may have a third of the sockets at most, later ones were once not heard for seconds.
+func Example_surplus() {
+	f := &fleet{limits: `{"cores":1,"memory_mb":64,"sockets":96}`}
+	f.host("a", hit)
+	f.start()
+	defer f.stop()
+	var all []*client
+	for range 40 {
+		c := f.client()
+		all = append(all, c)
+		io.WriteString(c, "mg k v O1 Pc=read,d=500\r\n")
+		c.r.ReadString('\n')
+		c.r.ReadString('\n')
+	}
+	time.Sleep(20 * time.Millisecond)
+	open := 0
+	for _, c := range all {
+		c.SetReadDeadline(time.Now().Add(5 * time.Millisecond))
+		if _, err := c.r.ReadByte(); err != io.EOF {
+			open++
+		}
+	}
+	fmt.Println(open, "of 40 open")
+	// Output:
+	// 16 of 40 open
+}
+
+// A command under the id of an open op is turned down, and that op goes on. Hosts once got both, and turned both away.
+func Example_sameID() {
+	f := &fleet{}
+	f.host("a", func(words []string) string {
+		time.Sleep(50 * time.Millisecond)
+		return hit(words)
+	})
+	f.start()
+	defer f.stop()
+	c, other := f.client(), f.client()
+	c.say(0, "mg k v O1 Pc=read,d=500\r\n")
+	f.await("a: mg k v O1 Pc=read,d=..", 1)
+	other.say(1, "mg x v O1 Pc=read,d=500\r\n")
+	c.say(2, "")
+	other.say(2, "mg k v O1 Pc=read,d=500\r\n") // it is free again
+	f.heard()
+	// Output:
+	// CLIENT_ERROR O: "1" is the id of an open op
+	// VA 5 O1
+	// value
+	// VA 5 O1
+	// value
+	//   a: mg k v O1 Pc=read,d=..
+	//   a: mg k v O1 Pc=read,d=..
+}
+
+// A client that goes away at once says nothing of the host: its kept connections stay. They were once closed as of a host
+// that has fallen silent.
+func Example_leaver() {
+	f := &fleet{}
+	f.host("a", slowly(30*time.Millisecond))
+	f.start()
+	defer f.stop()
+	c := f.client()
+	c.say(4, "mg slow v O1 Pc=read,d=500\r\nmg slow v O2 Pc=read,d=500\r\n") // two connections
+	gone := f.client()
+	gone.say(0, "mg slow v O3 Pc=read,d=500\r\n")
+	f.await("a: mg slow v O3 Pc=read,d=..", 1)
+	gone.Close()
+	c.say(2, "mg k v O4 Pc=read,d=500\r\n")
+	c.Close()
+	f.ended("called-off", "host-silent")
+	// Output:
+	// VA 5 O1
+	// value
+	// VA 5 O2
+	// value
+	// VA 5 O4
+	// value
+	// called-off 1
+	// host-silent 0
+}
+
+// Hosts, the origin and clients that do all sorts of wrong things: each op of a client that stays is answered once and
+// in time, never with what was not made for it, and the program lives on.
+func Example_garbage() {
+	f := &fleet{}
+	var mu sync.Mutex
+	chance := rand.New(rand.NewPCG(1, 2))
+	draw := func(n int) int {
+		mu.Lock()
+		defer mu.Unlock()
+		return chance.IntN(n)
+	}
+	odd := []string{"", "drop", "VA 5 Oother\r\nwrong\r\n", "VA 9 O{id}\r\nsho", "VA x O{id}\r\n", "\r\n", "HD O{id} crec\r\n",
+		"SERVER_ERROR busy\r\n", "SERVER_ERROR failed\r\n", "CLIENT_ERROR what\r\n", "EN Oother\r\n", "\x00\x01\x02\r\n",
+		"VA 99999999999999999999 O{id}\r\n", strings.Repeat("z", 9000), "VA 2 O{id}\r\nokEN O{id}\r\n"}
+	for _, name := range []string{"a", "b", "c"} {
+		f.host(name, func(words []string) string {
+			switch n := draw(3 * len(odd)); {
+			case n < len(odd):
+				return strings.ReplaceAll(odd[n], "VA 2 O{id}\r\nok", "VA 2 O{id}\r\n"+words[1])
+			case n < 2*len(odd):
+				return miss(words)
+			}
+			return fmt.Sprintf("VA 2 O{id}\r\n%s\r\n", words[1])
+		})
+	}
+	f.origin(func(w http.ResponseWriter, r *http.Request) {
+		answer := []string{"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n" + r.URL.Path[1:], "HTTP/1.1 500 no\r\nContent-Length: 0\r\n\r\n",
+			"HTTP/1.1 503 no\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n", "HTTP/1.1 200 OK\r\n\r\n" + r.URL.Path[1:],
+			"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nx", "nonsense\r\n", "",
+			"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n" + r.URL.Path[1:2]}[draw(8)]
+		c, _, _ := w.(http.Hijacker).Hijack()
+		io.WriteString(c, answer)
+		c.Close()
+	})
+	f.start()
+	var all sync.WaitGroup
+	var wrong, late, unanswered atomic.Int64
+	for range 8 {
+		all.Go(func() {
+			c := f.client()
+			for i := range 120 {
+				key, began := fmt.Sprintf("k%d", i%10), time.Now()
+				if i%4 == 3 {
+					fmt.Fprintf(c, "ms %s 3 O%d Pc=put,d=300\r\nabc\r\n", key, i)
+				} else {
+					fmt.Fprintf(c, "mg %s v O%d Pc=%s,d=300\r\n", key, i, []string{"read", "once"}[i%2])
+				}
+				line, err := c.r.ReadString('\n')
+				if strings.HasPrefix(line, "VA") {
+					value, _ := c.r.ReadString('\n')
+					if line != fmt.Sprintf("VA 2 O%d\r\n", i) || value != key+"\r\n" {
+						wrong.Add(1)
+					}
+				}
+				if err != nil {
+					unanswered.Add(1)
+					return
+				}
+				if time.Since(began) > 350*time.Millisecond {
+					late.Add(1)
+				}
+			}
+			c.Close()
+		})
+		all.Go(func() {
+			for range 40 {
+				c := f.client()
+				io.WriteString(c, []string{"", "mg k1 v O1 Pc=read,d=300\r\n", "ms k1 50 O1 Pc=put,d=300\r\nab", "ms k1 -4 O\r\n",
+					"\x00\xff\r\n", "mg k1 v O1 Pc=read,d=300\r\nms k 9\r\n"}[draw(6)])
+				time.Sleep(time.Duration(draw(20)) * time.Millisecond)
+				c.Close()
+			}
+		})
+	}
+	all.Wait()
+	f.client().say(1, "mn\r\n")
+	f.stop()
+	fmt.Println(wrong.Load(), "wrong,", late.Load(), "late,", unanswered.Load(), "unanswered")
+	// Output:
+	// MN
+	// 0 wrong, 0 late, 0 unanswered
+}
+
+// A client that takes its answers late gets them all, also those to commands that were not read meanwhile.
+func Example_lateReader() {
+	f := &fleet{}
+	f.host("a", func([]string) string { return "VA 60000 O{id}\r\n" + strings.Repeat("x", 60000) + "\r\n" })
+	f.start()
+	defer f.stop()
+	c := f.client()
+	c.Conn.(*net.TCPConn).SetReadBuffer(1 << 16)
+	for range 60 {
+		c.say(0, "mg k v O1 Pc=read,d=500\r\n")
+		time.Sleep(3 * time.Millisecond)
+	}
+	answers := 0
+	for range 60 {
+		line, err := c.r.ReadString('\n')
+		if err != nil {
+			break
+		}
+		if answers++; strings.HasPrefix(line, "VA") {
+			c.r.ReadString('\n')
+		}
+	}
+	fmt.Println(answers, "answers")
+	// Output:
+	// 60 answers
+}
+
+// A client that does not take its answers costs neither the memory nor the service of the others.
+func Example_slowReader() {
+	f := &fleet{limits: `{"cores":1,"memory_mb":24,"sockets":256}`}
+	f.host("a", func([]string) string { return "VA 60000 O{id}\r\n" + strings.Repeat("x", 60000) + "\r\n" })
+	f.start()
+	var slow []*client
+	for range 30 {
+		c := f.client()
+		c.Conn.(*net.TCPConn).SetReadBuffer(4096)
+		slow = append(slow, c)
+	}
+	for i := range 600 {
+		slow[i%len(slow)].say(0, "mg k v O1 Pc=read,d=500\r\n")
+		time.Sleep(time.Millisecond)
+	}
+	c := f.client()
+	c.say(1, "mn\r\n")
+	io.WriteString(c, "mg k v O2 Pc=read,d=500\r\n")
+	line, err := c.r.ReadString('\n')
+	fmt.Println(len(line) > 0, err)
+	f.stop()
+	fmt.Println("closed some:", strings.Count(f.log.String(), "reason=slow-reader") > 0)
+	// Output:
+	// MN
+	// true <nil>
+	// closed some: true
+}
+
+// Neither do clients that begin large commands and never finish them.
+func Example_halfSent() {
+	f := &fleet{limits: `{"cores":1,"memory_mb":24,"sockets":512}`}
+	f.host("a", hit)
+	f.start()
+	var half []*client
+	for range 300 {
+		c := f.client()
+		io.WriteString(c, "ms k 65000 O1 Pc=put,d=500\r\n"+strings.Repeat("x", 64000))
+		half = append(half, c)
+	}
+	f.client().say(2, "mg k v O2 Pc=read,d=500\r\n")
+	f.stop()
+	fmt.Println("closed some:", strings.Count(f.log.String(), "reason=half-sent") > 0, len(half))
+	// Output:
+	// VA 5 O2
+	// value
+	// closed some: true 300
+}
--- /dev/null
+++ b/cmd/larchthread/long_test.go
@@ -0,0 +1,168 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"regexp"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Long values go through whole, from host and origin, to clients that read slowly, with far more of them open than memory
+// would hold; small ops are served meanwhile. One that breaks off in the middle ends the client's connection there.
+func Example_longReads() {
+	f := &fleet{limits: `{"cores":1,"memory_mb":64,"sockets":512}`}
+	f.host("a", func(words []string) string {
+		switch {
+		case strings.HasPrefix(words[1], "far"):
+			return miss(words)
+		case words[1] == "cut":
+			return "VA 100000 O{id}\r\n" + big[:50000] + "drop"
+		case strings.HasPrefix(words[1], "big"):
+			time.Sleep(time.Duration(5+20*(len(words[1])%2)) * time.Millisecond)
+			return fmt.Sprintf("VA %d O{id}\r\n%s\r\n", len(big), big)
+		case words[1] == "odd": // just over what is read whole
+			return fmt.Sprintf("VA %d O{id}\r\n%s\r\n", 65537, big[:65537])
+		}
+		return hit(words)
+	})
+	f.origin(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Content-Length", fmt.Sprint(len(big)))
+		io.WriteString(w, big)
+	})
+	f.start()
+	defer f.stop()
+	c := f.client()
+	c.say(0, "mg big v O1 Pc=read,d=500\r\nmg odd v O2 Pc=read,d=500\r\n")
+	fmt.Println("in one write:", c.take(big, ""), c.take(big[:65537], ""))
+	far := "mg far v O3 Pc=read,d=500\r\n"
+	c.say(0, far)
+	fmt.Println("from the origin:", c.take(big, far))
+	var slow []*client
+	ask := func(i int) string { return fmt.Sprintf("mg big%d v Oslow%d Pc=read,d=500\r\n", i, i) }
+	for i := range 60 {
+		s := f.client()
+		s.say(0, ask(i))
+		slow = append(slow, s)
+		time.Sleep(5 * time.Millisecond)
+	}
+	time.Sleep(200 * time.Millisecond)
+	c.say(2, "mg hot v O4 Pc=read,d=500\r\n")
+	whole := 0
+	for i, s := range slow {
+		if s.take(big, ask(i)) {
+			whole++
+		}
+	}
+	fmt.Println("slow ones whole:", whole, "within memory:", f.resident() < 64)
+	c.say(0, "mg cut v O5 Pc=read,d=500\r\n")
+	head, _ := c.r.ReadString('\n')
+	rest, err := io.ReadAll(c.r)
+	fmt.Println(strings.TrimSpace(head), len(rest) <= 50000, strings.HasPrefix(big, string(rest)), err)
+	// Output:
+	// in one write: true true
+	// from the origin: true
+	// VA 5 O4
+	// value
+	// slow ones whole: 60 within memory: true
+	// VA 100000 O5 true true <nil>
+}
+
+// Long values are written whole, though together they are more than may be in memory at once; a client that stops in the
+// middle of one doesn't hold up the others for good, and one that is too long is refused at once.
+func Example_longWrites() {
+	f := &fleet{limits: `{"cores":1,"memory_mb":64,"sockets":512}`}
+	f.host("a", hit)
+	f.origin(fetch)
+	f.start()
+	defer f.stop()
+	var all sync.WaitGroup
+	halves := make([]*client, 3)
+	for i := range halves { // each has its room reserved
+		halves[i] = f.client()
+		halves[i].say(0, fmt.Sprintf("ms k 4194304 Ohalf%d Pc=put,d=900\r\n%s", i, big[:100000]))
+	}
+	answers := make([]string, 12)
+	for i := range answers {
+		all.Go(func() {
+			c := f.client()
+			defer c.Close()
+			text := fmt.Sprintf("ms k %d O%d Pc=put,d=900\r\n%s\r\n", len(big), i, big)
+			for len(text) > 0 { // cut anywhere
+				n := min(len(text), 60007+1009*i)
+				c.say(0, text[:n])
+				text = text[n:]
+			}
+			answers[i], _ = c.r.ReadString('\n')
+		})
+	}
+	all.Wait()
+	good := 0
+	for i, a := range answers {
+		if a == fmt.Sprintf("HD O%d creceipt\r\n", i) {
+			good++
+		}
+	}
+	whole := 0
+	for _, n := range f.notes {
+		if strings.HasPrefix(n, `origin: PUT /k "4194304 bytes"`) {
+			whole++
+		}
+	}
+	fmt.Println(good, "written,", whole, "whole, within memory:", f.resident() < 64)
+	halves[0].say(1, "")
+	f.client().say(1, "ms k 4194305 O1 Pc=put,d=900\r\n")
+	// Output:
+	// 12 written, 12 whole, within memory: true
+	// CLIENT_ERROR the rest of the command did not come
+	// CLIENT_ERROR ms: length "4194305", want 0 to 4194304
+}
+
+// A long value of which nothing comes any more, and one of which its client takes nothing, are ended after some seconds; both ops
+// are over then, and neither keeps the host from others.
+func Example_longStuck() {
+	f := &fleet{admin: freeAddress()}
+	f.host("a", func(words []string) string {
+		switch words[1] {
+		case "half":
+			return "VA 100000 O{id}\r\n" + big[:50000]
+		case "big":
+			return fmt.Sprintf("VA %d O{id}\r\n%s\r\n", len(big), big)
+		}
+		return hit(words)
+	})
+	f.origin(fetch)
+	f.start()
+	defer f.stop()
+	half, slow := f.client(), f.client()
+	half.say(1, "mg half v O1 Pc=read,d=500\r\n")
+	slow.say(1, "mg big v O2 Pc=read,d=500\r\n")
+	time.Sleep(100 * time.Millisecond)
+	figures := func() {
+		fmt.Println(regexp.MustCompile("(in_progress|bad_gateway.read):[0-9]+").FindAllString(f.call("GET", "/status/metrics", ""), -1))
+	}
+	figures()
+	f.client().say(2, "mg k v O3 Pc=read,d=500\r\n")
+	began := time.Now()
+	got, _ := io.ReadAll(half.r)
+	fmt.Println("half:", len(got), time.Since(began) > 4*time.Second, time.Since(began) < 8*time.Second)
+	time.Sleep(300 * time.Millisecond)
+	figures()
+	got, _ = io.ReadAll(slow.r)
+	fmt.Println("slow one whole:", len(got) >= len(big))
+	f.ended("half-answer", "slow-reader", "push-timeout")
+	// Output:
+	// VA 100000 O1
+	// VA 4194304 O2
+	// [bad_gateway.read:0 in_progress:2]
+	// VA 5 O3
+	// value
+	// half: 50000 true true
+	// [bad_gateway.read:1 in_progress:0]
+	// slow one whole: false
+	// half-answer 1
+	// slow-reader 1
+	// push-timeout 1
+}
--- /dev/null
+++ b/cmd/larchthread/operators_test.go
@@ -0,0 +1,96 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"regexp"
+	"strings"
+)
+
+// Operators' calls are answered while callers that say nothing hold more connections than there are in reserve, and clients
+// flood the balancer. The figures tell what hosts and clients have seen, and a host taken out by hand gets nothing new.
+func Example_operators() {
+	f := &fleet{admin: freeAddress()}
+	f.host("a", func(words []string) string {
+		switch words[1] {
+		case "cold":
+			return miss(words)
+		case "broken":
+			return "SERVER_ERROR failed\r\n"
+		}
+		return hit(words)
+	})
+	f.origin(fetch)
+	f.start()
+	defer f.stop()
+	for range 40 {
+		c, _ := net.Dial("tcp", f.admin)
+		defer c.Close()
+	}
+	flood := f.client()
+	go io.WriteString(flood, strings.Repeat("mn\r\n", 200000))
+	fmt.Println(f.call("GET", "/status", ""))
+	fmt.Println(f.call("POST", "/status", ""))
+	fmt.Println(f.call("GET", "/maintenance/enter", ""))
+	fmt.Println(f.call("GET", "/elsewhere", ""))
+	c := f.client()
+	c.say(2, "mg hot v O1 Pc=read,d=500\r\n")
+	c.say(2, "mg cold v O2 Pc=read,d=500\r\n")
+	c.say(1, "ms broken 1 O3 Pc=sing,d=500\r\nx\r\n")
+	fmt.Println(f.call("GET", "/status/metrics", ""))
+	f.heard()
+	for _, call := range []string{"enter b", "enter log", "enter ", "exit a", "enter a", "enter a"} {
+		word, id, _ := strings.Cut(call, " ")
+		fmt.Println(call, f.call("POST", "/maintenance/"+word, id))
+	}
+	f.changed <- list(2, true, f.members...) // whatever discovery says meanwhile
+	f.await("discovery: 2", 1)
+	c.say(2, "mg hot v O4 Pc=read,d=500\r\n") // the last host is out: from the origin
+	fmt.Println(regexp.MustCompile("(passed.read:3|skipped_cache_hosts:1)").FindAllString(f.call("GET", "/status/metrics", ""), -1))
+	f.heard()
+	fmt.Println(f.call("POST", "/maintenance/exit", "a"))
+	c.say(2, "mg hot v O5 Pc=read,d=500\r\n")
+	f.heard()
+	// Output:
+	// 200 serving
+	// 405 want GET
+	// 405 want POST
+	// 404 no such call
+	// VA 5 O1
+	// value
+	// VA 7 O2
+	// fetched
+	// CLIENT_ERROR c: unknown category "sing"
+	// 200 edge_relay.passed.read:2|c
+	// edge_relay.dropped.read:0|c
+	// edge_relay.bad_gateway.read:0|c
+	// edge_relay.passed.put:0|c
+	// edge_relay.dropped.put:0|c
+	// edge_relay.bad_gateway.put:0|c
+	// edge_relay.passed.once:0|c
+	// edge_relay.dropped.once:0|c
+	// edge_relay.bad_gateway.once:0|c
+	// edge_relay.upstream_tries:3|c
+	// edge_relay.in_progress:0|g
+	// edge_relay.known_cache_hosts:1|g
+	// edge_relay.skipped_cache_hosts:0|g
+	//   a: mg hot v O1 Pc=read,d=..
+	//   a: mg cold v O2 Pc=read,d=..
+	//   origin: GET /cold "" 2 c=read,d=..
+	// enter b 404 no cache host was ever listed under that id
+	// enter log 409 the origin is no cache host: without it nothing could be written or fetched
+	// enter  400 the body is to hold the id of a cache host
+	// exit a 200 done
+	// enter a 200 done
+	// enter a 200 done
+	// VA 7 O4
+	// fetched
+	// [passed.read:3 skipped_cache_hosts:1]
+	//   a: connection closed
+	//   origin: GET /hot "" 4 c=read,d=..
+	// 200 done
+	// VA 5 O5
+	// value
+	//   a: mg hot v O5 Pc=read,d=..
+}
--- /dev/null
+++ b/cmd/larchthread/pushes_test.go
@@ -0,0 +1,396 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+)
+
+// A host whose table of connections is full answers busy and closes the new one. It is left alone for a while, where it once
+// was asked for each key that is its own: at hundreds of balancers that was more than one push an op for nothing.
+func Example_tableFull() {
+	f := &fleet{}
+	f.host("x", func([]string) string { return "SERVER_ERROR busy\r\ndrop" })
+	f.host("b", hit)
+	f.origin(fetch)
+	f.start()
+	defer f.stop()
+	c := f.client()
+	for i := range 8 {
+		c.say(2, fmt.Sprintf("mg key%d v O%d Pc=read,d=500\r\n", i, i))
+	}
+	f.mu.Lock()
+	fmt.Println("asked for a connection:", strings.Count(strings.Join(f.notes, "\n"), "x: mg"))
+	f.mu.Unlock()
+	f.ended("table-full")
+	// Output:
+	// VA 5 O0
+	// value
+	// VA 5 O1
+	// value
+	// VA 5 O2
+	// value
+	// VA 5 O3
+	// value
+	// VA 5 O4
+	// value
+	// VA 5 O5
+	// value
+	// VA 5 O6
+	// value
+	// VA 5 O7
+	// value
+	// asked for a connection: 1
+	// table-full 1
+}
+
+// Commands in one write, or in pieces, are answered in their order, also where a later one is served first.
+func Example_pipeline() {
+	f := &fleet{}
+	f.host("a", func(words []string) string {
+		if words[1] == "slow" {
+			time.Sleep(30 * time.Millisecond)
+		}
+		return "VA 4 O{id}\r\n" + (words[1] + "....")[:4] + "\r\n"
+	})
+	f.origin(fetch)
+	f.start()
+	defer f.stop()
+	c := f.client()
+	c.say(5, "mg slow v O1 Pc=read,d=500\r\nmg fast v O2 Pc=read,d=500\r\nmn\r\n")
+	for _, piece := range []string{"m", "g fast v O3 Pc=re", "ad,d=500\r", "\nms k 4 O4 Pc=put,d=500\r\nab"} {
+		c.say(0, piece)
+		time.Sleep(5 * time.Millisecond)
+	}
+	c.say(3, "cd\r\n")
+	io.WriteString(c, "mg slow v O5 Pc=read,d=500\r\n"+strings.Repeat("mn\r\n", 1000)) // more than stand in line
+	pongs := 0
+	for pongs < 1000 {
+		if line, err := c.r.ReadString('\n'); err != nil {
+			break
+		} else if line == "MN\r\n" {
+			pongs++
+		}
+	}
+	fmt.Println(pongs, "pongs")
+	// Output:
+	// VA 4 O1
+	// slow
+	// VA 4 O2
+	// fast
+	// MN
+	// VA 4 O3
+	// fast
+	// HD O4 creceipt
+	// 1000 pongs
+}
+
+// An answer under another id, or of another kind, serves nobody: its connection ends, and the op walks on.
+func Example_wrongAnswer() {
+	f := &fleet{}
+	first := true
+	bad := func(answer string) func([]string) string {
+		return func(words []string) string {
+			if first {
+				first = false
+				return answer
+			}
+			return hit(words)
+		}
+	}
+	f.host("a", bad("VA 5 Oother\r\nwrong\r\n"))
+	f.host("b", bad("VA 5 Oother\r\nwrong\r\n"))
+	f.origin(fetch)
+	f.start()
+	defer f.stop()
+	c := f.client()
+	c.say(2, "mg k v O1 Pc=read,d=500\r\n")
+	f.ended("wrong-answer")
+	// Output:
+	// VA 5 O1
+	// value
+	// wrong-answer 1
+}
+
+// What may have run is told from what never ran: a host that breaks the connection behind an at-most-once op may
+// have run it, one that is gone has not, and one that turns it away has not.
+func Example_neverRan() {
+	f := &fleet{}
+	f.host("a", func(words []string) string {
+		switch words[1] {
+		case "break":
+			return "drop"
+		case "busy":
+			return "SERVER_ERROR busy\r\n"
+		case "fail":
+			return "SERVER_ERROR failed\r\n"
+		}
+		return hit(words)
+	})
+	f.start()
+	defer f.stop()
+	gone := f.client()
+	gone.say(1, "mg busy v O1 Pc=once,d=500\r\n")
+	gone.say(1, "mg fail v O2 Pc=once,d=500\r\n")
+	time.Sleep(600 * time.Millisecond) // the host rests after a failure
+	gone.say(1, "mg break v O3 Pc=once,d=500\r\n")
+	time.Sleep(1200 * time.Millisecond)
+	f.closers[0].Close() // what the host has open is gone with its last break, and nothing new comes up
+	gone.say(1, "mg k v O4 Pc=once,d=500\r\n")
+	f.heard()
+	// Output:
+	// SERVER_ERROR busy ..
+	// SERVER_ERROR failed
+	// SERVER_ERROR failed
+	// SERVER_ERROR busy ..
+	//   a: mg busy v O1 Pc=once,d=..
+	//   a: mg fail v O2 Pc=once,d=..
+	//   a: mg break v O3 Pc=once,d=..
+}
+
+// A push at a host that has fallen silent is called off by closing its connection, before the next goes out.
+func Example_callOff() {
+	f := &fleet{}
+	first := true
+	silent := func(words []string) string {
+		if first {
+			first = false
+			return ""
+		}
+		return hit(words)
+	}
+	f.host("x", silent)
+	f.host("x2", silent)
+	f.start()
+	defer f.stop()
+	c := f.client()
+	c.say(2, "mg k v O1 Pc=read,d=590\r\n")
+	f.oneName()
+	f.heard()
+	// Output:
+	// VA 5 O1
+	// value
+	//   x: mg k v O1 Pc=read,d=..
+	//   x: connection closed
+	//   x: mg k v O1 Pc=read,d=..
+}
+
+// copied starts a fleet of two cache hosts. The first push for each key gets what first says, the others a hit after a
+// while.
+func copied(first func(words []string) string) *fleet {
+	f := &fleet{sets: twice}
+	var seen sync.Map
+	say := func(words []string) string {
+		if _, again := seen.LoadOrStore(words[1], true); !again {
+			return first(words)
+		}
+		time.Sleep(50 * time.Millisecond)
+		return hit(words)
+	}
+	f.host("x", say)
+	f.host("x2", say)
+	f.start()
+	return f
+}
+
+// Where second copies are allowed, a push that is out for long stays out while a copy goes to another host. The first whole
+// answer is the client's, the other is read off, and its connection used again; an op that must not run twice has no copy.
+func Example_copies() {
+	for _, op := range []string{"both v O1 Pc=read", "hang v O2 Pc=read", "fails v O3 Pc=read", "once v O4 Pc=once"} {
+		f := copied(func(words []string) string {
+			switch words[1] {
+			case "fails":
+				time.Sleep(130 * time.Millisecond)
+				return "SERVER_ERROR failed\r\n"
+			case "both":
+				time.Sleep(250 * time.Millisecond)
+				return hit(words)
+			}
+			return ""
+		})
+		c := f.client()
+		c.say(1, "mg "+op+",d=350\r\n")
+		time.Sleep(200 * time.Millisecond)
+		f.heardSorted()
+		if !strings.HasPrefix(op, "once") {
+			c.say(1, "") // the value; behind it comes no second answer
+		}
+		c.say(2, "mg other v O9 Pc=read,d=590\r\n")
+		f.stop()
+	}
+	// Output:
+	// VA 5 O1
+	//   x: mg both v O1 Pc=read,d=..
+	//   x: mg both v O1 Pc=read,d=..
+	// value
+	// VA 5 O9
+	// value
+	// VA 5 O2
+	//   x: connection closed
+	//   x: mg hang v O2 Pc=read,d=..
+	//   x: mg hang v O2 Pc=read,d=..
+	// value
+	// VA 5 O9
+	// value
+	// VA 5 O3
+	//   x: mg fails v O3 Pc=read,d=..
+	//   x: mg fails v O3 Pc=read,d=..
+	// value
+	// VA 5 O9
+	// value
+	// SERVER_ERROR failed
+	//   x: connection closed
+	//   x: mg once v O4 Pc=once,d=..
+	// VA 5 O9
+	// value
+}
+
+// A client that leaves with two pushes out has both called off; at a planned end an op with two out is answered.
+func Example_copiesEnd() {
+	var seen atomic.Int32
+	f := copied(func([]string) string { seen.Add(1); return "" })
+	defer f.stop()
+	gone := f.client()
+	io.WriteString(gone, "mg slow v O1 Pc=read,d=590\r\n")
+	for seen.Load() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	time.Sleep(115 * time.Millisecond) // the copy is out, and takes 50 ms
+	gone.Close()
+	time.Sleep(100 * time.Millisecond)
+	f.heardSorted()
+	c := f.client()
+	io.WriteString(c, "mg end v O2 Pc=read,d=590\r\n")
+	time.Sleep(120 * time.Millisecond)
+	f.process.Process.Signal(syscall.SIGTERM)
+	c.say(2, "")
+	f.process.Wait()
+	fmt.Println("ended in good order:", f.process.ProcessState.Success())
+	// Output:
+	//   x: connection closed
+	//   x: connection closed
+	//   x: mg slow v O1 Pc=read,d=..
+	//   x: mg slow v O1 Pc=read,d=..
+	// VA 5 O2
+	// value
+	// ended in good order: true
+}
+
+// A load report that is garbage costs nothing but itself.
+func Example_garbledReport() {
+	f := &fleet{sets: twice}
+	f.host("a", miss)
+	reports := []string{"busy=0.5,q=2", "busy=,q", "=,=,,busy=NaN,q=-3", "busy=1e999,\u00ff=4", strings.Repeat("q=1,", 99)}
+	f.origin(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("X-Server-Load", reports[0])
+		reports = reports[1:]
+		fetch(w, r)
+	})
+	f.start()
+	defer f.stop()
+	c := f.client()
+	for i := range len(reports) {
+		c.say(2, fmt.Sprintf("mg k%d v O%d Pc=read,d=590\r\n", i, i))
+	}
+	// Output:
+	// VA 7 O0
+	// fetched
+	// VA 7 O1
+	// fetched
+	// VA 7 O2
+	// fetched
+	// VA 7 O3
+	// fetched
+	// VA 7 O4
+	// fetched
+}
+
+// Bytes behind an answer are not taken for the next op's: the connection ends, and the next op gets a new one.
+func Example_leftover() {
+	f := &fleet{}
+	f.host("a", func(words []string) string {
+		if words[1] == "twice" {
+			return "VA 5 O{id}\r\nfirst\r\nVA 5 O2\r\nwrong\r\n"
+		}
+		return hit(words)
+	})
+	f.start()
+	defer f.stop()
+	c := f.client()
+	c.say(2, "mg twice v O1 Pc=read,d=500\r\n")
+	c.say(2, "mg k v O2 Pc=read,d=500\r\n")
+	c.Close()
+	f.ended("bad-input", "wrong-answer")
+	// Output:
+	// VA 5 O1
+	// first
+	// VA 5 O2
+	// value
+	// bad-input 1
+	// wrong-answer 0
+}
+
+// A kept connection that ends under a push tells little of its host: the op goes there again, on a new one. The host was
+// once left out for it, which moved its keys.
+func Example_stale() {
+	f := &fleet{}
+	n := 0
+	f.host("a", func(words []string) string {
+		if n++; n == 2 {
+			return "drop"
+		}
+		return hit(words)
+	})
+	f.start()
+	defer f.stop()
+	c := f.client()
+	c.say(2, "mg k v O1 Pc=read,d=500\r\n")
+	c.say(2, "mg k v O2 Pc=read,d=500\r\n")
+	f.heard()
+	// Output:
+	// VA 5 O1
+	// value
+	// VA 5 O2
+	// value
+	//   a: mg k v O1 Pc=read,d=..
+	//   a: mg k v O2 Pc=read,d=..
+	//   a: mg k v O2 Pc=read,d=..
+}
+
+// A host that falls silent gets a new connection: those that are idle from before may be dead without a word.
+func Example_vanished() {
+	f := &fleet{}
+	f.host("a", func(words []string) string {
+		switch words[1] {
+		case "slow":
+			time.Sleep(30 * time.Millisecond)
+		case "lost":
+			return ""
+		}
+		return hit(words)
+	})
+	f.start()
+	defer f.stop()
+	c := f.client()
+	c.say(4, "mg slow v O1 Pc=read,d=500\r\nmg slow2 v O2 Pc=read,d=500\r\n")
+	c.say(1, "mg lost v O3 Pc=once,d=150\r\n")
+	time.Sleep(600 * time.Millisecond) // the host rests
+	c.say(2, "mg k v O4 Pc=read,d=500\r\n")
+	c.Close()
+	f.ended("called-off", "host-silent")
+	// Output:
+	// VA 5 O1
+	// value
+	// VA 5 O2
+	// value
+	// SERVER_ERROR failed
+	// VA 5 O4
+	// value
+	// called-off 1
+	// host-silent 1
+}
--- /dev/null
+++ b/internal/trial/check.go
@@ -0,0 +1,309 @@
+package trial
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+
+	"larchthread/internal/standin"
+)
+
+// Record is all that was seen from outside the balancers: what checkers go by.
+type Record struct {
+	Calls     []Call
+	Runs      []standin.Run
+	Told      []standin.Told
+	Bans      []Ban
+	Balancers []Witness     // by number
+	Slack     time.Duration // by which links and the ground may have made anything later
+}
+
+// Witness is what is known of a balancer's process.
+type Witness struct {
+	Name   string
+	Source string // what hosts see it as
+	Away   []Away
+	Crash  string
+}
+
+// Break is a rule that was broken.
+type Break struct {
+	Rule string        `json:"rule"`
+	At   time.Duration `json:"at_ns"` // since the fleet's start
+	Text string        `json:"text"`
+}
+
+const breaksMost = 20 // of one rule that are told in words
+
+// rules are the checkers, each apart from the others and from the program's own figures.
+var rules = []struct {
+	name  string
+	text  string
+	check func(*Record) []Break
+}{
+	{"answers", "each op that a balancer took gets one answer, in its time, unless that balancer ended or stood still", (*Record).answers},
+	{"moot", "nothing is pushed after its op's TTL", (*Record).moot},
+	{"effects", "an at-most-once op runs once at most; one that was nacked never ran", (*Record).effects},
+	{"window", "a deduplicated op runs again only inside the window in which hosts drop repeats", (*Record).window},
+	{"drains", "nothing new to a draining, banned or gone host after the grace, by each balancer", (*Record).drains},
+	{"cold", "no cold host is pushed over by all balancers together", (*Record).cold},
+	{"values", "reads and writes of each key could have happened one after another", (*Record).values},
+	{"crashes", "no process ends without being told to", (*Record).crashes},
+}
+
+// Check looks for broken rules, in the order of time.
+func (r *Record) Check() (all []Break) {
+	for _, rule := range rules {
+		found := rule.check(r)
+		for i := range found {
+			found[i].Rule = rule.name
+		}
+		slices.SortStableFunc(found, func(x, y Break) int { return int(min(max(x.At-y.At, -1), 1)) })
+		if more := len(found) - breaksMost; more > 0 {
+			found = append(found[:breaksMost], Break{rule.name, found[breaksMost].At, fmt.Sprintf("and %d more", more)})
+		}
+		all = append(all, found...)
+	}
+	slices.SortStableFunc(all, func(x, y Break) int { return int(min(max(x.At-y.At, -1), 1)) })
+	return all
+}
+
+// away tells whether a balancer was not serving at some time of a span.
+func (w Witness) away(from, to time.Duration) bool {
+	return slices.ContainsFunc(w.Away, func(a Away) bool { return a.From <= to && (a.To == 0 || a.To >= from) })
+}
+
+// answers: a balancer that ends takes its open ops with it, and one that stands still answers late.
+func (r *Record) answers() (all []Break) {
+	for _, c := range r.Calls {
+		if c.Balancer < 0 {
+			continue
+		}
+		w := r.Balancers[c.Balancer]
+		if c.Again > 0 {
+			all = append(all, Break{At: c.Done, Text: fmt.Sprintf("op %s at %s: %d answers too many", c.ID, w.Name, c.Again)})
+		}
+		lost := c.Answer == Silent || c.Answer == Cut || c.Done > c.Sent+ttl+answerSlack
+		if lost && !w.away(c.Sent-r.Slack, c.Sent+ttl+answerSlack) {
+			all = append(all, Break{At: c.Done, Text: fmt.Sprintf("op %s (%s %s) at %s: %s %q, %v after it was sent", c.ID, c.Category,
+				c.Key, w.Name, c.Answer, c.Text, (c.Done - c.Sent).Round(time.Millisecond))})
+		}
+		if strings.HasPrefix(c.Text, "answer of another op") || c.Answer == Acked && c.Write && c.Text != "receipt-"+c.ID {
+			all = append(all, Break{At: c.Done, Text: fmt.Sprintf("op %s at %s: %q is not its answer", c.ID, w.Name, c.Text)})
+		}
+	}
+	return all
+}
+
+// byID are the ops by their ids.
+func (r *Record) byID() map[string]Call {
+	all := map[string]Call{}
+	for _, c := range r.Calls {
+		all[c.ID] = c
+	}
+	return all
+}
+
+// moot: what a link held up, or was in a balancer that stood still, may come late.
+func (r *Record) moot() (all []Break) {
+	ops := r.byID()
+	for _, x := range r.Runs {
+		c, known := ops[x.ID]
+		if !known {
+			continue
+		}
+		end := c.Sent + ttl + r.Slack
+		if x.Came > end && !(c.Balancer >= 0 && r.Balancers[c.Balancer].away(c.Sent, x.Came)) {
+			all = append(all, Break{At: x.Came, Text: fmt.Sprintf("op %s pushed to %s %v after its TTL", x.ID, x.Host,
+				(x.Came - c.Sent - ttl).Round(time.Millisecond))})
+		}
+	}
+	return all
+}
+
+func (r *Record) effects() (all []Break) {
+	ops, runs := r.byID(), map[string][]standin.Run{}
+	for _, x := range r.Runs {
+		if x.Ran && categories[x.Category] == "fragile" {
+			runs[x.ID] = append(runs[x.ID], x)
+		}
+	}
+	for id, ran := range runs {
+		if len(ran) > 1 {
+			all = append(all, Break{At: ran[1].Came, Text: fmt.Sprintf("at-most-once op %s ran %d times", id, len(ran))})
+		}
+		if c, known := ops[id]; known && c.Answer == Nacked {
+			all = append(all, Break{At: c.Done, Text: fmt.Sprintf("at-most-once op %s was nacked and ran at %s", id, ran[0].Host)})
+		}
+	}
+	return all
+}
+
+func (r *Record) window() (all []Break) {
+	first := map[string]standin.Run{}
+	for _, x := range r.Runs {
+		if categories[x.Category] != "dedup" || !x.Ran {
+			continue
+		}
+		f, again := first[x.ID]
+		if !again {
+			first[x.ID] = x
+		} else if x.Came-f.Came > dropsFor+r.Slack {
+			all = append(all, Break{At: x.Came, Text: fmt.Sprintf("deduplicated op %s ran again %v after it first did", x.ID,
+				(x.Came - f.Came).Round(time.Millisecond))})
+		}
+	}
+	return all
+}
+
+// shut is a while in which a balancer may send nothing new to a host, the grace left out.
+type shut struct {
+	Span
+	why string
+}
+
+// drains: lists count from when discovery wrote them. A process that starts anew knows what its start file says, and what it
+// is told from then on; while it stands still it hears nothing, so the grace begins once it goes on.
+func (r *Record) drains() (all []Break) {
+	bySource := map[string]int{}
+	for i, w := range r.Balancers {
+		bySource[w.Source] = i
+	}
+	shuts := make([]map[string][]shut, len(r.Balancers))
+	for i, w := range r.Balancers {
+		shuts[i] = map[string][]shut{}
+		open := func(host, why string, at time.Duration) {
+			spans := shuts[i][host]
+			if n := len(spans); n == 0 || spans[n-1].To != 0 {
+				shuts[i][host] = append(spans, shut{Span{From: at}, why})
+			}
+		}
+		end := func(host string, at time.Duration) {
+			if n := len(shuts[i][host]); n > 0 && shuts[i][host][n-1].To == 0 {
+				shuts[i][host][n-1].To = at
+			}
+		}
+		for _, t := range r.Told {
+			if t.To != w.Name {
+				continue
+			}
+			for host, phase := range t.Phases {
+				if phase == standin.InService {
+					end(host, t.At)
+				} else {
+					open(host, "listed as "+phase, t.At)
+				}
+			}
+		}
+		for _, b := range r.Bans {
+			if b.Balancer != w.Name {
+				continue
+			}
+			to := b.To
+			for _, a := range w.Away { // a ban does not outlive its process
+				if !a.Frozen && a.From > b.From && (to == 0 || a.From < to) {
+					to = a.From
+				}
+			}
+			shuts[i][b.Host] = append(shuts[i][b.Host], shut{Span{b.From, to}, "banned"})
+		}
+	}
+	for _, x := range r.Runs {
+		i, known := bySource[x.From]
+		if !known {
+			continue
+		}
+		for _, s := range shuts[i][x.Host] {
+			late := x.Came - s.From - drainGrace - r.Slack
+			if late <= 0 || s.To != 0 && x.Came > s.To || r.Balancers[i].away(s.From, x.Came) {
+				continue
+			}
+			all = append(all, Break{At: x.Came, Text: fmt.Sprintf("%s pushed op %s to %s, %s %v before", r.Balancers[i].Name, x.ID,
+				x.Host, s.why, (x.Came - s.From).Round(time.Millisecond))})
+		}
+	}
+	return all
+}
+
+func (r *Record) cold() (all []Break) {
+	for _, x := range r.Runs {
+		if x.Fell {
+			all = append(all, Break{At: x.Came, Text: fmt.Sprintf("%s was pushed over while it was cold", x.Host)})
+		}
+	}
+	return all
+}
+
+func (r *Record) crashes() (all []Break) {
+	for _, w := range r.Balancers {
+		if w.Crash != "" {
+			at := time.Duration(0)
+			if n := len(w.Away); n > 0 {
+				at = w.Away[n-1].From
+			}
+			all = append(all, Break{At: at, Text: fmt.Sprintf("%s ended by itself: %s", w.Name, w.Crash)})
+		}
+	}
+	return all
+}
+
+// access is what a client asked of a key's value: the id that it wrote, or none for a read.
+type access struct{ write string }
+
+// register is a key's value, as the origin holds it.
+var register = porcupine.Model{
+	Init: func() any { return "unwritten" },
+	Step: func(state, input, output any) (bool, any) {
+		if w := input.(access).write; w != "" {
+			return true, w
+		}
+		return output.(string) == state.(string), state
+	},
+}
+
+const valuesMost = 10 * time.Second // for one trial's search; what is not found in it is not held against anybody
+
+// values: a write with no yes may happen at any time after it was sent, or never; a read with none tells nothing.
+func (r *Record) values() (all []Break) {
+	byKey, ran := map[string][]porcupine.Operation{}, map[string]bool{}
+	for _, x := range r.Runs {
+		if x.Ran && x.Write {
+			ran[x.ID] = true
+		}
+	}
+	last := time.Duration(0)
+	for _, c := range r.Calls {
+		last = max(last, c.Done)
+	}
+	for i, c := range r.Calls {
+		op := porcupine.Operation{ClientId: i, Call: int64(c.Sent), Return: int64(c.Done)}
+		switch {
+		case c.Write && c.Answer == Acked:
+			op.Input = access{c.ID}
+		case c.Write && ran[c.ID]:
+			op.Input, op.Return = access{c.ID}, int64(last)+int64(time.Hour)
+		case !c.Write && c.Answer == Acked:
+			value, mine := strings.CutPrefix(c.Text, c.Key+" ")
+			if !mine {
+				all = append(all, Break{At: c.Done, Text: fmt.Sprintf("read of %s gave %.60q", c.Key, c.Text)})
+				continue
+			}
+			op.Input, op.Output = access{}, value
+		default:
+			continue
+		}
+		// The command may have been heard before the client noted that it was written.
+		op.Call -= int64(time.Millisecond)
+		byKey[c.Key] = append(byKey[c.Key], op)
+	}
+	end := time.Now().Add(valuesMost)
+	for key, ops := range byKey {
+		if porcupine.CheckOperationsTimeout(register, ops, max(time.Until(end), time.Millisecond)) == porcupine.Illegal {
+			all = append(all, Break{At: time.Duration(ops[0].Call), Text: fmt.Sprintf("%s: no order of its %d reads and writes explains what was read", key, len(ops))})
+		}
+	}
+	return all
+}
--- /dev/null
+++ b/internal/trial/check_test.go
@@ -0,0 +1,125 @@
+package trial
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"larchthread/internal/standin"
+)
+
+const ms = time.Millisecond
+
+// kept is a history in which all rules are kept, with something of everything.
+func kept() *Record {
+	return &Record{
+		Slack: 10 * ms,
+		Balancers: []Witness{
+			{Name: "b1", Source: "s1"},
+			{Name: "b2", Source: "s2", Away: []Away{{Span{5000 * ms, 8000 * ms}, false}}},
+			{Name: "b3", Source: "s3", Away: []Away{{Span{5000 * ms, 6000 * ms}, true}}},
+		},
+		Calls: []Call{
+			{ID: "r1", Key: "k", Category: "read", Sent: 100 * ms, Done: 110 * ms, Answer: Acked, Text: "k unwritten"},
+			{ID: "w1", Key: "k", Category: "put", Write: true, Sent: 200 * ms, Done: 220 * ms, Answer: Acked, Text: "receipt-w1"},
+			{ID: "r2", Key: "k", Category: "read", Sent: 300 * ms, Done: 310 * ms, Answer: Acked, Text: "k w1"},
+			{ID: "o1", Key: "k", Category: "once", Write: true, Sent: 400 * ms, Done: 410 * ms, Answer: Nacked, Text: "SERVER_ERROR busy 9"},
+			{ID: "o2", Key: "k", Category: "once", Write: true, Sent: 500 * ms, Done: 510 * ms, Answer: Failed, Text: "SERVER_ERROR failed"},
+			{ID: "lost", Key: "k", Category: "read", Balancer: 1, Sent: 4900 * ms, Done: 5000 * ms, Answer: Cut},
+			{ID: "none", Key: "k", Category: "read", Balancer: -1, Sent: 0, Done: 5100 * ms, Answer: Untaken},
+		},
+		Runs: []standin.Run{
+			{Host: "h1", From: "s1", ID: "r1", Category: "read", Came: 101 * ms, Ran: true},
+			{Host: "origin", From: "s1", ID: "w1", Key: "k", Category: "put", Write: true, Came: 201 * ms, Ran: true},
+			{Host: "origin", From: "s1", ID: "o1", Key: "k", Category: "once", Write: true, Came: 401 * ms},
+			{Host: "origin", From: "s1", ID: "o2", Key: "k", Category: "once", Write: true, Came: 501 * ms, Ran: true},
+			{Host: "h1", From: "s1", ID: "r2", Category: "read", Came: 600 * ms, Ran: true, Cold: true},
+		},
+		Told: []standin.Told{{To: "b1", At: 2000 * ms, Phases: map[string]string{"h1": standin.Terminating}}},
+		Bans: []Ban{{"b2", "h2", Span{From: 2000 * ms}}},
+	}
+}
+
+// Each checker finds a history that breaks just its rule.
+func TestCheckersCanFail(t *testing.T) {
+	if all := kept().Check(); len(all) > 0 {
+		t.Fatalf("the history that keeps all: %v", all)
+	}
+	run := func(r *Record, x standin.Run) { r.Runs = append(r.Runs, x) }
+	for _, c := range []struct {
+		rule, name string
+		spoil      func(r *Record)
+	}{
+		{"answers", "no answer", func(r *Record) { r.Calls[0].Answer, r.Calls[0].Done = Silent, 900*ms }},
+		{"answers", "the connection ended", func(r *Record) { r.Calls[0].Answer = Cut }},
+		{"answers", "late", func(r *Record) { r.Calls[3].Done = 1400 * ms }},
+		{"answers", "two answers", func(r *Record) { r.Calls[0].Again = 1 }},
+		{"answers", "another write's receipt", func(r *Record) { r.Calls[1].Text = "receipt-w2" }},
+		{"answers", "another op's answer", func(r *Record) { r.Calls[4].Text = "answer of another op: VA 1 Ox" }},
+		{"answers", "lost long before the balancer ended", func(r *Record) { r.Calls[5].Sent = 3000 * ms }},
+		{"moot", "pushed after the TTL", func(r *Record) {
+			run(r, standin.Run{Host: "h2", From: "s1", ID: "r1", Category: "read", Came: 800 * ms})
+		}},
+		{"effects", "ran twice", func(r *Record) {
+			run(r, standin.Run{Host: "h2", From: "s1", ID: "o2", Category: "once", Came: 520 * ms, Ran: true})
+		}},
+		{"effects", "ran and was nacked", func(r *Record) {
+			run(r, standin.Run{Host: "h2", From: "s1", ID: "o1", Category: "once", Came: 420 * ms, Ran: true})
+		}},
+		{"window", "ran again too late", func(r *Record) {
+			run(r, standin.Run{Host: "origin", From: "s1", ID: "w1", Category: "put", Came: 700 * ms, Ran: true})
+		}},
+		{"drains", "pushed to a draining host", func(r *Record) { run(r, standin.Run{Host: "h1", From: "s1", ID: "x", Came: 3200 * ms}) }},
+		{"drains", "pushed to a banned host", func(r *Record) { run(r, standin.Run{Host: "h2", From: "s2", ID: "x", Came: 3200 * ms}) }},
+		{"cold", "pushed over", func(r *Record) { r.Runs[4].Fell = true }},
+		{"values", "read what was written before", func(r *Record) { r.Calls[2].Text = "k unwritten" }},
+		{"values", "read what nobody wrote", func(r *Record) { r.Calls[2].Text = "k w9" }},
+		{"values", "read another key's value", func(r *Record) { r.Calls[2].Text = "j w1" }},
+		{"crashes", "ended by itself", func(r *Record) { r.Balancers[0].Crash = "panic: x" }},
+	} {
+		r := kept()
+		c.spoil(r)
+		all := r.Check()
+		if len(all) != 1 || all[0].Rule != c.rule {
+			t.Errorf("%s: got %v, want one break of %s", c.name, all, c.rule)
+		}
+	}
+}
+
+// What a balancer could not help is not held against it.
+func TestNotHeldAgainst(t *testing.T) {
+	for name, change := range map[string]func(r *Record){
+		"told while it stood still": func(r *Record) {
+			r.Told = append(r.Told, standin.Told{To: "b3", At: 5100 * ms, Phases: map[string]string{"h3": standin.Terminated}})
+			r.Runs = append(r.Runs, standin.Run{Host: "h3", From: "s3", ID: "x", Came: 6500 * ms})
+		},
+		"a ban that its process did not outlive": func(r *Record) {
+			r.Runs = append(r.Runs, standin.Run{Host: "h2", From: "s2", ID: "x", Came: 9000 * ms})
+		},
+		"back in service": func(r *Record) {
+			r.Told = append(r.Told, standin.Told{To: "b1", At: 2500 * ms, Phases: map[string]string{"h1": standin.InService}})
+			r.Runs = append(r.Runs, standin.Run{Host: "h1", From: "s1", ID: "x", Came: 3600 * ms})
+		},
+		"an op of a balancer that stood still": func(r *Record) {
+			r.Calls[0] = Call{ID: "r1", Key: "k", Category: "read", Balancer: 2, Sent: 4900 * ms, Done: 6100 * ms, Answer: Silent}
+			r.Runs[0].From, r.Runs[0].Came = "s3", 6050*ms
+		},
+	} {
+		r := kept()
+		change(r)
+		if all := r.Check(); len(all) > 0 {
+			t.Errorf("%s: %v", name, all)
+		}
+	}
+}
+
+// A table for people names each break in words.
+func ExampleResult_Rules() {
+	r := kept()
+	r.Calls[0].Again = 1
+	r.Balancers[1].Crash = "fatal error: x"
+	x := Result{Breaks: r.Check()}
+	fmt.Println(x.Rules())
+	// Output:
+	// [answers crashes]
+}
--- /dev/null
+++ b/internal/trial/link.go
@@ -0,0 +1,276 @@
+package trial
+
+import (
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"time"
+)
+
+const (
+	pieceSize = 16 << 10 // bytes that a link reads at once
+	pieces    = 64       // that it holds for each direction of a connection; then the sender has to wait
+)
+
+// Way is a direction of a link.
+type Way int
+
+const (
+	Out  Way = iota // from the balancer
+	Back            // to it
+)
+
+// Flaw is what is wrong with a direction of a link. The zero Flaw is nothing.
+type Flaw struct {
+	Hole   bool          // bytes are taken and never passed on; connections are reset once it is over
+	Delay  time.Duration // each byte is so late
+	Jitter time.Duration // and at most so much later still, in their order
+	Rate   float64       // bytes a second; 0: as many as come
+	Sever  int           // once this many bytes more have passed the connection is reset amid them; 0: never
+}
+
+// Link is the way from one balancer to one part: a relay of its own, so that each can fail by itself. Cut, it resets what
+// there is and refuses what is new.
+type Link struct {
+	Balancer, Part string
+
+	target   func() string // the part's address
+	source   net.IP        // what the part sees the balancer as
+	address  string
+	listener net.Listener
+
+	mu     sync.Mutex
+	rng    *rand.Rand
+	cut    bool
+	single bool // one connection at a time: further ones are refused
+	flaws  [2]Flaw
+	change chan struct{} // closed with each change
+	joints map[*joint]bool
+	ended  bool
+}
+
+// joint is a connection and the one that goes on behind the link.
+type joint struct {
+	near, far net.Conn
+	tainted   bool // bytes were lost on it
+	left      [2]int
+}
+
+func newLink(balancer, part, ip string, source net.IP, seed uint64, target func() string) (*Link, error) {
+	listener, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
+	if err != nil {
+		return nil, fmt.Errorf("link %s to %s: %w", balancer, part, err)
+	}
+	l := &Link{Balancer: balancer, Part: part, target: target, source: source, address: listener.Addr().String(),
+		listener: listener, rng: rand.New(rand.NewPCG(seed, 3)), change: make(chan struct{}), joints: map[*joint]bool{}}
+	go l.accept()
+	return l, nil
+}
+
+// Address is what the balancer is told as the part's.
+func (l *Link) Address() string { return l.address }
+
+// Cut resets all connections and refuses new ones while it is on.
+func (l *Link) Cut(on bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.cut = on; on {
+		for j := range l.joints {
+			j.reset()
+		}
+	}
+	l.changed()
+}
+
+// Single has a second connection refused while one is open.
+func (l *Link) Single(on bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.single = on
+}
+
+// Set changes what is wrong with a direction. The end of a hole resets what has lost bytes in it.
+func (l *Link) Set(w Way, f Flaw) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	was := l.flaws[w]
+	l.flaws[w] = f
+	for j := range l.joints {
+		j.left[w] = f.Sever
+		if was.Hole && !f.Hole && j.tainted {
+			j.reset()
+		}
+	}
+	l.changed()
+}
+
+func (l *Link) changed() {
+	close(l.change)
+	l.change = make(chan struct{})
+}
+
+func (l *Link) close() {
+	l.listener.Close()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.ended = true
+	for j := range l.joints {
+		j.reset()
+	}
+	l.changed()
+}
+
+func (j *joint) reset() {
+	for _, c := range []net.Conn{j.near, j.far} {
+		if t, ok := c.(*net.TCPConn); ok {
+			t.SetLinger(0)
+		}
+		c.Close()
+	}
+}
+
+func (l *Link) accept() {
+	for {
+		c, err := l.listener.Accept()
+		if err != nil {
+			return
+		}
+		go l.join(c)
+	}
+}
+
+// join goes on behind the link. A connection that can't is reset, as if it had been refused. In a hole it is not made
+// until that is over.
+func (l *Link) join(c net.Conn) {
+	j := &joint{near: c, far: c}
+	for {
+		l.mu.Lock()
+		refused := l.cut || l.ended || l.single && len(l.joints) > 0
+		hole, change := l.flaws[Out].Hole, l.change
+		l.mu.Unlock()
+		if refused {
+			j.reset()
+			return
+		}
+		if !hole {
+			break
+		}
+		<-change
+	}
+	d := net.Dialer{LocalAddr: &net.TCPAddr{IP: l.source}, Timeout: 2 * time.Second}
+	far, err := d.Dial("tcp", l.target())
+	if err != nil {
+		j.reset()
+		return
+	}
+	j.far = far
+	l.mu.Lock()
+	if l.cut || l.ended {
+		l.mu.Unlock()
+		j.reset()
+		return
+	}
+	for w := range j.left {
+		j.left[w] = l.flaws[w].Sever
+	}
+	l.joints[j] = true
+	l.mu.Unlock()
+	var both sync.WaitGroup
+	both.Add(2)
+	go l.pass(j, Out, far, c, &both)
+	go l.pass(j, Back, c, far, &both)
+	both.Wait()
+	l.mu.Lock()
+	delete(l.joints, j)
+	l.mu.Unlock()
+	c.Close()
+	far.Close()
+}
+
+// piece is bytes on their way.
+type piece struct {
+	data []byte
+	due  time.Time
+}
+
+// pass carries one direction to its end.
+func (l *Link) pass(j *joint, w Way, to, from net.Conn, both *sync.WaitGroup) {
+	defer both.Done()
+	way := make(chan piece, pieces)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		l.deliver(j, w, to, way)
+	}()
+	var last time.Time
+	for buf := make([]byte, pieceSize); ; {
+		n, err := from.Read(buf)
+		if n > 0 {
+			l.mu.Lock()
+			f := l.flaws[w]
+			late := f.Delay
+			if f.Jitter > 0 {
+				late += time.Duration(l.rng.Int64N(int64(f.Jitter)))
+			}
+			if f.Hole {
+				j.tainted = true
+			}
+			l.mu.Unlock()
+			if !f.Hole {
+				due := time.Now().Add(late)
+				if due.Before(last) {
+					due = last
+				}
+				last = due
+				way <- piece{append([]byte(nil), buf[:n]...), due}
+			}
+		}
+		if err != nil {
+			close(way)
+			<-done
+			if err == io.EOF {
+				if t, ok := to.(*net.TCPConn); ok {
+					t.CloseWrite()
+				}
+			} else {
+				j.reset()
+			}
+			return
+		}
+	}
+}
+
+// deliver writes pieces as they fall due.
+func (l *Link) deliver(j *joint, w Way, to net.Conn, way <-chan piece) {
+	for p := range way {
+		if wait := time.Until(p.due); wait > 0 {
+			time.Sleep(wait)
+		}
+		l.mu.Lock()
+		rate, severed := l.flaws[w].Rate, false
+		if hole := l.flaws[w].Hole; hole { // what was on its way is lost with it
+			j.tainted = true
+			l.mu.Unlock()
+			continue
+		}
+		if left := j.left[w]; left > 0 {
+			if severed = len(p.data) >= left; severed {
+				p.data = p.data[:left]
+			}
+			j.left[w] = max(left-len(p.data), 0)
+		}
+		l.mu.Unlock()
+		if rate > 0 {
+			time.Sleep(time.Duration(float64(len(p.data)) / rate * float64(time.Second)))
+		}
+		if _, err := to.Write(p.data); err != nil {
+			j.reset()
+		}
+		if severed {
+			time.Sleep(time.Millisecond) // so that the bytes before the reset arrive
+			j.reset()
+		}
+	}
+}
--- /dev/null
+++ b/internal/trial/result.go
@@ -0,0 +1,174 @@
+package trial
+
+import (
+	"slices"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// Result is what came of a plan.
+type Result struct {
+	Plan    string         `json:"plan"`
+	Name    string         `json:"name"`
+	Breaks  []Break        `json:"breaks"`
+	Trouble []string       `json:"ground"` // what the ground itself could not do
+	Struck  []string       `json:"struck"` // faults, in the order in which they were
+	Groups  []Group        `json:"categories"`
+	Seconds []Second       `json:"seconds"`
+	Pushes  map[string]int `json:"pushes"`  // by host
+	Late    float64        `json:"late_ms"` // 99 in 100 ops were sent no later than this behind their time
+	Marks   []Mark         `json:"marks"`
+
+	Record *Record           `json:"-"`
+	Logs   map[string][]Line `json:"-"` // by balancer
+}
+
+// Group is what came of a category's ops.
+type Group struct {
+	Name    string         `json:"name"`
+	Asked   int            `json:"asked"`
+	InTime  int            `json:"in_time"`
+	Answers map[Answer]int `json:"answers"`
+	P50     float64        `json:"p50_ms"` // of acked ops, from when they were due
+	P99     float64        `json:"p99_ms"`
+	P999    float64        `json:"p999_ms"`
+}
+
+// Second is what came of the ops that were due in one.
+type Second struct {
+	Asked  int     `json:"asked"`
+	InTime int     `json:"in_time"`
+	Nacked int     `json:"nacked"`
+	P50    float64 `json:"p50_ms"`
+	P99    float64 `json:"p99_ms"`
+}
+
+// Mark is a fault on the time line.
+type Mark struct {
+	From float64 `json:"from_s"`
+	To   float64 `json:"to_s"`
+	Text string  `json:"text"`
+}
+
+// Service is the part of all ops that were acked within their target latency.
+func (r *Result) Service() float64 {
+	asked, in := 0, 0
+	for _, g := range r.Groups {
+		asked, in = asked+g.Asked, in+g.InTime
+	}
+	if asked == 0 {
+		return 0
+	}
+	return float64(in) / float64(asked)
+}
+
+// Failed tells whether a rule was broken.
+func (r *Result) Failed() bool { return len(r.Breaks) > 0 }
+
+// Rules are the names of the rules that were broken.
+func (r *Result) Rules() (all []string) {
+	for _, b := range r.Breaks {
+		if !slices.Contains(all, b.Rule) {
+			all = append(all, b.Rule)
+		}
+	}
+	return all
+}
+
+// slackLeast is what a busy machine may add to any time that is measured across processes.
+const slackLeast = 100 * time.Millisecond
+
+// slack is by how much links may make what a balancer sends later.
+func (p Plan) slack() time.Duration {
+	most := slackLeast
+	for _, x := range p.Faults {
+		by, err := x.By.number()
+		switch {
+		case err != nil:
+		case x.What == "delay":
+			most = max(most, slackLeast+time.Duration(by*2*float64(time.Millisecond)))
+		case x.What == "rate": // what stands before it on its connection goes first
+			most = max(most, slackLeast+time.Duration(float64(pieceSize)/by*float64(time.Second)))
+		}
+	}
+	return most
+}
+
+// result looks at what came of the plan.
+func (g *Ground) result(began time.Duration, l *load) *Result {
+	rec := &Record{Calls: l.calls, Runs: g.fleet.Runs(), Told: g.fleet.Told(), Bans: g.bans, Slack: g.plan.slack()}
+	r := &Result{Plan: g.plan.String(), Name: g.plan.Name, Struck: g.struck, Pushes: map[string]int{}, Record: rec,
+		Logs: map[string][]Line{}}
+	for i, p := range g.processes {
+		rec.Balancers = append(rec.Balancers, Witness{p.Name, g.source(i), p.Away(), p.Crash()})
+		r.Logs[p.Name] = p.Log()
+	}
+	for _, err := range g.broken {
+		r.Trouble = append(r.Trouble, err.Error())
+	}
+	for _, x := range rec.Runs {
+		r.Pushes[x.Host]++
+	}
+	for _, x := range g.plan.ordered() {
+		r.Marks = append(r.Marks, Mark{x.At.d().Seconds(), (x.At + x.For).d().Seconds(), x.String()})
+	}
+	r.Late = float64(l.late.ValueAtQuantile(99)) / 1000
+	r.Breaks = rec.Check()
+	r.count(began, g.plan.Load.For.d())
+	return r
+}
+
+// count sums ops up by category and by second.
+func (r *Result) count(began, length time.Duration) {
+	type sums struct {
+		Group
+		took *hdrhistogram.Histogram
+	}
+	groups := map[string]*sums{}
+	seconds := make([]Second, int((length+time.Second-1)/time.Second))
+	tooks := make([]*hdrhistogram.Histogram, len(seconds))
+	for _, c := range r.Record.Calls {
+		s := groups[c.Category]
+		if s == nil {
+			s = &sums{Group{Name: c.Category, Answers: map[Answer]int{}}, histogram()}
+			groups[c.Category] = s
+		}
+		at := min(int((c.Due-began)/time.Second), len(seconds)-1)
+		if tooks[at] == nil {
+			tooks[at] = histogram()
+		}
+		took, second := c.Done-c.Due, &seconds[at]
+		s.Asked++
+		second.Asked++
+		s.Answers[c.Answer]++
+		if c.Answer == Nacked {
+			second.Nacked++
+		}
+		if c.Answer != Acked {
+			continue
+		}
+		s.took.RecordValue(took.Microseconds())
+		tooks[at].RecordValue(took.Microseconds())
+		if took <= target {
+			s.InTime++
+			second.InTime++
+		}
+	}
+	ms := func(h *hdrhistogram.Histogram, q float64) float64 {
+		if h == nil {
+			return 0
+		}
+		return float64(h.ValueAtQuantile(q)) / 1000
+	}
+	for _, name := range []string{"read", "put", "once"} {
+		if s := groups[name]; s != nil {
+			s.P50, s.P99, s.P999 = ms(s.took, 50), ms(s.took, 99), ms(s.took, 99.9)
+			r.Groups = append(r.Groups, s.Group)
+		}
+	}
+	for i := range seconds {
+		seconds[i].P50, seconds[i].P99 = ms(tooks[i], 50), ms(tooks[i], 99)
+	}
+	r.Seconds = seconds
+}
