--- a/internal/trial/link.go
+++ b/internal/trial/link.go
@@ -141,16 +141,16 @@
 	}
 }
 
-// join goes on behind the link. A connection that can't is reset, as if it had been refused. In a hole it is not made
-// until that is over.
+// join goes on behind the link. A connection that can't is reset, as if it had been refused. In a hole none comes up: what
+// asked for one is reset once that is over, with all that it has sent.
 func (l *Link) join(c net.Conn) {
 	j := &joint{near: c, far: c}
-	for {
+	for waited := false; ; waited = true {
 		l.mu.Lock()
 		refused := l.cut || l.ended || l.single && len(l.joints) > 0
-		hole, change := l.flaws[Out].Hole, l.change
+		hole, change := l.flaws[Out].Hole || l.flaws[Back].Hole, l.change
 		l.mu.Unlock()
-		if refused {
+		if refused || waited && !hole {
 			j.reset()
 			return
 		}
--- a/internal/trial/link_test.go
+++ b/internal/trial/link_test.go
@@ -108,6 +108,15 @@
 		if n, _, err := ask(dial(), 10); err != nil {
 			t.Fatalf("way %d after it: %d %v", w, n, err)
 		}
+		l.Set(w, Flaw{Hole: true})
+		asked := dial()
+		go func() {
+			time.Sleep(50 * time.Millisecond)
+			l.Set(w, Flaw{})
+		}()
+		if n, _, err := ask(asked, 10); n > 0 || !isReset(err) {
+			t.Fatalf("way %d, asked for in the hole: %d bytes, %v", w, n, err)
+		}
 	}
 }
 
--- a/internal/trial/report.go
+++ b/internal/trial/report.go
@@ -4,17 +4,13 @@
 	"bytes"
 	"fmt"
 	"html/template"
-	"image/color"
 	"io"
 	"slices"
 	"strings"
 	"text/tabwriter"
 
-	"gonum.org/v1/plot"
-	"gonum.org/v1/plot/plotter"
-	"gonum.org/v1/plot/vg"
-	"gonum.org/v1/plot/vg/draw"
-	"gonum.org/v1/plot/vg/vgsvg"
+	"github.com/wcharczuk/go-chart/v2"
+	"github.com/wcharczuk/go-chart/v2/drawing"
 )
 
 // Table writes a result for people.
@@ -66,13 +62,13 @@
 type series struct {
 	name   string
 	values func(s Second) float64
-	color  color.Color
+	color  drawing.Color
 }
 
 var (
-	blue  = color.RGBA{R: 0x1f, G: 0x5f, B: 0xa8, A: 0xff}
-	red   = color.RGBA{R: 0xb0, G: 0x30, B: 0x30, A: 0xff}
-	shade = color.RGBA{R: 0xd0, G: 0xa0, B: 0x60, A: 0x50}
+	blue  = drawing.ColorFromHex("1f5fa8")
+	red   = drawing.ColorFromHex("b03030")
+	shade = drawing.ColorFromHex("d0a060").WithAlpha(0x50)
 )
 
 // HTML writes the report: one file with everything in it.
@@ -108,68 +104,65 @@
 
 // plot draws a value a second, with the faults as shades behind it.
 func (r *Result) plot(title string, top float64, lines ...series) (template.HTML, error) {
-	p := plot.New()
-	p.Title.Text, p.X.Label.Text = title, "s"
-	p.Y.Min, p.X.Min, p.X.Max = 0, 0, float64(len(r.Seconds))
+	c := plain(title)
+	var drawn []chart.Series
 	for _, l := range lines {
-		var at plotter.XYs
+		var at, values []float64
 		for i, s := range r.Seconds {
-			at = append(at, plotter.XY{X: float64(i) + 0.5, Y: l.values(s)})
+			at, values = append(at, float64(i)+0.5), append(values, l.values(s))
 			top = max(top, l.values(s))
 		}
-		drawn, err := plotter.NewLine(at)
-		if err != nil {
-			return "", fmt.Errorf("report: %w", err)
-		}
-		drawn.Color, drawn.Width = l.color, vg.Points(1.5)
-		p.Add(drawn)
-		p.Legend.Add(l.name, drawn)
+		drawn = append(drawn, chart.ContinuousSeries{Name: l.name, XValues: at, YValues: values,
+			Style: chart.Style{StrokeColor: l.color, StrokeWidth: 2}})
 	}
-	p.Y.Max = max(top*1.05, 1)
+	top = max(top*1.05, 1)
 	for _, m := range r.Marks {
-		shaded, err := plotter.NewPolygon(plotter.XYs{{X: m.From}, {X: max(m.To, m.From+0.05)},
-			{X: max(m.To, m.From+0.05), Y: p.Y.Max}, {X: m.From, Y: p.Y.Max}})
-		if err != nil {
-			return "", fmt.Errorf("report: %w", err)
-		}
-		shaded.Color, shaded.LineStyle.Width = shade, 0
-		p.Add(shaded)
+		to := max(m.To, m.From+0.05)
+		c.Series = append(c.Series, chart.ContinuousSeries{XValues: []float64{m.From, to}, YValues: []float64{top, top},
+			Style: chart.Style{StrokeColor: shade, FillColor: shade}})
+	}
+	c.Series = append(c.Series, drawn...)
+	c.XAxis = chart.XAxis{Name: "s", Range: &chart.ContinuousRange{Min: 0, Max: float64(len(r.Seconds))}}
+	c.YAxis = chart.YAxis{Range: &chart.ContinuousRange{Min: 0, Max: top}}
+	var legend []string
+	for _, l := range lines {
+		legend = append(legend, fmt.Sprintf(`<span style="color:#%02x%02x%02x">%s</span>`, l.color.R, l.color.G, l.color.B, l.name))
 	}
-	return svg(p)
+	drawnHTML, err := svg(c.Render)
+	return drawnHTML + template.HTML("<br>"+strings.Join(legend, ", ")), err
+}
+
+func plain(title string) chart.Chart {
+	return chart.Chart{Title: title, TitleStyle: chart.Style{FontSize: 11}, Width: wide, Height: high,
+		Background: chart.Style{Padding: chart.Box{Top: 40, Left: 10, Right: 10, Bottom: 10}}}
 }
 
 // bars draws how often each host was pushed to.
 func (r *Result) bars() (template.HTML, error) {
-	p := plot.New()
-	p.Title.Text = "pushes by host"
-	var n plotter.Values
-	names := r.hosts()
-	for _, h := range names {
-		n = append(n, float64(r.Pushes[h]))
-	}
-	if len(n) == 0 {
-		return "", nil
+	c := chart.BarChart{Title: "pushes by host", TitleStyle: chart.Style{FontSize: 11}, Width: wide, Height: high,
+		Background: chart.Style{Padding: chart.Box{Top: 40, Left: 10, Right: 10, Bottom: 10}}}
+	most := 1.0
+	for _, h := range r.hosts() {
+		n := float64(r.Pushes[h])
+		most = max(most, n)
+		c.Bars = append(c.Bars, chart.Value{Label: h, Value: n, Style: chart.Style{FillColor: blue, StrokeColor: blue}})
 	}
-	drawn, err := plotter.NewBarChart(n, vg.Points(min(24, 500/float64(len(n)))))
-	if err != nil {
-		return "", fmt.Errorf("report: %w", err)
+	if len(c.Bars) == 0 {
+		return "", nil
 	}
-	drawn.Color = blue
-	p.Add(drawn)
-	p.NominalX(names...)
-	p.Y.Min = 0
-	return svg(p)
+	c.BarWidth = min(40, wide/2/len(c.Bars)+1)
+	c.YAxis = chart.YAxis{Range: &chart.ContinuousRange{Min: 0, Max: most * 1.05}}
+	return svg(c.Render)
 }
 
-func svg(p *plot.Plot) (template.HTML, error) {
-	c := vgsvg.New(22*vg.Centimeter, 7*vg.Centimeter)
-	p.Draw(draw.New(c))
+const wide, high = 900, 280 // of a plot, in pixels
+
+func svg(render func(chart.RendererProvider, io.Writer) error) (template.HTML, error) {
 	var b bytes.Buffer
-	if _, err := c.WriteTo(&b); err != nil {
+	if err := render(chart.SVG, &b); err != nil {
 		return "", fmt.Errorf("report: %w", err)
 	}
-	_, text, _ := strings.Cut(b.String(), "<svg") // a page's picture needs no document's head
-	return template.HTML("<svg" + text), nil
+	return template.HTML(b.String()), nil
 }
 
 var page = template.Must(template.New("report").Parse(`<!doctype html>
