Files and clocks that a trial may spoil, in a build with the tag faults; stand-ins in one place

Need: copies and agreed settings are to be shown with disks that fail and clocks that jump. internal/machine is the one way to files that have to last and to the wall clock; the tag's build takes word over a socket in its folder. internal/change writes its record through it. The steady clock is untouched: a jump counts only for what a process reads of the wall as it starts. The scripted stand-ins of the program's tests moved to internal/standin. Result: saves that fail at each step leave the old text; a kill before a sync leaves half; the shipped build holds no function of it, by test.

--- a/cmd/larchthread/commands_test.go
+++ b/cmd/larchthread/commands_test.go
@@ -6,9 +6,10 @@
 	"os"
 	"path/filepath"
 	"regexp"
-	"runtime/debug"
 	"strings"
 	"time"
+
+	"runtime/debug"
 )
 
 // The commands on inventory files say what they find, and end with a code that tells it.
@@ -135,11 +136,11 @@
 		time.Sleep(time.Duration(5+3*len(words[1])) * time.Millisecond)
 		return hit(words)
 	}
-	f.host("a", varied)
-	f.host("b", varied)
-	f.origin(fetch)
+	f.Host("a", varied)
+	f.Host("b", varied)
+	f.Origin(fetch)
 	line := func(i int, kind string) string {
-		at := regexp.MustCompile(`"id":"(.*?)","host_port":"(.*?)"`).FindStringSubmatch(f.members[i])
+		at := regexp.MustCompile(`"id":"(.*?)","host_port":"(.*?)"`).FindStringSubmatch(f.Members[i])
 		return fmt.Sprintf("%s,%s,z,%s\n", at[1], at[2], kind)
 	}
 	text := "id,address,zone,kind\n" + line(0, "box") + line(2, "origin") + line(1, "box")
@@ -149,7 +150,7 @@
 	}
 	put(text)
 	os.WriteFile(own, []byte("inventory: {file: fleet.csv, look_ms: 10}\n"), 0o600)
-	f.members = nil // neither discovery nor the start file knows of them
+	f.Members = nil // neither discovery nor the start file knows of them
 	f.start()
 	defer f.stop()
 	hosts := func() string {
@@ -187,13 +188,9 @@
 	put(strings.TrimSuffix(text, line2(text)))
 	fmt.Println(soon("known_cache_hosts:1"))
 	time.Sleep(500 * time.Millisecond)
-	f.mu.Lock()
-	f.notes = nil
-	f.mu.Unlock()
+	f.Forget()
 	time.Sleep(100 * time.Millisecond)
-	f.mu.Lock()
-	heard := strings.Join(f.notes, " ")
-	f.mu.Unlock()
+	heard := strings.Join(f.Notes(), " ")
 	fmt.Println("a hears:", strings.Contains(heard, "a: mg"), "b hears:", strings.Contains(heard, "b: mg"))
 	put(text)
 	fmt.Println(soon("known_cache_hosts:2"))
--- a/cmd/larchthread/fleet_test.go
+++ b/cmd/larchthread/fleet_test.go
@@ -13,21 +13,18 @@
 	"os/exec"
 	"path/filepath"
 	"regexp"
-	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"larchthread/internal/standin"
 )
 
-// fleet stands in for all that a balancer speaks to: cache hosts and an origin that do as they are told, and
-// discovery. It notes what they hear.
+// fleet is the program and all that it speaks to: cache hosts and an origin that do as they are told, and discovery.
 type fleet struct {
-	mu      sync.Mutex
-	notes   []string
-	members []string
-	changed chan string // the answer to a watch
+	standin.Script
 	process *exec.Cmd
 	watched string   // discovery's address
 	args    []string // of the program's command line
@@ -39,63 +36,23 @@
 	limits  string
 	sets    string // settings in place of the usual ones
 	logTo   io.Writer
-	closers []io.Closer
 	served  int // ops, where speed is measured
 }
 
-// What depends on the time is left out of traces: how long is waited, and when to come again.
-var told, again = regexp.MustCompile(`d=[0-9.]+`), regexp.MustCompile(`busy [1-9][0-9]+$`)
-
-func (f *fleet) note(form string, args ...any) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.notes = append(f.notes, told.ReplaceAllString(fmt.Sprintf(form, args...), "d=.."))
-}
+// What depends on the time is left out of traces: when to come again.
+var again = regexp.MustCompile(`busy [1-9][0-9]+$`)
 
 // heard prints what has been noted since the last time, without discovery's calls: when those come is up to time.
 func (f *fleet) heard() {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	for _, n := range f.notes {
+	for _, n := range f.Forget() {
 		if !strings.HasPrefix(n, "discovery") {
 			fmt.Println(" ", n)
 		}
 	}
-	f.notes = nil
 }
 
 // oneName has the hosts x and x2 noted alike: which of them a key goes to first is of no matter.
-func (f *fleet) oneName() {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	for i, n := range f.notes {
-		f.notes[i] = strings.Replace(n, "x2:", "x:", 1)
-	}
-}
-
-func (f *fleet) serve(l net.Listener, each func(net.Conn)) {
-	f.closers = append(f.closers, l)
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer c.Close()
-				each(c)
-			}()
-		}
-	}()
-}
-
-func listenAnywhere() net.Listener {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		panic(err)
-	}
-	return l
-}
+func (f *fleet) oneName() { f.Rename("x2:", "x:") }
 
 // freeAddress is an address that nobody has. It is this process's own part of loopback: on the usual one a connection that
 // is just being made may take the port before the program does.
@@ -108,63 +65,6 @@
 	return l.Addr().String()
 }
 
-// host adds a cache host that answers each command with what say returns: bytes, "drop" to close the
-// connection behind them, or "" to stay silent. {id} stands for the op's id.
-func (f *fleet) host(name string, say func(words []string) string) {
-	l := listenAnywhere()
-	f.members = append(f.members, member(name, l.Addr().String(), "box", "in_service"))
-	f.serve(l, func(c net.Conn) {
-		for r := bufio.NewReader(c); ; {
-			line, err := r.ReadString('\n')
-			if err != nil {
-				if !errors.Is(err, io.EOF) || line != "" {
-					return
-				}
-				f.note("%s: connection closed", name)
-				return
-			}
-			words := strings.Fields(line)
-			f.note("%s: %s", name, strings.TrimSpace(line))
-			answer := strings.ReplaceAll(say(words), "{id}", strings.TrimPrefix(words[3], "O"))
-			last := strings.HasSuffix(answer, "drop")
-			if last { // the end comes with the last bytes, not some time behind them
-				raw, err := c.(*net.TCPConn).SyscallConn()
-				if err == nil {
-					raw.Control(func(fd uintptr) { syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, syscall.TCP_CORK, 1) })
-				}
-			}
-			io.WriteString(c, strings.TrimSuffix(answer, "drop"))
-			if last {
-				return
-			}
-		}
-	})
-}
-
-// origin adds the origin.
-func (f *fleet) origin(handle func(w http.ResponseWriter, r *http.Request)) {
-	l := listenAnywhere()
-	f.members = append(f.members, member("log", l.Addr().String(), "origin", "in_service"))
-	f.closers = append(f.closers, l)
-	go http.Serve(l, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		body, _ := io.ReadAll(r.Body)
-		if len(body) > 100 {
-			body = []byte(fmt.Sprint(len(body), " bytes"))
-		}
-		f.note("origin: %s %s %q %s %s", r.Method, r.URL.Path, body, r.Header.Get("X-Request-ID"), r.Header.Get("X-Attrs"))
-		handle(w, r)
-	}))
-}
-
-func member(id, address, flavor, phase string) string {
-	return fmt.Sprintf(`{"id":%q,"host_port":%q,"locality":"z","flavor":%q,"cell":0,"phase":%q,"size":1,"up_since_ms":0}`,
-		id, address, flavor, phase)
-}
-
-func list(revision int, complete bool, members ...string) string {
-	return fmt.Sprintf(`{"revision":%d,"complete":%t,"members":[%s]}`, revision, complete, strings.Join(members, ","))
-}
-
 const settings = `{"categories":[
 	{"name":"read","benefit":1,"targetLatencyUs":200000,"ttlUs":600000,"repeat":"retryable","tardyBenefit":0.5},
 	{"name":"put","benefit":1,"targetLatencyUs":200000,"ttlUs":600000,"repeat":"dedup","dedupWindowUs":400000,"tardyBenefit":0.5},
@@ -173,40 +73,10 @@
 	"specifics":{"mode":"aside","originKind":1},
 	"limits":{"mostPushes":3,"cancelling":true,"connIdleUs":60000000,"connectTimeoutUs":50000,"retryAfter":true,"maxRetryAfterUs":400000}}`
 
-// discovery starts a list service under a name, and returns its address.
-func (f *fleet) discovery(name string) string {
-	l := listenAnywhere()
-	f.closers = append(f.closers, l)
-	go http.Serve(l, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		asked := r.URL.Query()
-		f.note("%s: %s", name, asked.Get("index"))
-		w.Header().Set("Content-Type", "application/json")
-		select {
-		case l := <-f.changed:
-			if l == "down" {
-				w.WriteHeader(http.StatusServiceUnavailable)
-				return
-			}
-			io.WriteString(w, l)
-		case <-time.After(time.Millisecond):
-			if asked.Get("wait") != "1" {
-				select {
-				case l := <-f.changed:
-					io.WriteString(w, l)
-				case <-r.Context().Done():
-				}
-				return
-			}
-			fmt.Fprintf(w, `{"revision":%s,"complete":false,"members":[]}`, asked.Get("index"))
-		}
-	}))
-	return l.Addr().String()
-}
-
 // write writes the configuration.
 func (f *fleet) write(discovery string) {
 	text := fmt.Sprintf(`{"name":"n1","listen":%q,"admin":%q,"discovery":%q,"seed":"7","limits":%s,"known":%s,"settings":%s}`,
-		f.listen, f.admin, discovery, f.limits, list(1, true, f.members...), f.sets)
+		f.listen, f.admin, discovery, f.limits, standin.List(1, true, f.Members...), f.sets)
 	if !json.Valid([]byte(text)) {
 		panic(text)
 	}
@@ -217,7 +87,7 @@
 
 // start starts discovery and the program, and returns once its watch stands.
 func (f *fleet) start() {
-	f.changed = make(chan string, 4)
+	f.Changed = make(chan string, 4)
 	f.listen = freeAddress()
 	if f.limits == "" {
 		f.limits = `{"cores":1,"memory_mb":192,"sockets":1024}`
@@ -226,16 +96,14 @@
 		f.sets = settings
 	}
 	f.path = filepath.Join(os.TempDir(), fmt.Sprintf("larchthread-test-%d.json", os.Getpid()))
-	f.watched = f.discovery("discovery")
+	f.watched = f.Lists("discovery")
 	f.write(f.watched)
 	f.process = f.run()
 	reach(f.listen)
 	if f.args == nil {
 		f.await("discovery: 1", 2)
 	}
-	f.mu.Lock()
-	f.notes = nil
-	f.mu.Unlock()
+	f.Forget()
 }
 
 // reach waits until an address takes connections.
@@ -292,14 +160,12 @@
 // await waits until a note has come so many times.
 func (f *fleet) await(note string, times int) {
 	for range 500 {
-		f.mu.Lock()
 		n := 0
-		for _, x := range f.notes {
+		for _, x := range f.Notes() {
 			if x == note {
 				n++
 			}
 		}
-		f.mu.Unlock()
 		if n >= times {
 			return
 		}
@@ -313,9 +179,7 @@
 	f.process.Process.Kill()
 	f.process.Wait()
 	os.Remove(f.path)
-	for _, c := range f.closers {
-		c.Close()
-	}
+	f.Close()
 }
 
 // ended prints how often connections ended for each of the reasons.
@@ -385,9 +249,7 @@
 // two pushes of an op are heard by two of them, in either order.
 func (f *fleet) heardSorted() {
 	f.oneName()
-	f.mu.Lock()
-	slices.Sort(f.notes)
-	f.mu.Unlock()
+	f.Sort()
 	f.heard()
 }
 
--- a/cmd/larchthread/lists_test.go
+++ b/cmd/larchthread/lists_test.go
@@ -6,23 +6,25 @@
 	"strings"
 	"syscall"
 	"time"
+
+	"larchthread/internal/standin"
 )
 
 // A watch goes on after each answer; a draining host gets nothing more; after a failure a new watch begins.
 func Example_watch() {
 	f := &fleet{}
-	f.host("a", hit)
+	f.Host("a", hit)
 	f.start()
 	defer f.stop()
 	c := f.client()
 	c.say(2, "mg k v O1 Pc=read,d=500\r\n")
-	f.changed <- list(2, false, strings.Replace(f.members[0], "in_service", "terminating", 1))
+	f.Changed <- standin.List(2, false, strings.Replace(f.Members[0], "in_service", "terminating", 1))
 	f.await("a: connection closed", 1)
 	c.say(1, "mg k v O2 Pc=read,d=100\r\n")
-	f.changed <- list(3, true, f.members[0])
+	f.Changed <- standin.List(3, true, f.Members[0])
 	f.await("discovery: 3", 1)
 	c.say(2, "mg k v O3 Pc=read,d=500\r\n")
-	f.changed <- "down"
+	f.Changed <- "down"
 	f.await("discovery: 3", 3) // the new watch, and its second call
 	f.heard()
 	// Output:
@@ -40,7 +42,7 @@
 // its connection for nothing. They once stayed for as long as there were sockets.
 func Example_silent() {
 	f := &fleet{}
-	f.host("a", hit)
+	f.Host("a", hit)
 	f.start()
 	defer f.stop()
 	silent, half, value, kept := f.client(), f.client(), f.client(), f.client()
@@ -75,7 +77,7 @@
 // read changes nothing. The program once ended on SIGHUP.
 func Example_reload() {
 	f := &fleet{}
-	f.host("a", func(words []string) string {
+	f.Host("a", func(words []string) string {
 		time.Sleep(100 * time.Millisecond)
 		return hit(words)
 	})
@@ -85,13 +87,13 @@
 	os.WriteFile(f.path, []byte("{"), 0o600)
 	f.process.Process.Signal(syscall.SIGHUP)
 	c.say(2, "mg k v O1 Pc=read,d=500\r\n")
-	f.write(f.discovery("discovery, moved"))
+	f.write(f.Lists("discovery, moved"))
 	c.say(0, "mg k v O2 Pc=read,d=500\r\n")
 	f.await("a: mg k v O2 Pc=read,d=..", 1)
 	f.process.Process.Signal(syscall.SIGHUP)
 	f.await("discovery, moved: 1", 2) // a first call and the one that waits
 	c.say(2, "")
-	f.changed <- list(2, false, strings.Replace(f.members[0], "in_service", "terminating", 1))
+	f.Changed <- standin.List(2, false, strings.Replace(f.Members[0], "in_service", "terminating", 1))
 	f.await("a: connection closed", 1)
 	f.heard()
 	c.Close()
@@ -111,7 +113,7 @@
 // A watch whose call is never answered is begun again on a new connection.
 func Example_deadWatch() {
 	f := &fleet{}
-	f.host("a", hit)
+	f.Host("a", hit)
 	f.start()
 	defer f.stop()
 	f.await("discovery: 1", 2) // no answer comes to the calls that wait: the first of a new watch, and its second
--- a/cmd/larchthread/long_test.go
+++ b/cmd/larchthread/long_test.go
@@ -14,7 +14,7 @@
 // would hold; small ops are served meanwhile. One that breaks off in the middle ends the client's connection there.
 func Example_longReads() {
 	f := &fleet{limits: `{"cores":1,"memory_mb":64,"sockets":512}`}
-	f.host("a", func(words []string) string {
+	f.Host("a", func(words []string) string {
 		switch {
 		case strings.HasPrefix(words[1], "far"):
 			return miss(words)
@@ -28,7 +28,7 @@
 		}
 		return hit(words)
 	})
-	f.origin(func(w http.ResponseWriter, r *http.Request) {
+	f.Origin(func(w http.ResponseWriter, r *http.Request) {
 		w.Header().Set("Content-Length", fmt.Sprint(len(big)))
 		io.WriteString(w, big)
 	})
@@ -74,8 +74,8 @@
 // middle of one doesn't hold up the others for good, and one that is too long is refused at once.
 func Example_longWrites() {
 	f := &fleet{limits: `{"cores":1,"memory_mb":64,"sockets":512}`}
-	f.host("a", hit)
-	f.origin(fetch)
+	f.Host("a", hit)
+	f.Origin(fetch)
 	f.start()
 	defer f.stop()
 	var all sync.WaitGroup
@@ -106,7 +106,7 @@
 		}
 	}
 	whole := 0
-	for _, n := range f.notes {
+	for _, n := range f.Notes() {
 		if strings.HasPrefix(n, `origin: PUT /k "4194304 bytes"`) {
 			whole++
 		}
@@ -124,7 +124,7 @@
 // are over then, and neither keeps the host from others.
 func Example_longStuck() {
 	f := &fleet{admin: freeAddress()}
-	f.host("a", func(words []string) string {
+	f.Host("a", func(words []string) string {
 		switch words[1] {
 		case "half":
 			return "VA 100000 O{id}\r\n" + big[:50000]
@@ -133,7 +133,7 @@
 		}
 		return hit(words)
 	})
-	f.origin(fetch)
+	f.Origin(fetch)
 	f.start()
 	defer f.stop()
 	half, slow := f.client(), f.client()
--- a/cmd/larchthread/main_test.go
+++ b/cmd/larchthread/main_test.go
@@ -28,13 +28,13 @@
 // Reads go to the cache host and, after a miss, to the origin; writes go to the origin. Bad commands are named.
 func Example() {
 	f := &fleet{}
-	f.host("a", func(words []string) string {
+	f.Host("a", func(words []string) string {
 		if words[1] == "cold" {
 			return miss(words)
 		}
 		return hit(words)
 	})
-	f.origin(fetch)
+	f.Origin(fetch)
 	f.start()
 	defer f.stop()
 	c := f.client()
--- a/cmd/larchthread/operators_test.go
+++ b/cmd/larchthread/operators_test.go
@@ -6,13 +6,15 @@
 	"net"
 	"regexp"
 	"strings"
+
+	"larchthread/internal/standin"
 )
 
 // Operators' calls are answered while callers that say nothing hold more connections than there are in reserve, and clients
 // flood the balancer. The figures tell what hosts and clients have seen, and a host taken out by hand gets nothing new.
 func Example_operators() {
 	f := &fleet{admin: freeAddress()}
-	f.host("a", func(words []string) string {
+	f.Host("a", func(words []string) string {
 		switch words[1] {
 		case "cold":
 			return miss(words)
@@ -21,7 +23,7 @@
 		}
 		return hit(words)
 	})
-	f.origin(fetch)
+	f.Origin(fetch)
 	f.start()
 	defer f.stop()
 	for range 40 {
@@ -44,7 +46,7 @@
 		word, id, _ := strings.Cut(call, " ")
 		fmt.Println(call, f.call("POST", "/maintenance/"+word, id))
 	}
-	f.changed <- list(2, true, f.members...) // whatever discovery says meanwhile
+	f.Changed <- standin.List(2, true, f.Members...) // whatever discovery says meanwhile
 	f.await("discovery: 2", 1)
 	c.say(2, "mg hot v O4 Pc=read,d=500\r\n") // the last host is out: from the origin
 	fmt.Println(regexp.MustCompile("(passed.read:3|skipped_cache_hosts:1)").FindAllString(f.call("GET", "/status/metrics", ""), -1))
--- a/cmd/larchthread/pushes_test.go
+++ b/cmd/larchthread/pushes_test.go
@@ -15,18 +15,16 @@
 // was asked for each key that is its own: at hundreds of balancers that was more than one push an op for nothing.
 func Example_tableFull() {
 	f := &fleet{}
-	f.host("x", func([]string) string { return "SERVER_ERROR busy\r\ndrop" })
-	f.host("b", hit)
-	f.origin(fetch)
+	f.Host("x", func([]string) string { return "SERVER_ERROR busy\r\ndrop" })
+	f.Host("b", hit)
+	f.Origin(fetch)
 	f.start()
 	defer f.stop()
 	c := f.client()
 	for i := range 8 {
 		c.say(2, fmt.Sprintf("mg key%d v O%d Pc=read,d=500\r\n", i, i))
 	}
-	f.mu.Lock()
-	fmt.Println("asked for a connection:", strings.Count(strings.Join(f.notes, "\n"), "x: mg"))
-	f.mu.Unlock()
+	fmt.Println("asked for a connection:", strings.Count(strings.Join(f.Notes(), "\n"), "x: mg"))
 	f.ended("table-full")
 	// Output:
 	// VA 5 O0
@@ -52,13 +50,13 @@
 // Commands in one write, or in pieces, are answered in their order, also where a later one is served first.
 func Example_pipeline() {
 	f := &fleet{}
-	f.host("a", func(words []string) string {
+	f.Host("a", func(words []string) string {
 		if words[1] == "slow" {
 			time.Sleep(30 * time.Millisecond)
 		}
 		return "VA 4 O{id}\r\n" + (words[1] + "....")[:4] + "\r\n"
 	})
-	f.origin(fetch)
+	f.Origin(fetch)
 	f.start()
 	defer f.stop()
 	c := f.client()
@@ -103,9 +101,9 @@
 			return hit(words)
 		}
 	}
-	f.host("a", bad("VA 5 Oother\r\nwrong\r\n"))
-	f.host("b", bad("VA 5 Oother\r\nwrong\r\n"))
-	f.origin(fetch)
+	f.Host("a", bad("VA 5 Oother\r\nwrong\r\n"))
+	f.Host("b", bad("VA 5 Oother\r\nwrong\r\n"))
+	f.Origin(fetch)
 	f.start()
 	defer f.stop()
 	c := f.client()
@@ -121,7 +119,7 @@
 // have run it, one that is gone has not, and one that turns it away has not.
 func Example_neverRan() {
 	f := &fleet{}
-	f.host("a", func(words []string) string {
+	f.Host("a", func(words []string) string {
 		switch words[1] {
 		case "break":
 			return "drop"
@@ -140,7 +138,7 @@
 	time.Sleep(600 * time.Millisecond) // the host rests after a failure
 	gone.say(1, "mg break v O3 Pc=once,d=500\r\n")
 	time.Sleep(1200 * time.Millisecond)
-	f.closers[0].Close() // what the host has open is gone with its last break, and nothing new comes up
+	f.Closers[0].Close() // what the host has open is gone with its last break, and nothing new comes up
 	gone.say(1, "mg k v O4 Pc=once,d=500\r\n")
 	f.heard()
 	// Output:
@@ -164,8 +162,8 @@
 		}
 		return hit(words)
 	}
-	f.host("x", silent)
-	f.host("x2", silent)
+	f.Host("x", silent)
+	f.Host("x2", silent)
 	f.start()
 	defer f.stop()
 	c := f.client()
@@ -192,8 +190,8 @@
 		time.Sleep(50 * time.Millisecond)
 		return hit(words)
 	}
-	f.host("x", say)
-	f.host("x2", say)
+	f.Host("x", say)
+	f.Host("x2", say)
 	f.start()
 	return f
 }
@@ -284,9 +282,9 @@
 // A load report that is garbage costs nothing but itself.
 func Example_garbledReport() {
 	f := &fleet{sets: twice}
-	f.host("a", miss)
+	f.Host("a", miss)
 	reports := []string{"busy=0.5,q=2", "busy=,q", "=,=,,busy=NaN,q=-3", "busy=1e999,\u00ff=4", strings.Repeat("q=1,", 99)}
-	f.origin(func(w http.ResponseWriter, r *http.Request) {
+	f.Origin(func(w http.ResponseWriter, r *http.Request) {
 		w.Header().Set("X-Server-Load", reports[0])
 		reports = reports[1:]
 		fetch(w, r)
@@ -313,7 +311,7 @@
 // Bytes behind an answer are not taken for the next op's: the connection ends, and the next op gets a new one.
 func Example_leftover() {
 	f := &fleet{}
-	f.host("a", func(words []string) string {
+	f.Host("a", func(words []string) string {
 		if words[1] == "twice" {
 			return "VA 5 O{id}\r\nfirst\r\nVA 5 O2\r\nwrong\r\n"
 		}
@@ -340,7 +338,7 @@
 func Example_stale() {
 	f := &fleet{}
 	n := 0
-	f.host("a", func(words []string) string {
+	f.Host("a", func(words []string) string {
 		if n++; n == 2 {
 			return "drop"
 		}
@@ -365,7 +363,7 @@
 // A host that falls silent gets a new connection: those that are idle from before may be dead without a word.
 func Example_vanished() {
 	f := &fleet{}
-	f.host("a", func(words []string) string {
+	f.Host("a", func(words []string) string {
 		switch words[1] {
 		case "slow":
 			time.Sleep(30 * time.Millisecond)
--- a/cmd/larchthread/speed_test.go
+++ b/cmd/larchthread/speed_test.go
@@ -9,8 +9,6 @@
 	"net"
 	"os"
 	"os/exec"
-	"runtime"
-	"runtime/pprof"
 	"slices"
 	"strconv"
 	"strings"
@@ -21,6 +19,10 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+	"runtime"
+	"runtime/pprof"
+
+	"larchthread/internal/standin"
 )
 
 const (
@@ -33,9 +35,9 @@
 
 // quick adds a cache host that answers each command with one byte after a while, and notes nothing.
 func (f *fleet) quick(name string, delay time.Duration) {
-	l := listenAnywhere()
-	f.members = append(f.members, member(name, l.Addr().String(), "box", "in_service"))
-	f.serve(l, func(c net.Conn) { quickly(c, delay) })
+	l := standin.Anywhere()
+	f.Members = append(f.Members, standin.Line(name, l.Addr().String(), "box", "in_service"))
+	f.Serve(l, func(c net.Conn) { quickly(c, delay) })
 }
 
 // apart adds such hosts in a process of their own, which no pause of the clients' holds up.
@@ -50,7 +52,7 @@
 		panic(err)
 	}
 	for lines, i := bufio.NewScanner(out), 0; i < n && lines.Scan(); i++ {
-		f.members = append(f.members, member(fmt.Sprint("h", i), lines.Text(), "box", "in_service"))
+		f.Members = append(f.Members, standin.Line(fmt.Sprint("h", i), lines.Text(), "box", "in_service"))
 	}
 	return func() {
 		p.Process.Kill()
@@ -68,8 +70,8 @@
 	}
 	f := &fleet{}
 	for range many {
-		l := listenAnywhere()
-		f.serve(l, func(c net.Conn) { quickly(c, delay) })
+		l := standin.Anywhere()
+		f.Serve(l, func(c net.Conn) { quickly(c, delay) })
 		fmt.Println(l.Addr())
 	}
 	select {}
@@ -362,7 +364,7 @@
 func (f *fleet) relay() (string, *exec.Cmd) {
 	listen := freeAddress()
 	var hosts []string
-	for _, m := range f.members {
+	for _, m := range f.Members {
 		_, rest, _ := strings.Cut(m, `"host_port":"`)
 		host, _, _ := strings.Cut(rest, `"`)
 		hosts = append(hosts, host)
--- /dev/null
+++ b/cmd/larchthread/spoilt_on_test.go
@@ -0,0 +1,5 @@
+//go:build faults
+
+package main
+
+const builtWithFaults = true
--- /dev/null
+++ b/cmd/larchthread/spoilt_test.go
@@ -0,0 +1,26 @@
+//go:build faults
+
+package main
+
+import (
+	"testing"
+
+	"larchthread/internal/trial"
+)
+
+// In a build with the tag the ground spoils files and clocks of a running process; one that starts meanwhile starts with its
+// clock off.
+func TestSpoilt(t *testing.T) {
+	p, err := trial.Read([]byte(`
+name: files and clocks
+load: {for: 2.5s, rate: 100}
+faults:
+- {at: 0.3s, for: 1s, what: disk, of: [b1], by: sync}
+- {at: 0.5s, for: 1.7s, what: clock, of: [b2], by: -30s}
+- {at: 0.8s, for: 0.6s, what: kill, of: [b2]}
+`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	tryPlan(t, p)
+}
--- a/cmd/larchthread/trial_test.go
+++ b/cmd/larchthread/trial_test.go
@@ -226,3 +226,15 @@
 		t.Fatal(err)
 	}
 }
+
+// The build that ships holds nothing that could spoil its files or clock.
+func TestShippedBuildSpoilsNothing(t *testing.T) {
+	program, err := os.ReadFile(os.Args[0])
+	if err != nil {
+		t.Fatal(err)
+	}
+	has := func(name string) bool { return bytes.Contains(program, []byte("larchthread/internal/machine."+name)) }
+	if spoils := has("spo" + "il"); !has("Wa"+"ll") || spoils != builtWithFaults {
+		t.Errorf("it can spoil: %t, want %t", spoils, builtWithFaults)
+	}
+}
--- a/cmd/larchthread/upgrade_test.go
+++ b/cmd/larchthread/upgrade_test.go
@@ -20,9 +20,9 @@
 		time.Sleep(time.Duration(5+3*len(words[1])) * time.Millisecond)
 		return hit(words)
 	}
-	f.host("a", varied)
-	f.host("x", varied)
-	f.origin(fetch)
+	f.Host("a", varied)
+	f.Host("x", varied)
+	f.Origin(fetch)
 	f.start()
 	defer f.stop()
 	fmt.Println(f.call("POST", "/maintenance/enter", "x"))
@@ -36,8 +36,8 @@
 	half.say(1, "cd\r\n")
 	time.Sleep(50 * time.Millisecond)
 	done()
-	fmt.Println("x heard of it:", strings.Contains(strings.Join(f.notes, " "), "x: mg"))
-	f.notes = nil
+	fmt.Println("x heard of it:", strings.Contains(strings.Join(f.Notes(), " "), "x: mg"))
+	f.Forget()
 	fmt.Println(f.call("POST", "/maintenance/exit", "x"))
 	c := f.client()
 	for i := range 20 {
@@ -45,7 +45,7 @@
 		c.r.ReadString('\n')
 		c.r.ReadString('\n')
 	}
-	fmt.Println("x hears of it:", strings.Contains(strings.Join(f.notes, " "), "x: mg"))
+	fmt.Println("x hears of it:", strings.Contains(strings.Join(f.Notes(), " "), "x: mg"))
 	// Output:
 	// 200 done
 	// the old one ends: <nil>
@@ -62,8 +62,8 @@
 // before its yes and after it; and where it can't be asked, the two share the address.
 func Example_upgradeThatFails() {
 	f := &fleet{admin: freeAddress()}
-	f.host("x", hit)
-	f.origin(fetch)
+	f.Host("x", hit)
+	f.Origin(fetch)
 	f.start()
 	defer f.stop()
 	first, old := f.admin, f.process
@@ -109,8 +109,8 @@
 	f := &fleet{admin: freeAddress(), tmp: filepath.Join(os.TempDir(), strings.Repeat("long", 30), fmt.Sprint(os.Getpid()))}
 	os.MkdirAll(f.tmp, 0o700)
 	defer os.RemoveAll(filepath.Dir(f.tmp))
-	f.host("a", hit)
-	f.origin(fetch)
+	f.Host("a", hit)
+	f.Origin(fetch)
 	f.start()
 	defer f.stop()
 	n := 0
@@ -188,8 +188,8 @@
 	f := &fleet{admin: freeAddress(), tmp: filepath.Join(os.TempDir(), fmt.Sprint("across", os.Getpid()))}
 	os.MkdirAll(f.tmp, 0o700)
 	defer os.RemoveAll(f.tmp)
-	f.host("a", hit)
-	f.origin(fetch)
+	f.Host("a", hit)
+	f.Origin(fetch)
 	f.start()
 	defer f.stop()
 	box := filepath.Join(f.tmp, "larchthread-"+strings.ReplaceAll(f.listen, ":", "-"))
--- a/internal/change/folder.go
+++ b/internal/change/folder.go
@@ -3,18 +3,19 @@
 import (
 	"errors"
 	"io/fs"
-	"os"
 	"path/filepath"
+
+	"larchthread/internal/machine"
 )
 
 const recordName = "change.json"
 
-// Folder keeps the record in a folder of the file system: written beside, brought to the disk, and renamed over.
+// Folder keeps the record in a folder of the file system.
 type Folder string
 
 // Load implements Store.
 func (f Folder) Load() ([]byte, error) {
-	raw, err := os.ReadFile(filepath.Join(string(f), recordName))
+	raw, err := machine.Disk().Read(f.path())
 	if errors.Is(err, fs.ErrNotExist) {
 		return nil, nil
 	}
@@ -22,27 +23,8 @@
 }
 
 // Save implements Store.
-func (f Folder) Save(record []byte) (err error) {
-	beside := filepath.Join(string(f), recordName+".new")
-	if err := write(beside, record); err != nil {
-		return err
-	}
-	if err := os.Rename(beside, filepath.Join(string(f), recordName)); err != nil {
-		return err
-	}
-	dir, err := os.Open(string(f))
-	if err != nil {
-		return err
-	}
-	return errors.Join(dir.Sync(), dir.Close())
+func (f Folder) Save(record []byte) error {
+	return machine.Save(machine.Disk(), string(f), f.path(), record)
 }
 
-// write writes a file and waits until the disk has it.
-func write(path string, text []byte) error {
-	file, err := os.OpenFile(path, os.O_WRONLY|os.O_CREATE|os.O_TRUNC, 0o600)
-	if err != nil {
-		return err
-	}
-	_, err = file.Write(text)
-	return errors.Join(err, file.Sync(), file.Close())
-}
+func (f Folder) path() string { return filepath.Join(string(f), recordName) }
--- /dev/null
+++ b/internal/machine/spoil_test.go
@@ -0,0 +1,80 @@
+//go:build faults
+
+package machine
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+)
+
+// Whatever fails amid a save, the old text stays; once the disk is well the next one counts.
+func TestSpoiltSave(t *testing.T) {
+	for _, how := range []string{"write", "sync", "rename", "full"} {
+		dir := t.TempDir()
+		path := filepath.Join(dir, "record")
+		if err := Save(Disk(), dir, path, []byte("old")); err != nil {
+			t.Fatal(err)
+		}
+		if said := spoil([]string{"disk", how}); said != "ok" {
+			t.Fatal(said)
+		}
+		if err := Save(Disk(), dir, path, []byte("new")); err == nil {
+			t.Errorf("%s: no error", how)
+		}
+		if got, _ := Disk().Read(path); string(got) != "old" {
+			t.Errorf("%s: left %q", how, got)
+		}
+		spoil([]string{"disk", "well"})
+		if err := Save(Disk(), dir, path, []byte("new")); err != nil {
+			t.Errorf("%s, well again: %v", how, err)
+		}
+	}
+}
+
+// A process that ends before its sync leaves half of what it wrote; one that ends behind it leaves all.
+func TestTorn(t *testing.T) {
+	spoil([]string{"disk", "torn"})
+	defer spoil([]string{"disk", "well"})
+	path := filepath.Join(t.TempDir(), "record")
+	f, err := Disk().Create(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.Write([]byte("0123456789"))
+	if got, _ := os.ReadFile(path); string(got) != "01234" {
+		t.Errorf("before the sync: %q", got)
+	}
+	f.Sync()
+	if got, _ := os.ReadFile(path); string(got) != "0123456789" {
+		t.Errorf("behind it: %q", got)
+	}
+}
+
+func TestHang(t *testing.T) {
+	spoil([]string{"disk", "hang"})
+	dir := t.TempDir()
+	done := make(chan error)
+	go func() { done <- Save(Disk(), dir, filepath.Join(dir, "record"), []byte("x")) }()
+	select {
+	case err := <-done:
+		t.Fatal("it did not hang", err)
+	case <-time.After(50 * time.Millisecond):
+	}
+	spoil([]string{"disk", "well"})
+	if err := <-done; err != nil {
+		t.Fatal(err)
+	}
+}
+
+func TestClock(t *testing.T) {
+	spoil([]string{"clock", "1h"})
+	defer spoil([]string{"clock", "0s"})
+	if d := time.Until(Wall()); d < 59*time.Minute || d > 61*time.Minute {
+		t.Error(d)
+	}
+	if said := spoil([]string{"clock", "soon"}); said == "ok" {
+		t.Error(said)
+	}
+}
--- /dev/null
+++ b/internal/standin/script.go
@@ -0,0 +1,195 @@
+package standin
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"regexp"
+	"slices"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// Script is stand-ins that answer by the word of a test, one answer at a time, where a Fleet's go by what they hold. It notes
+// what they hear. Its methods panic where the machine has no room for them.
+type Script struct {
+	Members []string    // of discovery's list, in its form
+	Changed chan string // the answers to watches; "down" for a failure
+	Closers []io.Closer
+
+	mu    sync.Mutex
+	notes []string
+}
+
+// What a note leaves out, as it depends on the time: for how long a balancer waits.
+var waited = regexp.MustCompile(`d=[0-9.]+`)
+
+// Note notes something.
+func (s *Script) Note(form string, args ...any) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.notes = append(s.notes, waited.ReplaceAllString(fmt.Sprintf(form, args...), "d=.."))
+}
+
+// Notes are all notes since the last call of Forget.
+func (s *Script) Notes() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]string(nil), s.notes...)
+}
+
+// Forget takes all notes, and has noted nothing from then on.
+func (s *Script) Forget() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	all := s.notes
+	s.notes = nil
+	return all
+}
+
+// Rename changes a part of all notes.
+func (s *Script) Rename(old, name string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for i, n := range s.notes {
+		s.notes[i] = strings.Replace(n, old, name, 1)
+	}
+}
+
+// Sort puts all notes in order of the alphabet.
+func (s *Script) Sort() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	slices.Sort(s.notes)
+}
+
+// Serve has each connection to a listener served.
+func (s *Script) Serve(l net.Listener, each func(net.Conn)) {
+	s.Closers = append(s.Closers, l)
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				each(c)
+			}()
+		}
+	}()
+}
+
+// Anywhere listens on an address of loopback that nobody has.
+func Anywhere() net.Listener {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		panic(err)
+	}
+	return l
+}
+
+// Host adds a cache host that answers each command with what say returns: bytes, "drop" to close the connection behind them,
+// or "" to stay silent. {id} stands for the op's id.
+func (s *Script) Host(name string, say func(words []string) string) {
+	l := Anywhere()
+	s.Members = append(s.Members, Line(name, l.Addr().String(), KindHost, InService))
+	s.Serve(l, func(c net.Conn) {
+		for r := bufio.NewReader(c); ; {
+			line, err := r.ReadString('\n')
+			if err != nil {
+				if !errors.Is(err, io.EOF) || line != "" {
+					return
+				}
+				s.Note("%s: connection closed", name)
+				return
+			}
+			words := strings.Fields(line)
+			s.Note("%s: %s", name, strings.TrimSpace(line))
+			answer := strings.ReplaceAll(say(words), "{id}", strings.TrimPrefix(words[3], "O"))
+			last := strings.HasSuffix(answer, "drop")
+			if last {
+				cork(c)
+			}
+			io.WriteString(c, strings.TrimSuffix(answer, "drop"))
+			if last {
+				return
+			}
+		}
+	})
+}
+
+// cork has the end of a connection come with its last bytes, not some time behind them.
+func cork(c net.Conn) {
+	if raw, err := c.(*net.TCPConn).SyscallConn(); err == nil {
+		raw.Control(func(fd uintptr) { syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, syscall.TCP_CORK, 1) })
+	}
+}
+
+// Origin adds the origin.
+func (s *Script) Origin(handle func(w http.ResponseWriter, r *http.Request)) {
+	l := Anywhere()
+	s.Members = append(s.Members, Line("log", l.Addr().String(), KindOrigin, InService))
+	s.Closers = append(s.Closers, l)
+	go http.Serve(l, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		if len(body) > 100 {
+			body = []byte(fmt.Sprint(len(body), " bytes"))
+		}
+		s.Note("origin: %s %s %q %s %s", r.Method, r.URL.Path, body, r.Header.Get("X-Request-ID"), r.Header.Get("X-Attrs"))
+		handle(w, r)
+	}))
+}
+
+// Line is a member in discovery's form.
+func Line(id, address, kind, phase string) string {
+	return fmt.Sprintf(`{"id":%q,"host_port":%q,"locality":"z","flavor":%q,"cell":0,"phase":%q,"size":1,"up_since_ms":0}`,
+		id, address, kind, phase)
+}
+
+// List is a list of members in discovery's form.
+func List(revision int, complete bool, members ...string) string {
+	return fmt.Sprintf(`{"revision":%d,"complete":%t,"members":[%s]}`, revision, complete, strings.Join(members, ","))
+}
+
+// Lists starts a list service under a name, and returns its address.
+func (s *Script) Lists(name string) string {
+	l := Anywhere()
+	s.Closers = append(s.Closers, l)
+	go http.Serve(l, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		asked := r.URL.Query()
+		s.Note("%s: %s", name, asked.Get("index"))
+		w.Header().Set("Content-Type", "application/json")
+		select {
+		case l := <-s.Changed:
+			if l == "down" {
+				w.WriteHeader(http.StatusServiceUnavailable)
+				return
+			}
+			io.WriteString(w, l)
+		case <-time.After(time.Millisecond):
+			if asked.Get("wait") != "1" {
+				select {
+				case l := <-s.Changed:
+					io.WriteString(w, l)
+				case <-r.Context().Done():
+				}
+				return
+			}
+			fmt.Fprintf(w, `{"revision":%s,"complete":false,"members":[]}`, asked.Get("index"))
+		}
+	}))
+	return l.Addr().String()
+}
+
+// Close ends all that listens.
+func (s *Script) Close() {
+	for _, c := range s.Closers {
+		c.Close()
+	}
+}
--- a/internal/transport/loop.go
+++ b/internal/transport/loop.go
@@ -17,6 +17,7 @@
 	"golang.org/x/sys/unix"
 
 	"larchthread/internal/agenda"
+	"larchthread/internal/machine"
 )
 
 const (
@@ -60,6 +61,7 @@
 	resend       Timer // after letters had to wait
 	timers       agenda.Queue[*Timer]
 	began        time.Time
+	wall         float64 // ms, Unix time then, as far as the machine knows it
 	now          float64 // ms, Unix time
 	before       float64 // ms, when the last round had read what there was
 	slice        float64 // ms, when clients have had their time in this round
@@ -89,7 +91,7 @@
 	l := &Loop{Log: log, Pool: &Pool{}, epoll: epoll, bell: bell, most: descriptors - SpareFiles}
 	// The kernel takes twice what it is asked for, and each connection has two directions.
 	l.kernel = max(kernelLeast, int(kernelShare*float64(memory))/descriptors/4)
-	l.began = time.Now()
+	l.began, l.wall = time.Now(), float64(machine.Wall().UnixMicro())/1000
 	l.tick()
 	l.before = l.now
 	l.resend.Fire = func() {} // the round that it makes sends
@@ -104,7 +106,7 @@
 
 // Clock reads the clock within a round: how long what came first in it has taken.
 func (l *Loop) Clock() float64 {
-	return float64(l.began.UnixMicro())/1000 + float64(time.Since(l.began).Nanoseconds())/1e6
+	return l.wall + float64(time.Since(l.began).Nanoseconds())/1e6
 }
 
 // Heard is the earliest time at which what was read in this round can have come: where there was something to read as the
--- a/internal/trial/faults.go
+++ b/internal/trial/faults.go
@@ -23,6 +23,8 @@
 	count       // a whole number, 1 or more
 	span        // a time
 	rate        // bytes a second
+	jump        // a time, either way
+	word        // one of those in spoils
 )
 
 // where a kind of fault strikes.
@@ -55,6 +57,8 @@
 	"freeze":  {balancers, none, false, "SIGSTOP; goes on at the end", 2},
 	"wipe":    {balancers, none, false, "SIGKILL, the disk lost; started again at the end", 0.5},
 	"upgrade": {balancers, none, true, "a new process takes over, the old one gets SIGTERM", 1},
+	"disk":    {balancers, word, false, "files fail: by write, sync, rename, full, hang or torn (program built with -tags faults)", 0},
+	"clock":   {balancers, jump, false, "the wall clock is off by so much, for what starts meanwhile too (-tags faults)", 0},
 	"die":     {hosts, none, false, "the process ends; back at the end, empty and cold", 2},
 	"hang":    {servers, none, false, "takes ops and answers nothing", 2},
 	"slow":    {servers, factor, false, "an op takes so many times its work", 2},
@@ -75,6 +79,9 @@
 	"single":  {links, none, false, "one connection at a time; further ones are refused", 0.5},
 }
 
+// spoils are the ways in which a process's files may fail (package machine).
+var spoils = []string{"write", "sync", "rename", "full", "hang", "torn"}
+
 // Kinds is a table of all kinds of fault, for people.
 func Kinds() string {
 	var b strings.Builder
@@ -144,6 +151,7 @@
 	bad(x.At+x.For > p.Load.For, "%s: ends at %v, after the load, which lasts %v", x.What, (x.At + x.For).d(), p.Load.For.d())
 	bad(x.Way != "" && (k.where != links || !slices.Contains([]string{"out", "back", "both"}, x.Way)),
 		"%s: way: %.20q, want out, back or both, and that of links", x.What, x.Way)
+	bad(x.With != "" && x.What != "upgrade", "%s: with: it takes none", x.What)
 	bad(k.by == none && x.By != "", "%s: by: %.20q, it takes none", x.What, x.By)
 	if k.by != none {
 		n, err := x.By.number()
@@ -158,9 +166,14 @@
 		case span:
 			_, err := time.ParseDuration(string(x.By))
 			ok = ok && err == nil && n >= 0 && n <= 60000
+		case jump:
+			_, err := time.ParseDuration(string(x.By))
+			ok = ok && err == nil
+		case word:
+			ok = slices.Contains(spoils, string(x.By))
 		}
 		bad(!ok, "%s: by: %.20q, want %s", x.What, x.By, [...]string{"", "a part above 0, at most 1", "a factor above 1, at most 1000",
-			"a count, 1 or more", "a time, at most 60s", "bytes a second, 1 or more"}[k.by])
+			"a count, 1 or more", "a time, at most 60s", "bytes a second, 1 or more", "a time", "one of " + strings.Join(spoils, ", ")}[k.by])
 	}
 	return all
 }
--- a/internal/trial/ground.go
+++ b/internal/trial/ground.go
@@ -387,24 +387,33 @@
 func (g *Ground) strikeProcess(x Fault, name string, end bool) error {
 	i := indexOf(g.plan.Fleet.balancers(), name)
 	p := g.processes[i]
-	if end {
-		if x.What == "freeze" {
-			return p.Thaw()
-		}
+	switch {
+	case x.What == "disk" && end:
+		return p.spoil("disk well")
+	case x.What == "disk":
+		return p.spoil("disk " + string(x.By))
+	case x.What == "clock" && end:
+		return p.spoil("clock 0s")
+	case x.What == "clock":
+		return p.spoil("clock " + string(x.By))
+	case x.What == "freeze" && end:
+		return p.Thaw()
+	case end:
 		return g.launch(i, func() error { return g.rewrite(i) })
-	}
-	switch x.What {
-	case "kill":
+	case x.What == "kill":
 		return p.Kill()
-	case "term":
+	case x.What == "term":
 		return p.Term()
-	case "wipe":
+	case x.What == "wipe":
 		return errors.Join(p.Kill(), p.Empty())
-	case "freeze":
+	case x.What == "freeze":
 		return p.Freeze()
-	default: // upgrade
-		return p.replace(func() error { return g.rewrite(i) }, g.Program, g.Args...)
 	}
+	program := g.Program // upgrade
+	if x.With != "" {
+		program = x.With
+	}
+	return p.replace(func() error { return g.rewrite(i) }, program, g.Args...)
 }
 
 func (g *Ground) strikeServer(x Fault, name string, end bool) error {
--- a/internal/trial/plan.go
+++ b/internal/trial/plan.go
@@ -71,6 +71,7 @@
 	To   []string `yaml:"to,omitempty,flow"`   // to these parts
 	Way  string   `yaml:"way,omitempty"`       // of links: out, back, or both where it is left out
 	By   By       `yaml:"by,omitempty"`        // how much, as the kind has it
+	With string   `yaml:"with,omitempty"`      // of an upgrade: the path of another build
 
 	line int // in the plan's text
 }
--- a/internal/trial/plan_test.go
+++ b/internal/trial/plan_test.go
@@ -41,7 +41,7 @@
 	// plan: line 1: "soon", want a time such as 1.5s or 200ms
 	// plan: line 1: load.shares: no category "reed"; there are read, put, once
 	// plan: line 3: kill: of: "b4" is none of b1, b2, b3
-	// plan: line 4: what: "explode", want one of ban, cut, delay, die, drain, errors, freeze, hang, hole, kill, late, rate, remove, resets, sever, silent, single, slow, table, term, upgrade, void, wipe
+	// plan: line 4: what: "explode", want one of ban, clock, cut, delay, die, disk, drain, errors, freeze, hang, hole, kill, late, rate, remove, resets, sever, silent, single, slow, table, term, upgrade, void, wipe
 	// plan: line 5: hang: for: missing
 	// plan: line 6: cut: to: "h9" is none of h1, h2, h3, h4, h5, h6, origin, discovery
 	// plan: line 6: cut: ends at 6s, after the load, which lasts 5s
--- a/internal/trial/process.go
+++ b/internal/trial/process.go
@@ -5,10 +5,12 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"runtime"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -30,10 +32,11 @@
 }
 
 const (
-	logLines  = 2000                  // of a process that are kept
-	startMost = 10 * time.Second      // until a process answers
-	startLook = 10 * time.Millisecond // between two looks whether it does
-	termMost  = 4 * time.Second       // from SIGTERM to SIGKILL
+	logLines   = 2000                  // of a process that are kept
+	startMost  = 10 * time.Second      // until a process answers
+	startLook  = 10 * time.Millisecond // between two looks whether it does
+	faultsName = "faults"              // socket in its folder, of a program built with the tag
+	termMost   = 4 * time.Second       // from SIGTERM to SIGKILL
 )
 
 // Line is a line of a process's log.
@@ -69,6 +72,7 @@
 	over  chan struct{} // closed when cmd has ended
 	lines []Line
 	away  []Away
+	wall  string // by how much its clock is off when it starts
 	crash string // its last word, where it ended by itself
 }
 
@@ -198,7 +202,8 @@
 // spawn starts a process, which is the one from then on.
 func (p *Process) spawn(program string, args []string) (over chan struct{}, err error) {
 	c := exec.Command(program, args...)
-	c.Env = append(append(os.Environ(), p.env...), "RELAY_CONFIG="+p.config, "TMPDIR="+p.Dir)
+	c.Env = append(append(os.Environ(), p.env...), "RELAY_CONFIG="+p.config, "TMPDIR="+p.Dir,
+		"LARCHTHREAD_FAULTS="+filepath.Join(p.Dir, faultsName), "LARCHTHREAD_WALL="+p.wall)
 	c.Dir = p.Dir
 	r, w, err := os.Pipe()
 	if err != nil {
@@ -238,6 +243,27 @@
 	return over, nil
 }
 
+// spoil tells a program that was built for it what to spoil (package machine). A clock counts for what is started later, too.
+func (p *Process) spoil(line string) error {
+	if off, is := strings.CutPrefix(line, "clock "); is {
+		p.mu.Lock()
+		p.wall = off
+		p.mu.Unlock()
+	}
+	c, err := net.Dial("unix", filepath.Join(p.Dir, faultsName))
+	if err != nil {
+		return fmt.Errorf("%s: %q: no faults in this program, or it does not run (build it with -tags faults): %w", p.Name, line, err)
+	}
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(callMost))
+	fmt.Fprintln(c, line)
+	said, err := bufio.NewReader(c).ReadString('\n')
+	if said = strings.TrimSpace(said); err != nil || said != "ok" {
+		return fmt.Errorf("%s: %q: %s %w", p.Name, line, said, err)
+	}
+	return nil
+}
+
 // await waits until the process serves.
 func (p *Process) await(over <-chan struct{}) error {
 	for end := time.Now().Add(startMost); time.Now().Before(end); {
