The ground: a write whose connection was closed as it crossed is kept in the history; two ports never alike

A client that sends a crossed command once more had lost the first from the record, and its write, of a balancer that was then killed, was read by others: values, with a test now. A balancer's two addresses could get one port.

--- a/internal/trial/check.go
+++ b/internal/trial/check.go
@@ -79,7 +79,7 @@
 // answers: a balancer that ends takes its open ops with it, and one that stands still answers late.
 func (r *Record) answers() (all []Break) {
 	for _, c := range r.Calls {
-		if c.Balancer < 0 {
+		if c.Balancer < 0 || c.Crossed {
 			continue
 		}
 		w := r.Balancers[c.Balancer]
--- a/internal/trial/check_test.go
+++ b/internal/trial/check_test.go
@@ -100,6 +100,13 @@
 			r.Told = append(r.Told, standin.Told{To: "b1", At: 2500 * ms, Phases: map[string]string{"h1": standin.InService}})
 			r.Runs = append(r.Runs, standin.Run{Host: "h1", From: "s1", ID: "x", Came: 3600 * ms})
 		},
+		"a write whose connection was closed as it crossed, and that ran": func(r *Record) {
+			r.Calls = append(r.Calls, Call{ID: "w2", Key: "k", Category: "put", Write: true, Sent: 320 * ms, Done: 325 * ms,
+				Answer: Cut, Crossed: true},
+				Call{ID: "r3", Key: "k", Category: "read", Sent: 600 * ms, Done: 610 * ms, Answer: Acked, Text: "k w2"})
+			r.Runs = append(r.Runs, standin.Run{Host: "origin", From: "s1", ID: "w2", Key: "k", Category: "put", Write: true,
+				Came: 321 * ms, Ran: true})
+		},
 		"an op of a balancer that stood still": func(r *Record) {
 			r.Calls[0] = Call{ID: "r1", Key: "k", Category: "read", Balancer: 2, Sent: 4900 * ms, Done: 6100 * ms, Answer: Silent}
 			r.Runs[0].From, r.Runs[0].Came = "s3", 6050*ms
--- a/internal/trial/ground.go
+++ b/internal/trial/ground.go
@@ -170,9 +170,12 @@
 
 // write writes a balancer's start file, with an operators' address of its own.
 func (g *Ground) write(i int, lists string, known json.RawMessage) error {
-	admin, err := g.free(i)
-	if err != nil {
-		return err
+	admin := g.listens[i]
+	for admin == g.listens[i] { // nobody listens there yet at a start
+		var err error
+		if admin, err = g.free(i); err != nil {
+			return err
+		}
 	}
 	f := g.plan.Fleet
 	us := func(d time.Duration) int64 { return d.Microseconds() }
--- a/internal/trial/load.go
+++ b/internal/trial/load.go
@@ -51,6 +51,7 @@
 	Answer   Answer
 	Text     string // of the answer: what was read, or its first line
 	Again    int    // further answers, or bytes of none
+	Crossed  bool   // its connection was closed as the command crossed, and it was sent once more, as another op
 }
 
 // load sends ops at a plan's rate, whatever comes back.
@@ -175,6 +176,11 @@
 				c.Balancer = (c.Balancer + 1) % len(l.listens)
 				continue
 			}
+			first := c
+			first.Crossed = true
+			l.mu.Lock()
+			l.calls = append(l.calls, first) // it may have run all the same
+			l.mu.Unlock()
 			c.ID = c.ID[:15] + "r"
 			l.talk(conn, &c)
 		}
--- a/internal/trial/result.go
+++ b/internal/trial/result.go
@@ -129,6 +129,9 @@
 	seconds := make([]Second, int((length+time.Second-1)/time.Second))
 	tooks := make([]*hdrhistogram.Histogram, len(seconds))
 	for _, c := range r.Record.Calls {
+		if c.Crossed {
+			continue
+		}
 		s := groups[c.Category]
 		if s == nil {
 			s = &sums{Group{Name: c.Category, Answers: map[Answer]int{}}, histogram()}
