The ground: a command that was pushed had not crossed its connection's end

Need: the checker of answers excused any op whose kept connection ended within 10 ms, so a balancer that drops what it has read would have gone unseen there. An op that any host heard of had been read; it counts as lost unless its balancer ended. A resend has a new id also where its balancer takes no connection any more, else its client's own repeat would look like an effect twice. Tests for both.

--- a/internal/trial/check.go
+++ b/internal/trial/check.go
@@ -78,8 +78,13 @@
 
 // answers: a balancer that ends takes its open ops with it, and one that stands still answers late.
 func (r *Record) answers() (all []Break) {
+	pushed := map[string]bool{}
+	for _, x := range r.Runs {
+		pushed[x.ID] = true
+	}
 	for _, c := range r.Calls {
-		if c.Balancer < 0 || c.Crossed {
+		// Whoever has pushed an op had read its command: it did not cross.
+		if c.Balancer < 0 || c.Crossed && !pushed[c.ID] {
 			continue
 		}
 		w := r.Balancers[c.Balancer]
--- a/internal/trial/check_test.go
+++ b/internal/trial/check_test.go
@@ -57,6 +57,9 @@
 		{"answers", "another write's receipt", func(r *Record) { r.Calls[1].Text = "receipt-w2" }},
 		{"answers", "another op's answer", func(r *Record) { r.Calls[4].Text = "answer of another op: VA 1 Ox" }},
 		{"answers", "lost long before the balancer ended", func(r *Record) { r.Calls[5].Sent = 3000 * ms }},
+		{"answers", "its connection ended though it had been pushed", func(r *Record) {
+			r.Calls[4] = Call{ID: "o2", Key: "k", Category: "once", Write: true, Sent: 500 * ms, Done: 505 * ms, Answer: Cut, Crossed: true}
+		}},
 		{"moot", "pushed after the TTL", func(r *Record) {
 			run(r, standin.Run{Host: "h2", From: "s1", ID: "r1", Category: "read", Came: 800 * ms})
 		}},
@@ -100,12 +103,15 @@
 			r.Told = append(r.Told, standin.Told{To: "b1", At: 2500 * ms, Phases: map[string]string{"h1": standin.InService}})
 			r.Runs = append(r.Runs, standin.Run{Host: "h1", From: "s1", ID: "x", Came: 3600 * ms})
 		},
-		"a write whose connection was closed as it crossed, and that ran": func(r *Record) {
-			r.Calls = append(r.Calls, Call{ID: "w2", Key: "k", Category: "put", Write: true, Sent: 320 * ms, Done: 325 * ms,
-				Answer: Cut, Crossed: true},
-				Call{ID: "r3", Key: "k", Category: "read", Sent: 600 * ms, Done: 610 * ms, Answer: Acked, Text: "k w2"})
-			r.Runs = append(r.Runs, standin.Run{Host: "origin", From: "s1", ID: "w2", Key: "k", Category: "put", Write: true,
-				Came: 321 * ms, Ran: true})
+		"a write that was pushed by a balancer that was then killed, and sent once more": func(r *Record) {
+			r.Calls = append(r.Calls, Call{ID: "w2", Key: "k", Category: "put", Write: true, Balancer: 1, Sent: 4990 * ms,
+				Done: 4995 * ms, Answer: Cut, Crossed: true},
+				Call{ID: "r3", Key: "k", Category: "read", Sent: 6600 * ms, Done: 6610 * ms, Answer: Acked, Text: "k w2"})
+			r.Runs = append(r.Runs, standin.Run{Host: "origin", From: "s2", ID: "w2", Key: "k", Category: "put", Write: true,
+				Came: 4991 * ms, Ran: true})
+		},
+		"a connection that was closed as a command crossed": func(r *Record) {
+			r.Calls = append(r.Calls, Call{ID: "r4", Key: "k", Category: "read", Sent: 320 * ms, Done: 325 * ms, Answer: Cut, Crossed: true})
 		},
 		"an op of a balancer that stood still": func(r *Record) {
 			r.Calls[0] = Call{ID: "r1", Key: "k", Category: "read", Balancer: 2, Sent: 4900 * ms, Done: 6100 * ms, Answer: Silent}
--- a/internal/trial/load.go
+++ b/internal/trial/load.go
@@ -172,16 +172,16 @@
 		if kept && c.Answer == Cut && c.Text == "" && c.Done-c.Sent < crossed {
 			// The connection was closed as the command crossed: clients send it once more, on a new one.
 			conn.Close()
-			if conn, err = dial(l.listens[c.Balancer]); err != nil {
-				c.Balancer = (c.Balancer + 1) % len(l.listens)
-				continue
-			}
 			first := c
 			first.Crossed = true
 			l.mu.Lock()
 			l.calls = append(l.calls, first) // it may have run all the same
 			l.mu.Unlock()
 			c.ID = c.ID[:15] + "r"
+			if conn, err = dial(l.listens[c.Balancer]); err != nil {
+				c.Balancer = (c.Balancer + 1) % len(l.listens)
+				continue
+			}
 			l.talk(conn, &c)
 		}
 		if c.Answer == Cut || c.Answer == Silent {
