Reread: one reset for links and stand-ins, plain comparisons, faults of links without copies

Behaviour stays. joint.reset had written standin's reset again; comparisons of times were clamped differences and are cmp.Compare; cuts and single connections were begun and ended in two places each; wrappers of one call are gone.

--- a/internal/standin/host.go
+++ b/internal/standin/host.go
@@ -129,7 +129,7 @@
 	h.listener.Close()
 	h.listener = nil
 	for c := range h.conns {
-		reset(c)
+		Reset(c)
 	}
 	clear(h.conns)
 	h.changed()
@@ -184,7 +184,7 @@
 		h.mu.Unlock()
 		switch {
 		case !alive:
-			reset(c)
+			Reset(c)
 		case full:
 			io.WriteString(c, "SERVER_ERROR busy\r\n")
 			c.Close()
@@ -211,7 +211,7 @@
 		}
 		answer, cut := h.answer(c, k)
 		if cut {
-			reset(c)
+			Reset(c)
 			return
 		}
 		if _, err := io.WriteString(c, answer); err != nil {
@@ -328,8 +328,8 @@
 	return float64(len(h.sent)) > n+3*math.Sqrt(n)+3
 }
 
-// reset ends a connection with a reset, whatever stands unsent on it.
-func reset(c net.Conn) {
+// Reset ends a connection with a reset, whatever stands unsent on it.
+func Reset(c net.Conn) {
 	if t, ok := c.(*net.TCPConn); ok {
 		t.SetLinger(0)
 	}
--- a/internal/trial/call.go
+++ b/internal/trial/call.go
@@ -3,7 +3,6 @@
 import (
 	"io"
 	"net/http"
-	"slices"
 	"strings"
 )
 
@@ -22,19 +21,3 @@
 	raw, err := io.ReadAll(io.LimitReader(answer.Body, 1<<20))
 	return answer.StatusCode, strings.TrimSpace(string(raw)), err
 }
-
-func indexOf(names []string, name string) int { return slices.Index(names, name) }
-
-func sortMoments(all []moment) {
-	slices.SortStableFunc(all, func(x, y moment) int {
-		switch {
-		case x.at != y.at:
-			return int(min(max(x.at-y.at, -1), 1))
-		case x.end != y.end && x.end:
-			return -1
-		case x.end != y.end:
-			return 1
-		}
-		return 0
-	})
-}
--- a/internal/trial/check.go
+++ b/internal/trial/check.go
@@ -1,6 +1,7 @@
 package trial
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 	"strings"
@@ -61,13 +62,13 @@
 		for i := range found {
 			found[i].Rule = rule.name
 		}
-		slices.SortStableFunc(found, func(x, y Break) int { return int(min(max(x.At-y.At, -1), 1)) })
+		slices.SortStableFunc(found, func(x, y Break) int { return cmp.Compare(x.At, y.At) })
 		if more := len(found) - breaksMost; more > 0 {
 			found = append(found[:breaksMost], Break{rule.name, found[breaksMost].At, fmt.Sprintf("and %d more", more)})
 		}
 		all = append(all, found...)
 	}
-	slices.SortStableFunc(all, func(x, y Break) int { return int(min(max(x.At-y.At, -1), 1)) })
+	slices.SortStableFunc(all, func(x, y Break) int { return cmp.Compare(x.At, y.At) })
 	return all
 }
 
--- a/internal/trial/ground.go
+++ b/internal/trial/ground.go
@@ -13,6 +13,7 @@
 package trial
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -20,6 +21,7 @@
 	"net"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -298,10 +300,20 @@
 			all = append(all, moment{(x.At + x.For).d(), x, true})
 		}
 	}
-	sortMoments(all)
+	slices.SortStableFunc(all, func(x, y moment) int {
+		return cmp.Or(cmp.Compare(x.at, y.at), cmp.Compare(order(x.end), order(y.end)))
+	})
 	return all
 }
 
+// order has ends come before beginnings.
+func order(end bool) int {
+	if end {
+		return 0
+	}
+	return 1
+}
+
 // strikeAll strikes by the plan. Each fault is struck in its turn, and what takes its time goes on beside the next.
 func (g *Ground) strikeAll(ctx context.Context, began time.Duration) {
 	var slow sync.WaitGroup
@@ -388,7 +400,7 @@
 }
 
 func (g *Ground) strikeProcess(x Fault, name string, end bool) error {
-	i := indexOf(g.plan.Fleet.balancers(), name)
+	i := slices.Index(g.plan.Fleet.balancers(), name)
 	p := g.processes[i]
 	switch {
 	case x.What == "disk" && end:
@@ -421,7 +433,7 @@
 
 func (g *Ground) strikeServer(x Fault, name string, end bool) error {
 	var mode standin.Mode
-	if by, err := x.By.number(); !end {
+	if by, _ := x.By.number(); !end { // a plan's figures are checked before it is played
 		switch x.What {
 		case "hang":
 			mode.Hang = true
@@ -434,13 +446,12 @@
 		case "table":
 			mode.Table = int(by)
 		}
-		_ = err // a plan's figures are checked before it is played
 	}
 	if name == standin.OriginID {
 		g.fleet.Origin.Set(mode)
 		return nil
 	}
-	h := g.fleet.Hosts()[indexOf(g.plan.Fleet.hosts(), name)]
+	h := g.fleet.Hosts()[slices.Index(g.plan.Fleet.hosts(), name)]
 	lists := g.fleet.Discovery
 	switch x.What {
 	case "die":
@@ -473,7 +484,7 @@
 // ban takes a host out by hand at one balancer, or puts it back. A balancer that is not there can't be told: what it does
 // not know does not bind it.
 func (g *Ground) ban(balancer, host string, end bool) error {
-	i := indexOf(g.plan.Fleet.balancers(), balancer)
+	i := slices.Index(g.plan.Fleet.balancers(), balancer)
 	g.mu.Lock()
 	admin := g.admins[i]
 	g.mu.Unlock()
@@ -506,15 +517,17 @@
 }
 
 func (g *Ground) strikeLink(x Fault, l *Link, end bool) {
+	switch x.What {
+	case "cut":
+		l.Cut(!end)
+		return
+	case "single":
+		l.Single(!end)
+		return
+	}
 	var f Flaw
 	if by, _ := x.By.number(); !end {
 		switch x.What {
-		case "cut":
-			l.Cut(true)
-			return
-		case "single":
-			l.Single(true)
-			return
 		case "hole":
 			f.Hole = true
 		case "delay":
@@ -525,12 +538,6 @@
 		case "sever":
 			f.Sever = int(by)
 		}
-	} else if x.What == "cut" {
-		l.Cut(false)
-		return
-	} else if x.What == "single" {
-		l.Single(false)
-		return
 	}
 	if x.Way != "back" {
 		l.Set(Out, f)
--- a/internal/trial/link.go
+++ b/internal/trial/link.go
@@ -7,6 +7,8 @@
 	"net"
 	"sync"
 	"time"
+
+	"larchthread/internal/standin"
 )
 
 const (
@@ -123,12 +125,8 @@
 }
 
 func (j *joint) reset() {
-	for _, c := range []net.Conn{j.near, j.far} {
-		if t, ok := c.(*net.TCPConn); ok {
-			t.SetLinger(0)
-		}
-		c.Close()
-	}
+	standin.Reset(j.near)
+	standin.Reset(j.far)
 }
 
 func (l *Link) accept() {
