An op that is settled, or whose client left, has nothing of it sent any more

Ruled out: pushes sent again by the module (none is made for a settled op), second answers (none on that op's connections). Lines at fault: routing.op.move and client.leave left pushes alone whose connection was still being made; where pushes may not be called off, and for second copies, link.wrote wrote them as it came up. An op now has a list of its pushes that are not over, and leaving the state open withdraws those not written whole: they never run. Test: Example_lateConnection, without the change: heard: [mg k v O1 Pc=once,d=2500], twice, where [] is wanted.

--- /dev/null
+++ b/cmd/larchthread/crossings_test.go
@@ -0,0 +1,119 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"strings"
+	"syscall"
+	"time"
+
+	"larchthread/internal/standin"
+)
+
+// sent counts the pushes of an op that hosts have heard.
+func (f *fleet) sent(id string) int {
+	return strings.Count(strings.Join(f.Notes(), "\n"), " O"+id+" ")
+}
+
+// setting is the usual settings with a part of them in place of another.
+func setting(old, now string) string {
+	if !strings.Contains(settings, old) {
+		panic(old)
+	}
+	return strings.Replace(settings, old, now, 1)
+}
+
+// slowToConnect is settings by which connections may take long to come up, and pushes are not called off.
+func slowToConnect(old, now string) string {
+	return strings.NewReplacer(`"connectTimeoutUs":50000`, `"connectTimeoutUs":2000000`, `"cancelling":true`, `"cancelling":false`,
+		`"ttlUs":600000`, `"ttlUs":3000000`).Replace(strings.ReplaceAll(settings, old, now))
+}
+
+// stopped runs do while the program stands still, so that all that do brings about reaches it in one round.
+func (f *fleet) stopped(do func()) {
+	f.process.Process.Signal(syscall.SIGSTOP)
+	time.Sleep(30 * time.Millisecond) // until it has stopped
+	do()
+	time.Sleep(30 * time.Millisecond) // until the kernel has all of it
+	f.process.Process.Signal(syscall.SIGCONT)
+}
+
+// lateHost is a cache host to which a connection comes up late: while it is held, its queue of connections is full, and the
+// kernel asks again after a second.
+type lateHost struct {
+	net.Listener
+	filler net.Conn
+}
+
+func newLateHost() *lateHost {
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
+	if err == nil {
+		err = syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}})
+	}
+	if err == nil {
+		err = syscall.Listen(fd, 0) // room for one
+	}
+	if err != nil {
+		panic(err)
+	}
+	file := os.NewFile(uintptr(fd), "host")
+	defer file.Close()
+	l, err := net.FileListener(file)
+	if err != nil {
+		panic(err)
+	}
+	return &lateHost{Listener: l}
+}
+
+// hold fills the queue.
+func (h *lateHost) hold() {
+	c, err := net.Dial("tcp", h.Addr().String())
+	if err != nil {
+		panic(err)
+	}
+	h.filler = c
+}
+
+// heard is what has come on a connection by a time, a line each.
+func heard(c net.Conn, within time.Duration) (lines []string) {
+	c.SetReadDeadline(time.Now().Add(within))
+	all, _ := io.ReadAll(c)
+	for line := range strings.Lines(string(all)) {
+		lines = append(lines, strings.TrimSpace(line))
+	}
+	return lines
+}
+
+// A push whose connection comes up once its client has gone, or its op is settled, is not written, also where pushes may not
+// be called off: it has not been sent yet.
+func Example_lateConnection() {
+	for _, leave := range []bool{true, false} {
+		h := newLateHost()
+		f := &fleet{sets: slowToConnect(`"tardyBenefit":0.5`, `"tardyBenefit":0`)} // an op is settled with its target
+		f.Members = append(f.Members, standin.Line("a", h.Addr().String(), standin.KindHost, standin.InService))
+		f.start()
+		h.hold()
+		c := f.client()
+		c.say(0, "mg k v O1 Pc=once,d=2500\r\n")
+		if leave {
+			time.Sleep(50 * time.Millisecond)
+			c.Close()
+		} else {
+			c.say(1, "")
+		}
+		h.Accept() // the one that fills the queue
+		h.Listener.(*net.TCPListener).SetDeadline(time.Now().Add(3 * time.Second))
+		if late, err := h.Accept(); err == nil {
+			fmt.Println("heard:", heard(late, time.Second))
+		} else {
+			fmt.Println("heard: []")
+		}
+		f.stop()
+	}
+	// Output:
+	// heard: []
+	// SERVER_ERROR failed
+	// heard: []
+}
--- a/internal/routing/client.go
+++ b/internal/routing/client.go
@@ -28,15 +28,20 @@
 	behind  []byte          // answers to commands right behind it that were turned away unread
 	flow    *flow           // of its long answer, or nil
 	bulk    int             // bytes reserved for its long value
+	pushes  []*push         // that are not over
 	state   opState
 }
 
-// move is the one place where an op changes its state here.
+// move is the one place where an op changes its state here. Once it is not open any more, what has not been sent of it is not
+// sent: a connection for it may be on its way still.
 func (o *op) move(to opState) {
 	if o.state != open {
 		return
 	}
 	o.state = to
+	for _, p := range slices.Clone(o.pushes) {
+		p.withdraw()
+	}
 	if r := o.client.router; r.ops[o.command.ID] == o {
 		delete(r.ops, o.command.ID)
 	}
--- a/internal/routing/link.go
+++ b/internal/routing/link.go
@@ -41,8 +41,16 @@
 	p.state = to
 	p.router.loop.Stop(&p.limit)
 	if to == over {
-		h := p.link.host
-		h.pushes = slices.DeleteFunc(h.pushes, func(x *push) bool { return x == p })
+		own := func(x *push) bool { return x == p }
+		p.link.host.pushes = slices.DeleteFunc(p.link.host.pushes, own)
+		p.op.pushes = slices.DeleteFunc(p.op.pushes, own)
+	}
+}
+
+// withdraw calls off a push that has not been written whole: it never runs.
+func (p *push) withdraw() {
+	if p.state == carried && !p.sent() {
+		p.callOff(transport.CalledOff)
 	}
 }
 
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -236,6 +236,7 @@
 	b.Ref = p
 	p.limit.Fire = p.late
 	r.loop.Set(&p.limit, limit)
+	p.op.pushes = append(p.op.pushes, p)
 	b.Host.Ref.(*host).link(r).carry(p, limit)
 }
 
