A repeat is not written once the time in which repeats are dropped may be over

Push.Before tells the front until when the last byte has to be on its way; what is not written by then is withdrawn, and ends as not sent. Lines at fault: balance.push, routing.Router.Push. Test: Example_repeatBehindItsWindow, without the change: heard: [mg k v O2 Pc=put,d=2499], a second behind a window of 400 ms.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -395,17 +395,6 @@
 	}
 }
 
-func (h *Host) forgive() { h.fail, h.rest, h.restUntil, h.slow = 0, 0, 0, 1 }
-
-// Hosts tells how many cache hosts are listed, and how many of them get no op now.
-func (b *Balancer) Hosts() (listed, avoided int) {
-	b.countResting()
-	if avoided = len(b.hosts) - len(b.ready); float64(b.resting) <= restShare*float64(len(b.ready)) {
-		avoided += b.resting
-	}
-	return len(b.hosts), avoided
-}
-
 // layOut puts the ready hosts on the cycle, at places that depend on a host's name and size alone.
 func (b *Balancer) layOut() {
 	gone := func(h *Host) bool { return h.Status == Gone }
@@ -837,7 +826,10 @@
 
 func (b *Balancer) push(g *gate, op *Op, h *Host) {
 	b.move(op, out)
-	p := &Push{Op: op, Host: h, sent: b.now, gate: g}
+	p := &Push{Op: op, Host: h, Before: math.Inf(1), sent: b.now, gate: g}
+	if first := op.mayHaveRun(); first != nil && op.Category.Repeat == Deduplicated {
+		p.Before = first.sent + op.Category.Window - b.Quantum
+	}
 	p.look.push = p
 	op.tried = append(op.tried, p)
 	op.out++
--- a/balance/learned.go
+++ b/balance/learned.go
@@ -84,3 +84,12 @@
 	}
 	return all
 }
+
+// Hosts tells how many cache hosts are listed, and how many of them get no op now.
+func (b *Balancer) Hosts() (listed, avoided int) {
+	b.countResting()
+	if avoided = len(b.hosts) - len(b.ready); float64(b.resting) <= restShare*float64(len(b.ready)) {
+		avoided += b.resting
+	}
+	return len(b.hosts), avoided
+}
--- a/balance/parts.go
+++ b/balance/parts.go
@@ -107,3 +107,5 @@
 func part(hash uint64) float64 { return float64(hash*partHash>>11) / (1 << 53) }
 
 func clamp(x, least, most float64) float64 { return math.Min(math.Max(x, least), most) }
+
+func (h *Host) forgive() { h.fail, h.rest, h.restUntil, h.slow = 0, 0, 0, 1 }
--- a/balance/port.go
+++ b/balance/port.go
@@ -197,9 +197,10 @@
 
 // Push is one attempt at an op. The front gets it with the word to send and hands it back with its outcome.
 type Push struct {
-	Ref  any // the front's own handle; never read here
-	Op   *Op
-	Host *Host
+	Ref    any // the front's own handle; never read here
+	Op     *Op
+	Host   *Host
+	Before float64 // ms, when its last byte has to be on its way or the push is over, NotSent; +Inf where that is no matter
 
 	sent   float64 // ms
 	waited float64 // ms that it had to wait for its own process, not yet reckoned with
--- a/cmd/larchthread/crossings_test.go
+++ b/cmd/larchthread/crossings_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bufio"
 	"fmt"
 	"io"
 	"net"
@@ -117,3 +118,44 @@
 	// SERVER_ERROR failed
 	// heard: []
 }
+
+// A repeat of a deduplicated op is not written once the time in which repeats are dropped may be over: its connection may have
+// come up late.
+func Example_repeatBehindItsWindow() {
+	h := newLateHost()
+	f := &fleet{sets: slowToConnect(`"tardyBenefit":0.5`, `"tardyBenefit":0.5`)}
+	f.Members = append(f.Members, standin.Line("a", h.Addr().String(), standin.KindHost, standin.InService))
+	f.start()
+	defer f.stop()
+	c := f.client()
+	c.say(0, "mg k v O1 Pc=put,d=2500\r\n")
+	first, err := h.Accept()
+	if err != nil {
+		panic(err)
+	}
+	r := bufio.NewReader(first)
+	line, _ := r.ReadString('\n')
+	fmt.Println(strings.Contains(line, " O1 "))
+	io.WriteString(first, "VA 5 O1\r\nvalue\r\n")
+	c.say(2, "")
+	time.Sleep(100 * time.Millisecond) // it rests, and is used again
+	c.say(0, "mg k v O2 Pc=put,d=2500\r\n")
+	line, _ = r.ReadString('\n')
+	fmt.Println(strings.Contains(line, " O2 "))
+	h.hold()
+	first.Close()                      // it may have run
+	time.Sleep(600 * time.Millisecond) // the window is over, and the repeat's connection has been turned down
+	h.Accept()                         // the one that fills the queue
+	h.Listener.(*net.TCPListener).SetDeadline(time.Now().Add(3 * time.Second))
+	if late, err := h.Accept(); err == nil {
+		fmt.Println("heard:", heard(late, time.Second))
+	} else {
+		fmt.Println("heard: []")
+	}
+	// Output:
+	// true
+	// VA 5 O1
+	// value
+	// true
+	// heard: []
+}
--- a/internal/routing/link.go
+++ b/internal/routing/link.go
@@ -26,6 +26,7 @@
 	link    *link
 	began   float64 // ms, when it was written, or the connection for it was begun to be made
 	limit   transport.Timer
+	before  transport.Timer // until its last byte has to be written
 	state   pushState
 	gone    bool            // it has left this process, or its connection is being made
 	whole   bool            // its last byte has been written
@@ -41,6 +42,7 @@
 	p.state = to
 	p.router.loop.Stop(&p.limit)
 	if to == over {
+		p.router.loop.Stop(&p.before)
 		own := func(x *push) bool { return x == p }
 		p.link.host.pushes = slices.DeleteFunc(p.link.host.pushes, own)
 		p.op.pushes = slices.DeleteFunc(p.op.pushes, own)
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"math"
 	"net/netip"
 	"slices"
 	"strconv"
@@ -238,6 +239,10 @@
 	r.loop.Set(&p.limit, limit)
 	p.op.pushes = append(p.op.pushes, p)
 	b.Host.Ref.(*host).link(r).carry(p, limit)
+	if !math.IsInf(b.Before, 1) {
+		p.before.Fire = p.withdraw
+		r.loop.Set(&p.before, b.Before-r.loop.Now())
+	}
 }
 
 // Cancel calls a push off by closing its connection.
