Lists are watched also where the settings say that they are pushed

Ruled out: a watch that broke (no connection to discovery in any log). Lines at fault: routing.New handed discovery's mode to the module, which asks for lists only where it is on_request; on sockets nothing is ever pushed to a balancer that does not watch, so the start file's list stood for ever.

--- a/cmd/larchthread/crossings_test.go
+++ b/cmd/larchthread/crossings_test.go
@@ -159,3 +159,16 @@
 	// true
 	// heard: []
 }
+
+// Lists are asked for also where the settings say that they are pushed: what discovery has is told to those who watch.
+func Example_pushedLists() {
+	f := &fleet{sets: setting(`"discovery":"on_request"`, `"discovery":"pushed"`)}
+	f.Host("a", hit)
+	f.start() // the watch stands
+	defer f.stop()
+	f.Changed <- standin.List(2, false, strings.Replace(f.Members[0], "in_service", "terminating", 1))
+	f.await("discovery: 2", 1)
+	f.client().say(1, "mg k v O1 Pc=read,d=100\r\n")
+	// Output:
+	// SERVER_ERROR busy ..
+}
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -117,6 +117,7 @@
 	}
 	var begin balance.Start
 	begin, r.categories, _ = told.Params.Begin(told.Seed)
+	begin.OnRequest = !byHand // also where lists are pushed: only to those who watch
 	for _, c := range told.Params.Categories {
 		t := &Tally{Name: c.Name}
 		r.figures.Categories = append(r.figures.Categories, t)
@@ -269,11 +270,7 @@
 
 func (r *Router) Wake(after float64) { r.loop.Set(&r.wake, after) }
 
-func (r *Router) Watch() {
-	if !r.byHand { // else the list comes when the file changes
-		r.watch.begin()
-	}
-}
+func (r *Router) Watch() { r.watch.begin() }
 
 func (r *Router) HangUp(h *balance.Host) { h.Ref.(*host).hangUp(transport.HungUp) }
 
