A client's end is seen whether anything is read from it or not

Read: epoll was asked for nothing to read while a connection was paused (256 commands open, answers not taken, no room for long values), so its FIN stayed unseen; and what a client had asked before it left was sent on in the round that accepted its connection. Now EPOLLRDHUP is always asked for on clients' connections, a connection just accepted is looked at for its end, ends are told ahead of commands that wait their turn, and commands of a client that has left are not read. Lines at fault: transport.Conn.interest, tell, Door.welcome, Loop.hand.

--- a/cmd/larchthread/crossings_test.go
+++ b/cmd/larchthread/crossings_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"os"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -87,6 +88,65 @@
 	return lines
 }
 
+// A client that leaves with more commands open than are read at once is seen to leave, and nothing of it goes out any more.
+// Its end was once not looked for while nothing was read.
+func Example_leftWhilePaused() {
+	f := &fleet{}
+	var gone atomic.Int64
+	var late atomic.Int32
+	for _, name := range []string{"a", "b", "c", "d", "e", "f"} { // one that is silent is left for the next
+		f.Host(name, func([]string) string {
+			if at := gone.Load(); at > 0 && time.Since(time.UnixMilli(at)) > 100*time.Millisecond {
+				late.Add(1)
+			}
+			return ""
+		})
+	}
+	f.start()
+	defer f.stop()
+	c := f.client()
+	var all strings.Builder
+	all.WriteString("mg k v Ofirst Pc=once,d=5000\r\n") // no answer comes before that to this one
+	for i := range 300 {                                // 256 are read
+		fmt.Fprintf(&all, "mg k%d v O%d Pc=read,d=5000\r\n", i, i)
+	}
+	c.say(0, all.String())
+	for f.sent("0") == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	gone.Store(time.Now().UnixMilli())
+	c.Close()
+	time.Sleep(1500 * time.Millisecond)
+	fmt.Println("sent on late:", late.Load())
+	// Output:
+	// sent on late: 0
+}
+
+// A client that has left before its connection is accepted is not served: its op was once sent on, and called off behind it.
+func Example_leftBeforeAccept() {
+	f := &fleet{}
+	f.Host("a", hit)
+	f.start()
+	defer f.stop()
+	other := f.client()
+	other.say(2, "mg k v O1 Pc=read,d=500\r\n") // a connection to the host is open
+	f.stopped(func() {
+		c := f.client()
+		c.say(0, "mg k v O2 Pc=read,d=5000\r\n")
+		c.Close()
+	})
+	other.say(2, "mg k v O3 Pc=read,d=500\r\n")
+	fmt.Println("sent on:", f.sent("2"))
+	f.ended("called-off")
+	// Output:
+	// VA 5 O1
+	// value
+	// VA 5 O3
+	// value
+	// sent on: 0
+	// called-off 0
+}
+
 // A push whose connection comes up once its client has gone, or its op is settled, is not written, also where pushes may not
 // be called off: it has not been sent yet.
 func Example_lateConnection() {
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -131,6 +131,18 @@
 	return c.In.Len() == 0 && (c.why != "" || n == 0 && err == nil)
 }
 
+// arrived takes what has come on a connection from a client before the loop first looked at it. The client may have left
+// already, behind what it asked.
+func (c *Conn) arrived() {
+	c.read()
+	if !c.puts() || !c.fresh || c.why != "" {
+		return
+	}
+	if n, err := c.peek(); n == 0 && err == nil {
+		c.broke(PeerClosed)
+	}
+}
+
 // peek looks for a byte that stands unread at the socket: none and no error is its end.
 func (c *Conn) peek() (n int, err error) {
 	var b [1]byte
@@ -236,10 +248,10 @@
 // puts tells whether the other side puts work to this one: what it asks may wait, what answers may not.
 func (c *Conn) puts() bool { return c.door != nil && !c.reserved() }
 
-// tell hands what has come to the owner.
+// tell hands what has come to the owner. What a client has asked before it left is nobody's any more.
 func (c *Conn) tell() {
 	c.news = false
-	if c.fresh && c.status != closed {
+	if c.fresh && c.status != closed && !(c.puts() && c.why != "") {
 		c.fresh = false
 		c.Owner.Received(c)
 	}
@@ -257,9 +269,13 @@
 	c.noted()
 }
 
-// interest tells epoll what to look for.
+// interest tells epoll what to look for. A client's end is looked for whether anything is read or not: what it has asked
+// is not to be sent on for nobody.
 func (c *Conn) interest() {
 	want := uint32(0)
+	if c.puts() && c.status == up {
+		want |= unix.EPOLLRDHUP
+	}
 	if !c.paused && c.status != connecting {
 		want |= unix.EPOLLIN
 	}
@@ -283,6 +299,10 @@
 		c.interest()
 		c.Flush()
 	}
+	if events&unix.EPOLLRDHUP != 0 && c.puts() && c.status == up {
+		c.broke(PeerClosed)
+		return
+	}
 	if events&unix.EPOLLOUT != 0 {
 		c.mark()
 	}
--- a/internal/transport/door.go
+++ b/internal/transport/door.go
@@ -90,7 +90,7 @@
 			return
 		}
 		unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_NODELAY, 1)
-		d.enter(fd, from).read()
+		d.enter(fd, from).arrived()
 	}
 }
 
@@ -107,6 +107,9 @@
 	}
 	d.accept(c)
 	c.events = unix.EPOLLIN
+	if c.puts() {
+		c.events |= unix.EPOLLRDHUP
+	}
 	l.adopt(c)
 	return c
 }
@@ -124,6 +127,7 @@
 	if len(unread) > 0 {
 		c.In.Write(unread)
 		d.loop.Later(c)
+		c.arrived()
 	}
 	return c
 }
--- a/internal/transport/loop.go
+++ b/internal/transport/loop.go
@@ -287,7 +287,7 @@
 	l.ready = nil
 	asking := ready[:0]
 	for _, c := range ready {
-		if c.puts() {
+		if c.puts() && c.why == "" {
 			asking = append(asking, c)
 		} else {
 			c.tell()
