A second answer to one push is not taken for the answer to the next

Read: a host may answer twice, the second time some ms later. Values, receipts and misses tell their op; `busy`, `failed` and all answers of the origin do not. An op that must not run twice could be sent again on a `busy` meant for the op before it. A push of an op that may not simply run again, and any to the origin, now takes a connection that has rested for 20 ms, or a new one; where a read has taken one earlier and is answered without an id, its connection ends with it, so that nothing is out twice. Lines at fault: routing.host.link, link.answered. Example_neverRan waits 50 ms so that its host still has one connection. Test: Example_secondAnswer, without the change an at-most-once op goes out on connection 1 and is nacked while it runs.

--- a/cmd/larchthread/crossings_test.go
+++ b/cmd/larchthread/crossings_test.go
@@ -220,6 +220,66 @@
 	// heard: []
 }
 
+// A second answer to one push is not taken for the answer to the next: one that tells no id would have an at-most-once op sent
+// again, or nacked, while it runs. A read that may have been answered so is given up by its connection before anything else.
+func Example_secondAnswer() {
+	f := &fleet{}
+	l := standin.Anywhere()
+	f.Members = append(f.Members, standin.Line("a", l.Addr().String(), standin.KindHost, standin.InService))
+	var conns atomic.Int32
+	f.Serve(l, func(c net.Conn) {
+		n := conns.Add(1)
+		r := bufio.NewReader(c)
+		for told := 0; ; told++ {
+			line, err := r.ReadString('\n')
+			if err != nil {
+				f.Note("connection %d closed", n)
+				return
+			}
+			words := strings.Fields(line)
+			f.Note("connection %d: %s", n, words[3])
+			if told > 0 && strings.HasSuffix(words[3], "1") { // the one before is told of once more, and this one is at work for a while
+				io.WriteString(c, "SERVER_ERROR busy\r\n")
+				time.Sleep(100 * time.Millisecond)
+			}
+			io.WriteString(c, "VA 5 "+words[3]+"\r\nvalue\r\n")
+		}
+	})
+	f.start()
+	defer f.stop()
+	for _, category := range []string{"once", "read"} {
+		c := f.client()
+		commands := ""
+		for i := range 2 {
+			commands += fmt.Sprintf("mg k v O%s%d Pc=%s,d=500\r\n", category, i, category)
+		}
+		first, second, _ := strings.Cut(commands, "\n")
+		c.say(0, first+"\n")
+		c.r.ReadString('\n')
+		c.r.ReadString('\n')
+		c.say(0, second) // at once
+		line, _ := c.r.ReadString('\n')
+		fmt.Println(again.ReplaceAllString(strings.TrimSpace(line), "busy .."))
+		time.Sleep(150 * time.Millisecond)
+	}
+	for _, n := range f.Notes() {
+		if strings.HasPrefix(n, "connection") {
+			fmt.Println(n)
+		}
+	}
+	f.ended("wrong-answer", "bad-input")
+	// Output:
+	// VA 5 Oonce1
+	// SERVER_ERROR busy ..
+	// connection 1: Oonce0
+	// connection 2: Oonce1
+	// connection 2: Oread0
+	// connection 2: Oread1
+	// connection 2 closed
+	// wrong-answer 1
+	// bad-input 0
+}
+
 // Lists are asked for also where the settings say that they are pushed: what discovery has is told to those who watch.
 func Example_pushedLists() {
 	f := &fleet{sets: setting(`"discovery":"on_request"`, `"discovery":"pushed"`)}
--- a/cmd/larchthread/pushes_test.go
+++ b/cmd/larchthread/pushes_test.go
@@ -134,6 +134,7 @@
 	defer f.stop()
 	gone := f.client()
 	gone.say(1, "mg busy v O1 Pc=once,d=500\r\n")
+	time.Sleep(50 * time.Millisecond) // its connection has rested, and is the only one
 	gone.say(1, "mg fail v O2 Pc=once,d=500\r\n")
 	time.Sleep(600 * time.Millisecond) // the host rests after a failure
 	gone.say(1, "mg break v O3 Pc=once,d=500\r\n")
--- a/internal/routing/link.go
+++ b/internal/routing/link.go
@@ -99,6 +99,7 @@
 	rest   protocol.Sent   // of the push's value
 	flow   *flow           // of the value that answers the push, or nil
 	kept   bool            // it has carried a push before
+	early  bool            // this one came so soon behind the last answer that another to that may still come
 	heard  bool            // bytes have come since the push was written
 	coming transport.Timer // until it has to be up
 }
@@ -106,24 +107,19 @@
 // link takes the connection used last, for the others may be idle too long, or opens one. To a host that has
 // fallen silent it always opens one: connections from before are dead where the host has vanished, and may
 // break under a push once it is back, so that nobody knows whether that ran. A new one tells soon.
-func (h *host) link(r *Router) *link {
+//
+// A second answer to one push must not be taken for the answer to the next. Most tell what they answer; where one could not
+// be told, as those of a careful push can't, the connection has to have rested.
+func (h *host) link(r *Router, careful bool) *link {
 	if h.silent {
 		h.hangUp(transport.Doubted)
 	}
-	for i := len(h.idle) - 1; i >= 0; i-- {
-		l := h.idle[i]
-		if l.conn.Used == r.loop.Now() { // answered in this round: more, or its end, may be right behind the answer
-			continue
-		}
-		h.idle = slices.Delete(h.idle, i, i+1)
-		switch {
-		case r.loop.Now()-l.conn.Used >= r.connIdle*idleShare:
-			l.conn.Close(transport.IdleTooLong)
-		case l.conn.Quiet():
-			return l
-		default:
-			l.conn.Close(transport.Unquiet)
-		}
+	least := 0.0
+	if careful || h.Origin {
+		least = secondFor
+	}
+	if l := h.rested(r, least); l != nil {
+		return l
 	}
 	l := &link{router: r, host: h}
 	kind := "host"
@@ -143,6 +139,28 @@
 	return l
 }
 
+// rested takes the connection used last of those that have rested for so long.
+func (h *host) rested(r *Router, least float64) *link {
+	for i := len(h.idle) - 1; i >= 0; i-- {
+		l := h.idle[i]
+		rest := r.loop.Now() - l.conn.Used
+		if rest <= least { // none: answered in this round, and more, or its end, may be right behind the answer
+			continue
+		}
+		h.idle = slices.Delete(h.idle, i, i+1)
+		switch {
+		case rest >= r.connIdle*idleShare:
+			l.conn.Close(transport.IdleTooLong)
+		case l.conn.Quiet():
+			l.early = rest <= secondFor
+			return l
+		default:
+			l.conn.Close(transport.Unquiet)
+		}
+	}
+	return nil
+}
+
 // carry writes a push.
 func (l *link) carry(p *push, limit float64) {
 	l.push, p.link, l.heard = p, l, false
@@ -289,10 +307,13 @@
 	p.move(over)
 	l.push = nil
 	o := outcomes[a.Kind]
-	if o == balance.Refused && !l.kept && !l.host.Origin && l.conn.AtEnd() {
+	switch {
+	case o == balance.Refused && !l.kept && !l.host.Origin && l.conn.AtEnd():
 		o = balance.Shut
 		l.close(transport.TableFull)
-	} else {
+	case l.early && a.ID == "" && a.Kind != protocol.Value && a.Kind != protocol.Receipt: // the push may be at work still
+		l.close(transport.WrongAnswer)
+	default:
 		l.spare(a.Close)
 	}
 	if a.Kind == protocol.Value || a.Kind == protocol.Receipt {
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -22,6 +22,7 @@
 )
 
 const (
+	secondFor   = 20.0     // ms behind an answer in which another to the same push may come: some ms
 	idleShare   = 0.9      // part of the time that hosts keep idle connections for which they are used: a push takes a while to arrive
 	connectFor  = 250.0    // ms in which a connection has to come up where the start does not say: some round trips, one lost packet
 	memoryShare = 0.4      // part of the memory that buffers may take; the rest is the heap's and its collector's
@@ -239,7 +240,7 @@
 	p.limit.Fire = p.late
 	r.loop.Set(&p.limit, limit)
 	p.op.pushes = append(p.op.pushes, p)
-	b.Host.Ref.(*host).link(r).carry(p, limit)
+	b.Host.Ref.(*host).link(r, b.Op.Category.Repeat != balance.Redeliverable).carry(p, limit)
 	if !math.IsInf(b.Before, 1) {
 		p.before.Fire = p.withdraw
 		r.loop.Set(&p.before, b.Before-r.loop.Now())
