The program does not end while answers still stand unsent

Read: an op answered after connections begin to be closed takes its client out of the books at once; with no client left the loop ended 250 ms later, and took along what a slow reader had not been sent yet: an op that was taken, with no whole answer.

--- a/cmd/larchthread/crossings_test.go
+++ b/cmd/larchthread/crossings_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"os"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -280,6 +281,46 @@
 	// bad-input 0
 }
 
+// An answer that is given while the program stops is whole, also for a client that reads it late.
+func Example_stopBeforeLateReader() {
+	f := &fleet{sets: strings.ReplaceAll(settings, `"ttlUs":600000`, `"ttlUs":3000000`)}
+	value := strings.Repeat("x", 65000)
+	f.Host("a", func([]string) string {
+		time.Sleep(700 * time.Millisecond)
+		return "VA 65000 O{id}\r\n" + value + "\r\n"
+	})
+	f.start()
+	defer f.stop()
+	var all []*client
+	for i := range 4 {
+		c := f.client()
+		c.Conn.(*net.TCPConn).SetReadBuffer(1 << 15)
+		for j := range 4 { // more than the kernel holds
+			c.say(0, fmt.Sprintf("mg k%d v O%d-%d Pc=once,d=2500\r\n", i, i, j))
+		}
+		all = append(all, c)
+	}
+	time.Sleep(50 * time.Millisecond)
+	f.process.Process.Signal(syscall.SIGTERM)
+	time.Sleep(1500 * time.Millisecond)
+	var whole atomic.Int32
+	var reading sync.WaitGroup
+	for _, c := range all {
+		reading.Go(func() {
+			for range 4 {
+				if c.take(value, "") {
+					whole.Add(1)
+				}
+			}
+			c.Close()
+		})
+	}
+	reading.Wait()
+	fmt.Println(whole.Load(), "whole,", f.process.Wait())
+	// Output:
+	// 16 whole, <nil>
+}
+
 // Lists are asked for also where the settings say that they are pushed: what discovery has is told to those who watch.
 func Example_pushedLists() {
 	f := &fleet{sets: setting(`"discovery":"on_request"`, `"discovery":"pushed"`)}
--- a/internal/routing/stop.go
+++ b/internal/routing/stop.go
@@ -48,7 +48,7 @@
 			c.finish(transport.Stopping)
 		}
 	}
-	if len(r.clients) == 0 {
+	if len(r.clients) == 0 && !r.loop.Unsent() {
 		if r.stop.empty == 0 {
 			r.stop.empty = now
 		}
--- a/internal/transport/loop.go
+++ b/internal/transport/loop.go
@@ -338,6 +338,11 @@
 	}
 }
 
+// Unsent tells whether a connection that is to end has still something to send.
+func (l *Loop) Unsent() bool {
+	return slices.ContainsFunc(l.conns, func(c *Conn) bool { return c != nil && c.status == finishing && c.Out.Len() > 0 })
+}
+
 // Most sets how many sockets may be open, beside the spare ones; what is open stays.
 func (l *Loop) Most(sockets int) { l.most = sockets }
 
