Ops that come over 600 ms behind the word to stop are nacked at once

Read: clients send on what stays open up to SIGKILL, which may come 0.7 s behind the longest TTL. An op taken behind an open one at 0.8 s was pushed, and could be cut off unanswered. From 600 ms on the module takes no more: each is nacked, unread if need be.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -223,6 +223,9 @@
 	return false, b.backoff(b.round / ownGoal)
 }
 
+// Close takes word that the process ends before another op could be settled. Those that come are nacked.
+func (b *Balancer) Close() { b.part, b.steered = 0, math.Inf(1) }
+
 // look has d looked at then.
 func (b *Balancer) look(all *dues, d *due, at float64) {
 	all.Set(d, at)
--- a/cmd/larchthread/crossings_test.go
+++ b/cmd/larchthread/crossings_test.go
@@ -321,6 +321,34 @@
 	// 16 whole, <nil>
 }
 
+// An op that comes so late behind the word to stop that the end may be forced before it is settled is nacked at once, and not
+// sent on; what came before is answered first.
+func Example_opBehindTheStop() {
+	f := &fleet{sets: strings.ReplaceAll(settings, `"ttlUs":600000`, `"ttlUs":3000000`)}
+	f.Host("a", func(words []string) string {
+		if words[1] == "slow" {
+			time.Sleep(1200 * time.Millisecond)
+		}
+		return hit(words)
+	})
+	f.start()
+	defer f.stop()
+	c := f.client()
+	c.say(0, "mg slow v O1 Pc=once,d=2500\r\n")
+	f.await("a: mg slow v O1 Pc=once,d=..", 1)
+	f.process.Process.Signal(syscall.SIGTERM)
+	time.Sleep(800 * time.Millisecond)
+	c.say(3, "mg k v O2 Pc=read,d=2500\r\n")
+	c.say(1, "")
+	fmt.Println(f.process.Wait(), "sent on:", f.sent("2"))
+	// Output:
+	// VA 5 O1
+	// value
+	// SERVER_ERROR busy ..
+	// client:  false true
+	// <nil> sent on: 0
+}
+
 // Lists are asked for also where the settings say that they are pushed: what discovery has is told to those who watch.
 func Example_pushedLists() {
 	f := &fleet{sets: setting(`"discovery":"on_request"`, `"discovery":"pushed"`)}
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -48,6 +48,7 @@
 	stopLinger = 450.0 // ms for which connections stay open after the word to stop: new ones still come
 	stopSweep  = 10.0  // ms between two looks for connections to close: a small part of what is left
 	stopGrace  = 100.0 // ms that a new connection is left open for its first command to come: many round trips
+	stopTake   = 600.0 // ms from which ops are nacked: the end may be forced 700 ms behind the longest TTL
 	stopLast   = 250.0 // ms after the last client until the end, for the sockets to be closed in good order
 )
 
--- a/internal/routing/stop.go
+++ b/internal/routing/stop.go
@@ -48,6 +48,9 @@
 			c.finish(transport.Stopping)
 		}
 	}
+	if now-r.stop.began > stopTake && r.successor == nil {
+		r.balancer.Close()
+	}
 	if len(r.clients) == 0 && !r.loop.Unsent() {
 		if r.stop.empty == 0 {
 			r.stop.empty = now
