No connection is ended that something has just come on

Read: timers fire in the round that has read a command but may have had no time to hand it over; half a command seemed to stand there, and the client got an error for a whole one. Making room closed idle connections with a command unread at the socket, which resets them. Tests, without the changes: Example_opAtTheEnd and Example_opAsRoomIsMade fail (fewer answered than 150 and 12).

--- a/cmd/larchthread/crossings_test.go
+++ b/cmd/larchthread/crossings_test.go
@@ -281,6 +281,68 @@
 	// bad-input 0
 }
 
+// An op on a connection that would be ended in the same moment, for silence or to make room, is served.
+func Example_opAtTheEnd() {
+	f := &fleet{limits: `{"cores":1,"memory_mb":64,"sockets":512}`}
+	f.Host("a", hit)
+	f.start()
+	defer f.stop()
+	var all []*client
+	for range 150 {
+		all = append(all, f.client())
+	}
+	time.Sleep(2300 * time.Millisecond)
+	f.stopped(func() {
+		time.Sleep(400 * time.Millisecond) // their time is over
+		for _, c := range all {
+			c.say(0, strings.Repeat("mn\r\n", 200))
+		}
+	})
+	answered := 0
+	for _, c := range all {
+		if line, _ := c.r.ReadString('\n'); line == "MN\r\n" {
+			answered++
+		}
+		c.Close()
+	}
+	fmt.Println(answered, "of 150")
+	// Output:
+	// 150 of 150
+}
+
+// Where connections are ended to make room, none is that an op has just come on.
+func Example_opAsRoomIsMade() {
+	f := &fleet{limits: `{"cores":1,"memory_mb":64,"sockets":96}`}
+	f.Host("a", hit)
+	f.start()
+	defer f.stop()
+	var usual []*client
+	for i := range 12 {
+		c := f.client()
+		c.say(0, fmt.Sprintf("mg k v O%d Pc=read,d=500\r\n", i))
+		c.r.ReadString('\n')
+		c.r.ReadString('\n')
+		usual = append(usual, c)
+	}
+	f.stopped(func() {
+		for range 60 {
+			f.client().say(0, "mg k v")
+		}
+		for i, c := range usual {
+			c.say(0, fmt.Sprintf("mg k v Olate%d Pc=read,d=3000\r\n", i))
+		}
+	})
+	answered := 0
+	for _, c := range usual {
+		if line, _ := c.r.ReadString('\n'); strings.HasPrefix(line, "VA 5") || strings.HasPrefix(line, "SERVER_ERROR busy") {
+			answered++
+		}
+	}
+	fmt.Println(answered, "of 12")
+	// Output:
+	// 12 of 12
+}
+
 // An answer that is given while the program stops is whole, also for a client that reads it late.
 func Example_stopBeforeLateReader() {
 	f := &fleet{sets: strings.ReplaceAll(settings, `"ttlUs":600000`, `"ttlUs":3000000`)}
--- a/internal/routing/client.go
+++ b/internal/routing/client.go
@@ -140,9 +140,14 @@
 // turnOver ends the connection that has had nothing open for the longest time, where there are many. Where clients open
 // one for each op and keep it, those that may have no more go unheard.
 func (r *Router) turnOver() {
-	if r.atRest.Len() > r.restMost {
-		c := r.atRest.Front().Value.(*client)
-		c.finish(transport.Surplus)
+	if r.atRest.Len() <= r.restMost {
+		return
+	}
+	for e := r.atRest.Front(); e != nil; e = e.Next() {
+		if c := e.Value.(*client); !c.conn.Unheard() { // else an op has come on it
+			c.finish(transport.Surplus)
+			return
+		}
 	}
 }
 
@@ -161,6 +166,8 @@
 // overdue ends a connection that has stood for too long, with an error where part of a command has come.
 func (c *client) overdue() {
 	switch {
+	case c.conn.Unheard(): // what has just come may be the rest, or a first op
+		c.router.loop.Set(&c.patience, heardFor)
 	case c.half():
 		c.ending = transport.HalfSent
 		c.conn.Pause(true)
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -35,6 +35,7 @@
 	stall       = 25.0     // ms between two rounds, over twice the timer's period, that tell of a stall
 	restFor     = 2600.0   // ms for the rest of a command, or the first op of a connection: a slow client takes 2 s for a head
 	restShare   = 6        // one in so many sockets may be a client's with nothing open: clients hold a third in all
+	heardFor    = 10.0     // ms for what has come to be heard, before an end for silence is looked at again: some rounds
 	idleFor     = 2100.0   // ms that a client's connection with nothing open is kept: it may be closed after 2 s
 	pastMost    = 4096     // ids of hosts no longer known that operators may still name: some days of replacements, in little memory
 	goneFor     = 20000.0  // ms that a host is known after it has gone: a list that forgets one by mistake has it back by then
--- a/internal/routing/stop.go
+++ b/internal/routing/stop.go
@@ -44,7 +44,7 @@
 		r.passOn()
 	}
 	for i := len(r.clients) - 1; i >= 0 && r.successor == nil; i-- {
-		if c := r.clients[i]; c.idle() && (c.proven || now-c.conn.Began > stopGrace) {
+		if c := r.clients[i]; c.idle() && (c.proven || now-c.conn.Began > stopGrace) && !c.conn.Unheard() {
 			c.finish(transport.Stopping)
 		}
 	}
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -125,6 +125,15 @@
 	return err == unix.EAGAIN
 }
 
+// Unheard tells whether something has come, be it the end, that the owner has not been told yet.
+func (c *Conn) Unheard() bool {
+	if c.fresh || c.why != "" || c.paused { // what comes on a paused one is not to be heard yet
+		return !c.paused
+	}
+	_, err := c.peek()
+	return err != unix.EAGAIN
+}
+
 // AtEnd tells whether nothing more will come: the other side has ended the connection, and all it said is taken.
 func (c *Conn) AtEnd() bool {
 	n, err := c.peek()
--- a/internal/transport/loop.go
+++ b/internal/transport/loop.go
@@ -264,6 +264,10 @@
 	if oldest == nil {
 		return false
 	}
+	if n, _ := oldest.peek(); n > 0 { // something has come on it just now: closing it would lose that, and what it was sent
+		oldest.read()
+		return l.makeRoom()
+	}
 	l.shed(oldest)
 	return true
 }
