Signals are heeded from before the start file is read

Read: SIGTERM and SIGHUP ended the program at once between the opening of its door and the call of signal.Notify, and before. Test: Example_signalWhileStarting, without the change the program is ended by SIGHUP.

--- a/cmd/larchthread/crossings_test.go
+++ b/cmd/larchthread/crossings_test.go
@@ -89,6 +89,47 @@
 	return lines
 }
 
+// A signal that comes before the program has read its start file is heeded once it serves. It once ended the program.
+func Example_signalWhileStarting() {
+	f := &fleet{}
+	f.Host("a", hit)
+	f.start()
+	defer f.stop()
+	f.process.Process.Kill()
+	f.process.Wait()
+	for _, s := range []syscall.Signal{syscall.SIGHUP, syscall.SIGTERM} {
+		text, _ := os.ReadFile(f.path)
+		os.Remove(f.path)
+		if err := syscall.Mkfifo(f.path, 0o600); err != nil {
+			panic(err)
+		}
+		f.process = f.run()
+		start, err := os.OpenFile(f.path, os.O_WRONLY, 0) // returns once the program has it open to read
+		if err != nil {
+			panic(err)
+		}
+		f.process.Process.Signal(s)
+		time.Sleep(50 * time.Millisecond)
+		os.Remove(f.path)
+		os.WriteFile(f.path, text, 0o600)
+		start.Write(text)
+		start.Close()
+		if s == syscall.SIGHUP {
+			reach(f.listen)
+			f.client().say(2, "mg k v O1 Pc=read,d=500\r\n")
+			fmt.Println("read anew:", strings.Contains(f.log.String(), "configuration read anew"))
+			f.process.Process.Kill()
+		}
+		fmt.Println(f.process.Wait())
+	}
+	// Output:
+	// VA 5 O1
+	// value
+	// read anew: true
+	// signal: killed
+	// <nil>
+}
+
 // A client that leaves with more commands open than are read at once is seen to leave, and nothing of it goes out any more.
 // Its end was once not looked for while nothing was read.
 func Example_leftWhilePaused() {
--- a/cmd/larchthread/main.go
+++ b/cmd/larchthread/main.go
@@ -28,6 +28,11 @@
 // serve runs the balancer that the start file describes, until it is told to stop. own is the path of the operators' own file,
 // empty where there is none.
 func serve(path, own string) error {
+	// Before anything else: once the door is open, or even before, a signal must not end what has been taken.
+	stop, anew := make(chan os.Signal, 1), make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
+	signal.Notify(anew, syscall.SIGHUP)
+	signal.Ignore(syscall.SIGPIPE) // a log that nobody reads any more must not end the program
 	told, err := params.ReadFile(path)
 	if err != nil {
 		return err
@@ -63,15 +68,10 @@
 	if err != nil {
 		return err
 	}
-	signal.Ignore(syscall.SIGPIPE) // a log that nobody reads any more must not end the program
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	go func() {
-		<-signals
+		<-stop
 		router.Stop()
 	}()
-	anew := make(chan os.Signal, 1)
-	signal.Notify(anew, syscall.SIGHUP)
 	go func() {
 		for range anew {
 			told, err := params.ReadFile(path)
