The next call for the list is bounded from the last one: 4.5 s, for 6 s until told

Read: a call could hang for 3 s (5 s in the module) and the next wait 4 to 8 s, 11 s in all, where changes count as told 6 s after discovery had them and could be reached, whatever failed. One deadline now bounds the chain, in the module; the front's own limit of first calls is gone, and a call may still be answered until the next is made. Lines at fault: balance.ListFailed, askLongest, askAnswer; routing.watch.overdue. Two traces change for it: after two failures the next calls come at 7.0 s and 11.3 s, where one came at 11.1 s; and an unanswered call is repeated after 3.9 s, not 5.9 s.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -100,9 +100,9 @@
 	shutFirst   = 1000.0 // ms in which no new connection is tried to a host whose table of them was full
 	shutLongest = 8000.0 // ms, the longest such wait: places come free as others hang up
 
-	askFirst   = 500.0  // ms until a failed list call is repeated, spread by as much again
-	askLongest = 4000.0 // ms, the longest such wait
-	askAnswer  = 5000.0 // ms after which an unanswered call counts as failed
+	askFirst  = 500.0  // ms until a failed list call is repeated, spread by as much again
+	askAnswer = 3000.0 // ms after which an unanswered call counts as failed: it takes its turn, a second or so
+	askSpan   = 4500.0 // ms from a failed call to the next: changes count as told after 6 s, 1.5 for an answer
 
 	settleTicks = 2.0 // quanta before its TTL at which an op is settled, beside one tick
 	shareLeast  = 8.0 // ops that a tenant may be ahead of its part of those acked: chance sends some together
@@ -339,14 +339,18 @@
 	b.port.Watch()
 }
 
-// ListFailed takes word that a call for the list failed or that the watch broke. The next try waits a
-// spread time, so that balancers that failed together do not swamp the list service together.
+// ListFailed takes word that a call for the list failed or that the watch broke. The next waits a spread time, so
+// that not all ask together, but soon enough from the call: discovery may have been back from just after it on.
 func (b *Balancer) ListFailed() {
-	b.asking, b.askAt = false, b.now+b.askWait*(1+b.rng.float())
-	b.askWait = math.Min(b.askWait*2, askLongest)
+	left := askSpan
+	if b.asking {
+		left -= b.now - b.askAt
+	}
+	b.asking, b.askAt = false, b.now+math.Min(b.askWait, left/2)*(1+b.rng.float())
+	b.askWait *= 2
 }
 
-// ListMoved takes word that another service tells the list now. It is asked at once, whatever failed before.
+// ListMoved takes word that the list is told elsewhere now, or the watch silent. It is asked for at once.
 func (b *Balancer) ListMoved() {
 	if b.OnRequest {
 		b.askWait = askFirst
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -372,7 +372,8 @@
 	// 0 watch
 	//  900 watch
 	// 2800 watch
-	// 11100 watch
+	// 7000 watch
+	// 11300 watch
 }
 
 // With no host listed an op is held while there is hope.
@@ -636,7 +637,7 @@
 	x.list(true, "a", "b")
 	// Output:
 	// 0 watch
-	// 5900 watch
+	// 3900 watch
 	// 8000 push op to c
 	//    0 push peer's to c
 	// 8000 push op to a
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -42,7 +42,6 @@
 	stuckFor    = 5000.0   // ms without progress after which a half command or answer counts as abandoned: over any TTL
 
 	watchFirst = 1      // ms that the first call of a watch waits: its answer tells that the watch stands
-	firstMost  = 3000.0 // ms for its answer: discovery takes new calls in turn, which lasts a second or so
 	watchWait  = 2000   // ms that each further call waits: going on costs discovery little, and a dead one shows
 	watchSlack = 1000.0 // ms beyond that until the call counts as lost: answers that are due come at once
 
