A list that has moved on, or back, with no word on what changed is asked for whole

Read: an answer without entries moved the revision, and what it kept back was never asked for again; a discovery that began anew at a lower revision told nothing until it had passed the old one. Lines at fault: routing.watch.take. Test: Example_watchWithoutEntries, without the change the drain of revision 9 is never told.

--- a/cmd/larchthread/crossings_test.go
+++ b/cmd/larchthread/crossings_test.go
@@ -464,3 +464,22 @@
 	// Output:
 	// SERVER_ERROR busy ..
 }
+
+// A list that has moved on, or back, without a word on what has changed is asked for whole. Such a watch once went on for ever
+// by the old list.
+func Example_watchWithoutEntries() {
+	for _, revision := range []int{7, 0} {
+		f := &fleet{}
+		f.Host("a", hit)
+		f.start()
+		f.Changed <- standin.List(revision, false)
+		f.Changed <- standin.List(9, true, strings.Replace(f.Members[0], "in_service", "terminating", 1))
+		f.await("discovery: ", 1)
+		f.await("discovery: 9", 1)
+		f.client().say(1, "mg k v O1 Pc=read,d=100\r\n")
+		f.stop()
+	}
+	// Output:
+	// SERVER_ERROR busy ..
+	// SERVER_ERROR busy ..
+}
--- a/internal/protocol/discovery.go
+++ b/internal/protocol/discovery.go
@@ -133,6 +133,11 @@
 	return l, a.Close, nil
 }
 
+// WriteWhole asks discovery for the whole list.
+func WriteWhole(out *transport.Chain, host string) {
+	out.WriteString(fmt.Sprintf("GET /discovery/hosts HTTP/1.1\r\nHost: %s\r\n\r\n", host))
+}
+
 // WriteWatch asks discovery for what is newer than a revision, within wait ms.
 func WriteWatch(out *transport.Chain, host string, revision uint64, wait int) {
 	out.WriteString(fmt.Sprintf("GET /discovery/hosts?index=%d&wait=%d HTTP/1.1\r\nHost: %s\r\n\r\n",
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -44,6 +44,7 @@
 	watchFirst = 1      // ms that the first call of a watch waits: its answer tells that the watch stands
 	watchWait  = 2000   // ms that each further call waits: going on costs discovery little, and a dead one shows
 	watchSlack = 1000.0 // ms beyond that until the call counts as lost: answers that are due come at once
+	wholePause = 4000.0 // ms between two calls for the whole list: what it would tell counts as told after 6 s
 
 	stopLinger = 450.0 // ms for which connections stay open after the word to stop: new ones still come
 	stopSweep  = 10.0  // ms between two looks for connections to close: a small part of what is left
--- a/internal/routing/watch.go
+++ b/internal/routing/watch.go
@@ -15,6 +15,8 @@
 	lists    *protocol.Lists
 	revision uint64
 	limit    transport.Timer // of a call that waits; a first one's is the balancer's
+	whole    bool            // the whole list is asked for next
+	asked    float64         // ms, when it was last
 }
 
 // begin begins a new watch, in place of one that may be on.
@@ -29,7 +31,11 @@
 		w.conn = w.router.loop.Dial("discovery", w.address, w)
 		w.lists = protocol.NewLists()
 	}
-	protocol.WriteWatch(&w.conn.Out, w.address.String(), w.revision, wait)
+	if w.whole {
+		protocol.WriteWhole(&w.conn.Out, w.address.String())
+	} else {
+		protocol.WriteWatch(&w.conn.Out, w.address.String(), w.revision, wait)
+	}
 	w.conn.Flush()
 	if wait != watchFirst {
 		w.router.loop.Set(&w.limit, watchWait+watchSlack)
@@ -86,6 +92,7 @@
 	if last {
 		w.end(transport.LastAnswer)
 	}
+	w.whole = w.hides(l)
 	w.revision = l.Revision
 	w.ask(watchWait)
 	if len(l.Members) > 0 {
@@ -93,3 +100,14 @@
 	}
 	w.router.list(l, l.Complete, false)
 }
+
+// hides tells whether an answer keeps from this side what it has to know: the list has moved on, or back, and no entry says
+// by what. The whole list is asked for then, though not again and again.
+func (w *watch) hides(l *protocol.List) bool {
+	now := w.router.loop.Now()
+	if l.Complete || l.Revision == w.revision || l.Revision > w.revision && len(l.Members)+len(l.Bad) > 0 || now-w.asked < wholePause {
+		return false
+	}
+	w.asked = now
+	return true
+}
