Settings that make no sense are named by their keys: shares over 1, names a command can't have

A TTL, benefit or window below 0, shares and parts outside 0 to 1, categories of one name, and names with a blank or comma end the start with every fault in one go.

--- a/internal/params/params.go
+++ b/internal/params/params.go
@@ -7,24 +7,15 @@
 	"fmt"
 	"math"
 	"slices"
+	"strings"
 
 	"larchthread/balance"
 )
 
 // Params are the start-up parameters that are read; others are ignored.
 type Params struct {
-	Categories []struct {
-		Name    string  `json:"name"`
-		Target  float64 `json:"targetLatencyUs"`
-		TTL     float64 `json:"ttlUs"`
-		Benefit float64 `json:"benefit"`
-		Tardy   float64 `json:"tardyBenefit"`
-		Repeat  string  `json:"repeat"`
-		Group   string  `json:"group"`
-		Window  float64 `json:"dedupWindowUs"`
-		Ordered bool    `json:"keepOrder"`
-	} `json:"categories"`
-	Projects []struct {
+	Categories []category `json:"categories"`
+	Projects   []struct {
 		Name  string  `json:"name"`
 		Quota float64 `json:"quotaPerS"`
 	} `json:"projects"`
@@ -78,6 +69,18 @@
 	} `json:"specifics"`
 }
 
+type category struct {
+	Name    string  `json:"name"`
+	Target  float64 `json:"targetLatencyUs"`
+	TTL     float64 `json:"ttlUs"`
+	Benefit float64 `json:"benefit"`
+	Tardy   float64 `json:"tardyBenefit"`
+	Repeat  string  `json:"repeat"`
+	Group   string  `json:"group"`
+	Window  float64 `json:"dedupWindowUs"`
+	Ordered bool    `json:"keepOrder"`
+}
+
 var repeats = map[string]balance.Repeat{"retryable": balance.Redeliverable, "dedup": balance.Deduplicated,
 	"fragile": balance.AtMostOnce}
 
@@ -105,10 +108,24 @@
 		_, group := groups[c.Group]
 		at := fmt.Sprintf("params.categories[%d]", i)
 		f.is(c.Name == "", "%s.name: missing", at)
+		f.is(strings.ContainsFunc(c.Name, func(r rune) bool { return r <= ' ' || r == ',' || r == 0x7f }),
+			"%s.name: %q, which a command can't name: a blank, a comma or a control character", at, c.Name)
+		f.is(slices.ContainsFunc(p.Categories[:i], func(x category) bool { return x.Name == c.Name }) && c.Name != "",
+			"%s.name: %q twice", at, c.Name)
+		f.is(c.TTL < 0, "%s.ttlUs: %v, want 0 or more", at, c.TTL)
+		f.is(c.Benefit < 0, "%s.benefit: %v, want 0 or more", at, c.Benefit)
+		f.is(c.Tardy < 0 || c.Tardy > 1, "%s.tardyBenefit: %v, want 0 to 1", at, c.Tardy)
+		f.is(c.Window < 0, "%s.dedupWindowUs: %v, want 0 or more", at, c.Window)
 		f.is(c.Target <= 0, "%s.targetLatencyUs: %v, want above 0", at, c.Target)
 		f.is(!repeat, "%s.repeat: unknown %q", at, c.Repeat)
 		f.is(!group, "%s.group: unknown %q", at, c.Group)
 	}
+	f.is(p.ExcessBenefit < 0 || p.ExcessBenefit > 1, "params.excessBenefit: %v, want 0 to 1", p.ExcessBenefit)
+	g := p.Guarantees
+	f.is(g.ColdShare < 0 || g.ColdShare > 1, "params.guarantees.coldShare: %v, want 0 to 1", g.ColdShare)
+	f.is(g.ColdFor < 0, "params.guarantees.coldUs: %v, want 0 or more", g.ColdFor)
+	f.is(g.TipMultiple < 0, "params.guarantees.tipMultiple: %v, want 0 or more", g.TipMultiple)
+	f.is(g.FallFor < 0, "params.guarantees.fallUs: %v, want 0 or more", g.FallFor)
 	p.mixed(&f)
 	for i, t := range p.Projects {
 		f.is(t.Name == "" || t.Quota < 0, "params.projects[%d]: name %q, quotaPerS %v", i, t.Name, t.Quota)
--- a/internal/params/params_test.go
+++ b/internal/params/params_test.go
@@ -42,6 +42,14 @@
 	read(`"whole"`, `"keptPromises":0.4,"missAllowed":0,"whole"`)
 	read(`"whole"`, `"keptPromises":0.4,"missAllowed":0.01,"whole"`)
 	read(`"repeat":"retryable"`, `"repeat":"often"`, `"groupSize":1`, `"groupSize":0`) // all faults in one go
+	read(`"name":"read",`, `"name":"a,b","ttlUs":-1,"benefit":-2,"tardyBenefit":1.5,"dedupWindowUs":-3,`)
+	read(`"repeat":"retryable"}`, `"repeat":"retryable"},{"name":"read","targetLatencyUs":1,"repeat":"dedup"}`)
+	read(`"blend"`, `"excessBenefit":2,"guarantees":{"coldShare":1.1,"coldUs":-1,"tipMultiple":-2,"fallUs":-3},"blend"`)
+	read(`"mostPushes":3`, `"mostPushes":0`)
+	// Odd, but so it may be: a name that is a word of the protocol, a window longer than the TTL, or none, a target beyond the TTL.
+	read(`"name":"read"`, `"name":"mg","ttlUs":5,"targetLatencyUs":9,"repeat":"dedup","dedupWindowUs":90`)
+	read(`"repeat":"retryable"`, `"repeat":"dedup","dedupWindowUs":0`)
+	read(`"mostPushes":3`, `"mostPushes":3,"connIdleUs":-1,"connectTimeoutUs":0,"maxRetryAfterUs":-1`) // none
 	// Output:
 	// false <nil>
 	// true <nil>
@@ -69,6 +77,21 @@
 	// false <nil>
 	// false params.groupSize: 0, want 1 or more
 	// params.categories[0].repeat: unknown "often"
+	// false params.categories[0].name: "a,b", which a command can't name: a blank, a comma or a control character
+	// params.categories[0].ttlUs: -1, want 0 or more
+	// params.categories[0].benefit: -2, want 0 or more
+	// params.categories[0].tardyBenefit: 1.5, want 0 to 1
+	// params.categories[0].dedupWindowUs: -3, want 0 or more
+	// false params.categories[1].name: "read" twice
+	// false params.excessBenefit: 2, want 0 to 1
+	// params.guarantees.coldShare: 1.1, want 0 to 1
+	// params.guarantees.coldUs: -1, want 0 or more
+	// params.guarantees.tipMultiple: -2, want 0 or more
+	// params.guarantees.fallUs: -3, want 0 or more
+	// false params.limits.mostPushes: 0, want 1 or more
+	// false <nil>
+	// false <nil>
+	// false <nil>
 }
 
 // What the settings say of order, clocks, stamps, lists and buffers reaches the module in its units.
