--- a/cmd/larchthread/crossings_test.go
+++ b/cmd/larchthread/crossings_test.go
@@ -483,3 +483,53 @@
 	// SERVER_ERROR busy ..
 	// SERVER_ERROR busy ..
 }
+
+// Idle clients that fill the descriptors while discovery is down, and come again when they are ended, keep neither the watch
+// from coming back nor known clients from being served.
+func Example_descriptorsFull() {
+	f := &fleet{limits: `{"cores":1,"memory_mb":64,"sockets":96}`}
+	f.Host("a", hit)
+	f.start()
+	defer f.stop()
+	known := f.client()
+	var stop atomic.Bool
+	var all sync.WaitGroup
+	for range 150 {
+		all.Go(func() {
+			for !stop.Load() {
+				c, err := net.Dial("tcp", f.listen)
+				if err != nil {
+					return
+				}
+				c.SetDeadline(time.Now().Add(time.Second))
+				io.ReadAll(c) // says nothing, and comes again once it is ended
+				c.Close()
+			}
+		})
+	}
+	served := 0
+	for i := range 100 {
+		if i%10 == 0 {
+			select {
+			case f.Changed <- "down":
+			default:
+			}
+		}
+		ask := fmt.Sprintf("mg k v O%d Pc=read,d=500\r\n", i)
+		known.say(0, ask)
+		if known.take("value", ask) {
+			served++
+		}
+		time.Sleep(30 * time.Millisecond)
+	}
+	fmt.Println(served, "served")
+	for len(f.Changed) > 0 {
+		<-f.Changed
+	}
+	f.Forget()
+	f.await("discovery: 1", 2)
+	stop.Store(true)
+	all.Wait()
+	// Output:
+	// 100 served
+}
