A host that drains is not written to on a connection that comes up behind that

Read: a push waits on its connection for as long as the start allows a connection to take, 250 ms here and 600 ms elsewhere, and was written whenever it came up; a drain told meanwhile has a grace of 250 to 900 ms. Bans already called such pushes off; lists now do the same, by one function. Lines at fault: routing.Router.list.

--- a/cmd/larchthread/crossings_test.go
+++ b/cmd/larchthread/crossings_test.go
@@ -533,3 +533,29 @@
 	// Output:
 	// 100 served
 }
+
+// A host that begins to drain while a connection to it comes up is not written to by it: that may be past any grace.
+func Example_drainWhileConnecting() {
+	h := newLateHost()
+	f := &fleet{sets: slowToConnect(`"tardyBenefit":0.5`, `"tardyBenefit":0.5`)}
+	f.Members = append(f.Members, standin.Line("a", h.Addr().String(), standin.KindHost, standin.InService))
+	f.start()
+	defer f.stop()
+	h.hold()
+	c := f.client()
+	c.say(0, "mg k v O1 Pc=once,d=2500\r\n")
+	time.Sleep(50 * time.Millisecond)
+	f.Changed <- standin.List(2, false, strings.Replace(f.Members[0], "in_service", "terminating", 1))
+	f.await("discovery: 2", 1)
+	h.Accept() // the one that fills the queue
+	h.Listener.(*net.TCPListener).SetDeadline(time.Now().Add(3 * time.Second))
+	if late, err := h.Accept(); err == nil {
+		fmt.Println("heard:", heard(late, time.Second))
+	} else {
+		fmt.Println("heard: []")
+	}
+	c.say(1, "")
+	// Output:
+	// heard: []
+	// SERVER_ERROR busy ..
+}
--- a/internal/routing/ban.go
+++ b/internal/routing/ban.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"slices"
 
 	"larchthread/balance"
 	"larchthread/internal/transport"
@@ -51,12 +50,11 @@
 		return errOrigin
 	}
 	r.balancer.Ban(&h.Host, out)
-	h.hangUp(transport.Unlisted)
 	h.silent = false
-	for _, p := range slices.Clone(h.pushes) {
-		if out && !p.link.conn.Up() {
-			p.callOff(transport.Unlisted)
-		}
+	if out {
+		h.leave()
+	} else {
+		h.hangUp(transport.Unlisted)
 	}
 	return nil
 }
--- a/internal/routing/link.go
+++ b/internal/routing/link.go
@@ -357,3 +357,14 @@
 	}
 	h.idle = nil
 }
+
+// leave closes the connections to a host that nothing more is to be sent to, but for those on which a push has been begun:
+// one that is still coming up may be up after any grace.
+func (h *host) leave() {
+	h.hangUp(transport.Unlisted)
+	for _, p := range slices.Clone(h.pushes) {
+		if !p.link.conn.Up() {
+			p.callOff(transport.Unlisted)
+		}
+	}
+}
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -177,7 +177,7 @@
 			h.hangUp(transport.Unlisted)
 		}
 		if listing.Status != balance.Ready {
-			h.hangUp(transport.Unlisted)
+			h.leave()
 		}
 		if listing.UpSince > h.UpSince { // connections to the process before are dead, whether they tell or not
 			h.hangUp(transport.Doubted)
@@ -223,7 +223,7 @@
 			h.gone = 0
 		case h.gone == 0:
 			h.gone = now
-			h.hangUp(transport.Unlisted) // a whole list does not name it
+			h.leave() // a whole list does not name it
 		case now-h.gone > goneFor && len(h.pushes) == 0 && !h.Banned:
 			delete(r.hosts, id)
 			if !h.Origin {
