An answer that comes before its push is written whole ends the connection

Read: an origin or host may turn a long write away before it has all of it. The connection was then kept for the next push with the rest of the value unwritten, and that push was taken for the rest. Values, receipts and misses to a push that was not written whole are spoilt. Lines at fault: routing.link.answered. Test: Example_answerBeforeTheEnd, without the change the fetch behind it goes unheard on origin 1 and its op is nacked; with it: origin 2: GET /k.

--- a/cmd/larchthread/crossings_test.go
+++ b/cmd/larchthread/crossings_test.go
@@ -559,3 +559,47 @@
 	// heard: []
 	// SERVER_ERROR busy ..
 }
+
+// An answer that comes before its push is written whole ends the connection: the next push would be taken for the rest.
+func Example_answerBeforeTheEnd() {
+	f := &fleet{}
+	f.Host("a", miss)
+	l := standin.Anywhere()
+	f.Members = append(f.Members, standin.Line("log", l.Addr().String(), standin.KindOrigin, standin.InService))
+	var conns atomic.Int32
+	f.Serve(l, func(c net.Conn) {
+		n := conns.Add(1)
+		for r := bufio.NewReader(c); ; {
+			line, err := r.ReadString('\n')
+			if err != nil {
+				return
+			}
+			if verb, rest, _ := strings.Cut(line, " "); verb == "PUT" || verb == "GET" {
+				f.Note("origin %d: %s %s", n, verb, strings.Fields(rest)[0])
+				if verb == "GET" {
+					io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\nfetched")
+					continue
+				}
+				io.WriteString(c, "HTTP/1.1 503 busy\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n")
+				time.Sleep(time.Second) // the rest stays unread
+			}
+		}
+	})
+	f.start()
+	defer f.stop()
+	c := f.client()
+	c.say(1, fmt.Sprintf("ms w %d O1 Pc=put,d=500\r\n%s\r\n", len(big), big))
+	time.Sleep(300 * time.Millisecond) // the origin rests
+	c.say(2, "mg k v O2 Pc=read,d=500\r\n")
+	for _, n := range f.Notes() {
+		if strings.HasPrefix(n, "origin") {
+			fmt.Println(n)
+		}
+	}
+	// Output:
+	// SERVER_ERROR busy ..
+	// VA 7 O2
+	// fetched
+	// origin 1: PUT /w
+	// origin 2: GET /k
+}
--- a/internal/routing/link.go
+++ b/internal/routing/link.go
@@ -290,7 +290,8 @@
 // answered takes the answer to the push.
 func (l *link) answered(a *protocol.Answer) {
 	p, op := l.push, l.push.op
-	if !a.To(op.command) || a.Flows > 0 && !p.sent() {
+	sent := p.sent()
+	if !a.To(op.command) || !sent && a.Kind <= protocol.Miss { // none has an answer to what has not been said
 		a.Value.Free()
 		l.fail(transport.WrongAnswer, balance.Spoilt)
 		return
@@ -311,6 +312,8 @@
 	case o == balance.Refused && !l.kept && !l.host.Origin && l.conn.AtEnd():
 		o = balance.Shut
 		l.close(transport.TableFull)
+	case !sent: // the rest of the push would stand before the next
+		l.close(transport.EarlyAnswer)
 	case l.early && a.ID == "" && a.Kind != protocol.Value && a.Kind != protocol.Receipt: // the push may be at work still
 		l.close(transport.WrongAnswer)
 	default:
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -26,6 +26,7 @@
 	Unquiet      Reason = "not-quiet"       // something came behind the last answer, or it ended there
 	BadInput     Reason = "bad-input"       // what came on it could not be read
 	WrongAnswer  Reason = "wrong-answer"    // the answer was to another op
+	EarlyAnswer  Reason = "early-answer"    // the answer came before the push was written whole
 	SlowReader   Reason = "slow-reader"     // it does not take its answers
 	HalfSent     Reason = "half-sent"       // the rest of a command did not come
 	Silent       Reason = "silent"          // no command came that could be taken
