What one round reads from clients stays within the memory for buffers

Seen: Example_halfSent fails now and then on slow machines. Cause: buffers were let go of between rounds alone, and one round read up to 80 KB from each client: 300 half-sent values filled twice the budget before anything was closed, and the collector worked at its limit for what followed. Clients are read no further once the pool is full; clients are let go of from the same bound on, so that neither waits for the other. Lines at fault: transport.Conn.read, routing.Router.spare. An op's pushes have room in it: no allocation for the first.

--- a/cmd/larchthread/crossings_test.go
+++ b/cmd/larchthread/crossings_test.go
@@ -603,3 +603,29 @@
 	// origin 1: PUT /w
 	// origin 2: GET /k
 }
+
+// A flood that is there to be read in one round stays within the memory: what it would fill is let go of first.
+func Example_floodInOneRound() {
+	f := &fleet{limits: `{"cores":1,"memory_mb":24,"sockets":1024}`}
+	f.Host("a", hit)
+	f.start()
+	defer f.stop()
+	before := f.resident()
+	var all []*client
+	for range 700 {
+		all = append(all, f.client())
+	}
+	f.client().say(1, "mn\r\n") // they are accepted
+	f.stopped(func() {
+		for _, c := range all {
+			c.SetWriteDeadline(time.Now().Add(5 * time.Millisecond)) // as much as the kernel takes
+			c.say(0, "ms k 65000 O1 Pc=put,d=500\r\n"+big[:64000])
+		}
+	})
+	c, ask := f.client(), "mg k v O2 Pc=read,d=500\r\n"
+	c.say(0, ask)
+	fmt.Println("served:", c.take("value", ask), "within memory:", f.resident()-before < 10)
+	// Output:
+	// MN
+	// served: true within memory: true
+}
--- a/internal/routing/client.go
+++ b/internal/routing/client.go
@@ -29,6 +29,7 @@
 	flow    *flow           // of its long answer, or nil
 	bulk    int             // bytes reserved for its long value
 	pushes  []*push         // that are not over
+	first   [1]*push        // room for that: most have one
 	state   opState
 }
 
@@ -264,7 +265,7 @@
 		r.tallies[category].Nacked++
 		protocol.WriteNack(o.out(), backoff)
 	default:
-		r.ops[command.ID] = o
+		r.ops[command.ID], o.pushes = o, o.first[:0]
 		c.proven = true
 		o.Op = balance.Op{Ref: o, Category: category, Key: command.Key, Due: c.came() + command.TTL,
 			Write: command.Verb == protocol.Set}
@@ -415,7 +416,7 @@
 
 // spare closes the clients that hold the most where buffers run short: over the limit of memory all would be lost.
 func (r *Router) spare() {
-	for r.loop.Pool.Held() > r.budget {
+	for r.loop.Pool.Full() {
 		var worst *client
 		for _, c := range r.clients {
 			if n := c.idleBytes(); n > 0 && (worst == nil || n > worst.idleBytes()) {
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -106,6 +106,7 @@
 		ops: map[string]*op{}, tallies: map[*balance.Category]*Tally{}, hosts: map[string]*host{}, connect: told.Params.Limits.Connect / 1000,
 		restMost: told.Sockets / restShare}
 	r.budget = r.memory
+	loop.Pool.Most = r.budget
 	if r.connect <= 0 {
 		r.connect = connectFor
 	}
--- a/internal/routing/upgrade.go
+++ b/internal/routing/upgrade.go
@@ -46,6 +46,7 @@
 	if p != nil {
 		r.budget /= 2
 	}
+	r.loop.Pool.Most = r.budget
 }
 
 // Succeed tells of the process that takes over, nil where it is lost. This one leaves the door to it, and from the word to
--- a/internal/transport/buffer.go
+++ b/internal/transport/buffer.go
@@ -9,10 +9,15 @@
 
 // Pool hands out buffers and takes them back. It belongs to one loop.
 type Pool struct {
+	Most int // bytes handed out at which nothing more is read from clients; 0 for no bound
+
 	free []*buffer
 	out  int
 }
 
+// Full tells whether there is no room for what clients send.
+func (p *Pool) Full() bool { return p.Most > 0 && p.Held() >= p.Most }
+
 // Held is how many bytes are handed out.
 func (p *Pool) Held() int { return p.out * BufferSize }
 
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -337,6 +337,9 @@
 	if c.news && c.fresh && c.puts() { // what is read has still to be heard: one read then takes more
 		return
 	}
+	if c.puts() && c.loop.Pool.Full() { // a round that read from all would go over the memory before anything is let go of
+		return
+	}
 	if !c.fresh {
 		c.Came, c.heard = c.since, c.first
 	}
