--- a/cmd/larchthread/crossings_test.go
+++ b/cmd/larchthread/crossings_test.go
@@ -5,7 +5,10 @@
 	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"os"
+	"os/exec"
+	"path/filepath"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -604,6 +607,232 @@
 	// origin 2: GET /k
 }
 
+// Thirty balancers that start at once are ready, and told what has changed, though discovery takes their calls in turn and fails
+// those that have waited for too long.
+func Example_thirtyStartAtOnce() {
+	f := &fleet{}
+	f.Host("a", hit)
+	l := standin.Anywhere()
+	f.Closers = append(f.Closers, l)
+	turn := make(chan bool, 1)
+	here := make(chan bool) // closed once all have called
+	var calls atomic.Int32
+	drained := standin.List(2, false, strings.Replace(f.Members[0], "in_service", "terminating", 1))
+	go http.Serve(l, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Query().Get("index") == "2" {
+			<-r.Context().Done()
+			return
+		}
+		if calls.Add(1) == 30 {
+			close(here)
+		}
+		<-here
+		select {
+		case turn <- true:
+			time.Sleep(60 * time.Millisecond)
+			<-turn
+			io.WriteString(w, drained)
+			f.Note("told")
+		case <-time.After(time.Second):
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	}))
+	f.limits, f.sets, f.logTo = `{"cores":1,"memory_mb":64,"sockets":128}`, settings, io.Discard
+	usual := filepath.Join(os.TempDir(), fmt.Sprintf("larchthread-thirty-%d", os.Getpid()))
+	var all [30]*exec.Cmd
+	began := time.Now()
+	var listens [30]string
+	for i := range all {
+		f.path, f.listen = fmt.Sprint(usual, "-", i), freeAddress()
+		listens[i] = f.listen
+		f.write(l.Addr().String())
+		defer os.Remove(f.path)
+		all[i] = f.run()
+		defer all[i].Wait()
+		defer all[i].Process.Kill()
+	}
+	ready := 0
+	for _, f.listen = range listens {
+		reach(f.listen)
+		c := f.client()
+		io.WriteString(c, "mn\r\n")
+		if line, _ := c.r.ReadString('\n'); line == "MN\r\n" && time.Since(began) < 10*time.Second {
+			ready++
+		}
+		c.Close()
+	}
+	f.await("told", 30)
+	fmt.Println(ready, "ready, all told in time:", time.Since(began) < 7*time.Second) // a second for their starts
+	f.Close()
+	// Output:
+	// 30 ready, all told in time: true
+}
+
+// A push whose connection breaks before its last byte is written never ran: its op is nacked, also where it must not run twice.
+func Example_brokenWhileWritten() {
+	f := &fleet{}
+	f.Host("a", miss)
+	l := standin.Anywhere()
+	f.Members = append(f.Members, standin.Line("log", l.Addr().String(), standin.KindOrigin, standin.InService))
+	f.Serve(l, func(c net.Conn) {
+		bufio.NewReader(c).ReadString('\n')
+		f.Note("origin: begun")
+		standin.Reset(c)
+	})
+	f.start()
+	defer f.stop()
+	f.client().say(1, fmt.Sprintf("ms w %d O1 Pc=once,d=500\r\n%s\r\n", len(big), big))
+	f.await("origin: begun", 1)
+	// Output:
+	// SERVER_ERROR busy ..
+}
+
+// A client that leaves amid a long answer has the rest called off at its host.
+func Example_leftWhileAnswered() {
+	f := &fleet{}
+	l := standin.Anywhere()
+	f.Members = append(f.Members, standin.Line("a", l.Addr().String(), standin.KindHost, standin.InService))
+	f.Serve(l, func(c net.Conn) {
+		r := bufio.NewReader(c)
+		r.ReadString('\n')
+		io.WriteString(c, "VA 100000 O1\r\n"+big[:70000])
+		r.ReadString('\n')
+		f.Note("closed")
+	})
+	f.start()
+	defer f.stop()
+	c := f.client()
+	c.say(1, "mg k v O1 Pc=read,d=5000\r\n")
+	began := time.Now()
+	c.Close()
+	f.await("closed", 1)
+	fmt.Println("soon:", time.Since(began) < 100*time.Millisecond)
+	// Output:
+	// VA 100000 O1
+	// soon: true
+}
+
+// Half a command that stood there as the program was told to stop is taken once it is whole, and answered: with a nack where it
+// comes too late to be sent on.
+func Example_halfAtTheStop() {
+	f := &fleet{sets: strings.ReplaceAll(settings, `"ttlUs":600000`, `"ttlUs":3000000`)}
+	f.Host("a", hit)
+	f.start()
+	defer f.stop()
+	soon, late := f.client(), f.client()
+	for _, c := range []*client{soon, late} {
+		c.say(2, "mg k v O0 Pc=read,d=500\r\nmg k v O")
+	}
+	f.process.Process.Signal(syscall.SIGTERM)
+	time.Sleep(500 * time.Millisecond)
+	soon.say(3, "1 Pc=read,d=2500\r\n")
+	time.Sleep(300 * time.Millisecond)
+	late.say(2, "2 Pc=read,d=2500\r\n")
+	fmt.Println(f.process.Wait(), "sent on:", f.sent("1"), f.sent("2"))
+	// Output:
+	// VA 5 O0
+	// value
+	// VA 5 O0
+	// value
+	// VA 5 O1
+	// value
+	// client:  false true
+	// SERVER_ERROR busy ..
+	// client:  false true
+	// <nil> sent on: 1 0
+}
+
+// What comes behind the program's half of a connection has ended is not sent on, and the answers before are whole.
+func Example_opBehindTheHalfClose() {
+	f := &fleet{}
+	f.Host("a", hit)
+	f.start()
+	defer f.stop()
+	c := f.client()
+	c.say(3, "mg k v O1 Pc=read,d=500\r\n") // the end comes for idleness
+	c.say(0, "mg k v O2 Pc=read,d=500\r\n")
+	time.Sleep(300 * time.Millisecond)
+	fmt.Println("sent on:", f.sent("2"))
+	// Output:
+	// VA 5 O1
+	// value
+	// client:  false true
+	// sent on: 0
+}
+
+// SIGHUP while a call to the old discovery goes unanswered has the new one asked at once.
+func Example_reloadWhileCalled() {
+	f := &fleet{}
+	f.Host("a", hit)
+	f.start()
+	defer f.stop()
+	hangs := standin.Anywhere()
+	f.Serve(hangs, func(c net.Conn) {
+		bufio.NewReader(c).ReadString('\n')
+		f.Note("called in vain")
+		io.Copy(io.Discard, c)
+	})
+	f.write(hangs.Addr().String())
+	f.process.Process.Signal(syscall.SIGHUP)
+	f.await("called in vain", 1)
+	began := time.Now()
+	f.write(f.watched)
+	f.process.Process.Signal(syscall.SIGHUP)
+	f.Changed <- standin.List(2, false, strings.Replace(f.Members[0], "in_service", "terminating", 1))
+	f.await("discovery: 2", 1)
+	fmt.Println("at once:", time.Since(began) < time.Second)
+	// Output:
+	// at once: true
+}
+
+// A process that is told to stop while it hands over, or while it is handed over to, ends in good order, and serves until then.
+func Example_stopAmidHandOver() {
+	f := &fleet{admin: freeAddress(), tmp: filepath.Join(os.TempDir(), fmt.Sprint("amid", os.Getpid()))}
+	os.MkdirAll(f.tmp, 0o700)
+	defer os.RemoveAll(f.tmp)
+	f.Host("a", slowly(100*time.Millisecond))
+	f.Origin(fetch)
+	f.start()
+	defer f.stop()
+	box := filepath.Join(f.tmp, "larchthread-"+strings.ReplaceAll(f.listen, ":", "-"))
+	heir, err := net.Dial("unixpacket", box)
+	if err != nil {
+		fmt.Println(err)
+		return
+	}
+	io.WriteString(heir, `{"word":"hello","version":1}`)
+	letter := make([]byte, 1<<16)
+	heir.Read(letter) // it has begun
+	c := f.client()
+	c.say(0, "mg slow v O1 Pc=read,d=590\r\n")
+	f.await("a: mg slow v O1 Pc=read,d=..", 1)
+	f.process.Process.Signal(syscall.SIGTERM)
+	c.say(2, "")
+	fmt.Println("the old one:", f.process.Wait())
+	heir.Close()
+
+	os.Remove(box)
+	l, err := net.Listen("unixpacket", box)
+	if err != nil {
+		fmt.Println(err)
+		return
+	}
+	defer l.Close()
+	f.admin = freeAddress()
+	f.write(f.watched)
+	f.process = f.run()
+	old, _ := l.Accept()
+	old.Read(letter)
+	f.process.Process.Signal(syscall.SIGTERM)
+	began := time.Now()
+	fmt.Println("the new one:", f.process.Wait(), "soon:", time.Since(began) < 2*time.Second)
+	// Output:
+	// VA 5 O1
+	// value
+	// the old one: <nil>
+	// the new one: <nil> soon: true
+}
+
 // A flood that is there to be read in one round stays within the memory: what it would fill is let go of first.
 func Example_floodInOneRound() {
 	f := &fleet{limits: `{"cores":1,"memory_mb":24,"sockets":1024}`}
