What can't be answered in time any more is not sent on a connection that comes up so late

Every push now has a time by which it has to be on its way, half a usual latency before its op is given up, and the margin for repeats is that of all ends. An op whose push never left is nacked, where it was dead-lettered. Lines at fault: balance.push, mayPush. Test: Example_lateConnection, whose second op is nacked now; without the change: SERVER_ERROR failed.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -615,7 +615,7 @@
 // mayPush tells whether any further push of op is allowed now, a second copy where one is out.
 func (b *Balancer) mayPush(op *Op) bool {
 	return op.out < 2 && (op.out == 0 || b.MayDuplicate) && len(op.tried) < b.MostPushes &&
-		b.repeatable(op, b.Quantum)
+		b.repeatable(op, b.margin())
 }
 
 // mayNack tells whether the client may be told that a repeat is safe.
@@ -833,9 +833,9 @@
 
 func (b *Balancer) push(g *gate, op *Op, h *Host) {
 	b.move(op, out)
-	p := &Push{Op: op, Host: h, Before: math.Inf(1), sent: b.now, gate: g}
+	p := &Push{Op: op, Host: h, Before: op.until - op.Category.lat/2, sent: b.now, gate: g}
 	if first := op.mayHaveRun(); first != nil && op.Category.Repeat == Deduplicated {
-		p.Before = first.sent + op.Category.Window - b.Quantum
+		p.Before = math.Min(p.Before, first.sent+op.Category.Window-b.margin())
 	}
 	p.look.push = p
 	op.tried = append(op.tried, p)
--- a/balance/port.go
+++ b/balance/port.go
@@ -200,7 +200,7 @@
 	Ref    any // the front's own handle; never read here
 	Op     *Op
 	Host   *Host
-	Before float64 // ms, when its last byte has to be on its way or the push is over, NotSent; +Inf where that is no matter
+	Before float64 // ms, when its last byte has to be on its way, or the push is over, NotSent
 
 	sent   float64 // ms
 	waited float64 // ms that it had to wait for its own process, not yet reckoned with
--- a/cmd/larchthread/crossings_test.go
+++ b/cmd/larchthread/crossings_test.go
@@ -192,8 +192,8 @@
 	// called-off 0
 }
 
-// A push whose connection comes up once its client has gone, or its op is settled, is not written, also where pushes may not
-// be called off: it has not been sent yet.
+// A push whose connection comes up once its client has gone, or too late for an answer in time, is not written, also where
+// pushes may not be called off: it has not been sent yet, so its op is nacked and not dead-lettered.
 func Example_lateConnection() {
 	for _, leave := range []bool{true, false} {
 		h := newLateHost()
@@ -220,7 +220,7 @@
 	}
 	// Output:
 	// heard: []
-	// SERVER_ERROR failed
+	// SERVER_ERROR busy ..
 	// heard: []
 }
 
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -8,7 +8,6 @@
 	"errors"
 	"fmt"
 	"log/slog"
-	"math"
 	"net/netip"
 	"slices"
 	"strconv"
@@ -245,7 +244,7 @@
 	r.loop.Set(&p.limit, limit)
 	p.op.pushes = append(p.op.pushes, p)
 	b.Host.Ref.(*host).link(r, b.Op.Category.Repeat != balance.Redeliverable).carry(p, limit)
-	if !math.IsInf(b.Before, 1) {
+	if l := p.link; !l.conn.Up() || !l.rest.Over() { // else it goes out with this round
 		p.before.Fire = p.withdraw
 		r.loop.Set(&p.before, b.Before-r.loop.Now())
 	}
