Room is made for new connections also while memory is full

Seen on reading with again: making room reads from a connection that has something unread, to leave it out; with memory full nothing is read, so makeRoom called itself for ever. Connections that are to end are read whatever memory there is, for what comes on them is thrown away.

--- a/cmd/larchthread/crossings_test.go
+++ b/cmd/larchthread/crossings_test.go
@@ -858,3 +858,31 @@
 	// MN
 	// served: true within memory: true
 }
+
+// Room is made for new connections also while memory is full, and those that could make it have something unread.
+func Example_roomWhileMemoryIsFull() {
+	f := &fleet{limits: `{"cores":1,"memory_mb":24,"sockets":1024}`}
+	f.Host("a", hit)
+	f.start()
+	defer f.stop()
+	var all []*client
+	for range 800 {
+		all = append(all, f.client())
+	}
+	f.client().say(1, "mn\r\n") // they are accepted
+	f.stopped(func() {
+		for _, c := range all {
+			c.SetWriteDeadline(time.Now().Add(5 * time.Millisecond)) // as much as the kernel takes
+			c.say(0, "ms k 65000 O1 Pc=put,d=500\r\n"+big[:64000])
+		}
+		for range 200 {
+			defer f.client().Close()
+		}
+	})
+	c, ask := f.client(), "mg k v O2 Pc=read,d=500\r\n"
+	c.say(0, ask)
+	fmt.Println("served:", c.take("value", ask))
+	// Output:
+	// MN
+	// served: true
+}
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -337,7 +337,7 @@
 	if c.news && c.fresh && c.puts() { // what is read has still to be heard: one read then takes more
 		return
 	}
-	if c.puts() && c.loop.Pool.Full() { // a round that read from all would go over the memory before anything is let go of
+	if c.puts() && c.status == up && c.loop.Pool.Full() { // a round that read from all would go over the memory before anything is let go of
 		return
 	}
 	if !c.fresh {
--- a/internal/transport/loop.go
+++ b/internal/transport/loop.go
@@ -265,8 +265,9 @@
 		return false
 	}
 	if n, _ := oldest.peek(); n > 0 { // something has come on it just now: closing it would lose that, and what it was sent
-		oldest.read()
-		return l.makeRoom()
+		if oldest.read(); oldest.fresh { // it is not where memory is full
+			return l.makeRoom()
+		}
 	}
 	l.shed(oldest)
 	return true
