A long value that trickles on past its op's TTL is ended; a slow client's is not

Read: ends a flow that stands still; one of which something always comes went on for as long as it liked, and a host that pauses for 200 ms would have ended one that a slow client takes long behind the TTL. What counts now is for how long past the TTL the client has had to wait for the host: 200 ms in all. A client that has something to take still has its 5 s.

--- a/cmd/larchthread/crossings_test.go
+++ b/cmd/larchthread/crossings_test.go
@@ -886,3 +886,33 @@
 	// MN
 	// served: true
 }
+
+// A client that leaves while its long write goes out has that broken off: half a command does nothing.
+func Example_leftWhileWritten() {
+	f := &fleet{}
+	f.Host("a", miss)
+	l := standin.Anywhere()
+	f.Members = append(f.Members, standin.Line("log", l.Addr().String(), standin.KindOrigin, standin.InService))
+	begun, read := make(chan bool), make(chan bool)
+	whole := make(chan bool)
+	f.Serve(l, func(c net.Conn) {
+		r := bufio.NewReader(c)
+		r.ReadString('\n')
+		close(begun)
+		<-read
+		n, _ := io.Copy(io.Discard, r)
+		whole <- n >= int64(len(big))
+	})
+	f.start()
+	defer f.stop()
+	c := f.client()
+	c.say(0, fmt.Sprintf("ms w %d O1 Pc=put,d=5000\r\n%s\r\n", len(big), big))
+	<-begun
+	c.Close()
+	time.Sleep(100 * time.Millisecond)
+	close(read)
+	began := time.Now()
+	fmt.Println("whole:", <-whole, "ended soon:", time.Since(began) < time.Second)
+	// Output:
+	// whole: false ended soon: true
+}
--- a/cmd/larchthread/long_test.go
+++ b/cmd/larchthread/long_test.go
@@ -1,13 +1,17 @@
 package main
 
 import (
+	"bufio"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"regexp"
 	"strings"
 	"sync"
 	"time"
+
+	"larchthread/internal/standin"
 )
 
 // Long values go through whole, from host and origin, to clients that read slowly, with far more of them open than memory
@@ -120,6 +124,48 @@
 	// CLIENT_ERROR ms: length "4194305", want 0 to 4194304
 }
 
+// A long value that trickles on past its op's TTL is ended, though something always comes; one that a client takes slowly is not.
+func Example_longTrickle() {
+	f := &fleet{}
+	f.Host("a", func(words []string) string {
+		if words[1] == "big" {
+			return fmt.Sprintf("VA %d O{id}\r\n%s\r\n", len(big), big)
+		}
+		return hit(words)
+	})
+	l := standin.Anywhere()
+	trickle := func(c net.Conn) {
+		r := bufio.NewReader(c)
+		r.ReadString('\n')
+		io.WriteString(c, "VA 100000 O1\r\n")
+		for i := 0; i < 100; i++ {
+			if _, err := io.WriteString(c, big[i*100:i*100+100]); err != nil {
+				return
+			}
+			time.Sleep(30 * time.Millisecond)
+		}
+	}
+	f.Serve(l, trickle)
+	f.start()
+	slow := f.client()
+	slow.Conn.(*net.TCPConn).SetReadBuffer(1 << 15)
+	slow.say(0, "mg big v O2 Pc=read,d=300\r\n")
+	f.Changed <- standin.List(2, true, standin.Line("b", l.Addr().String(), standin.KindHost, standin.InService))
+	f.await("discovery: 2", 1)
+	c := f.client()
+	began := time.Now()
+	c.say(1, "mg k v O1 Pc=read,d=500\r\n")
+	io.ReadAll(c.r)
+	fmt.Println("within its TTL and half a second:", time.Since(began) < 1000*time.Millisecond)
+	time.Sleep(300 * time.Millisecond)
+	fmt.Println("slow one whole:", slow.take(big, ""))
+	f.stop()
+	// Output:
+	// VA 100000 O1
+	// within its TTL and half a second: true
+	// slow one whole: true
+}
+
 // A long value of which nothing comes any more is ended with its op's TTL, where its client once waited for 5 s; one of which its
 // client takes nothing, after some seconds. Both ops are over then, and neither keeps the host from others.
 func Example_longStuck() {
--- a/internal/routing/flow.go
+++ b/internal/routing/flow.go
@@ -14,6 +14,8 @@
 	begun  bool            // its first bytes have been passed on
 	in     transport.Chain // what the host had sent when it closed the connection
 	closed bool            // it has
+	dry    float64         // ms, since when the client has all that has come; 0 while it has not
+	waited float64         // ms behind the TTL for which that was so
 	stuck  transport.Timer // until something has to move
 }
 
@@ -41,6 +43,11 @@
 // advance passes on what has come, as far as the client takes it. Behind an op that has no answer yet it waits.
 func (f *flow) advance() {
 	c, l := f.op.client, f.link
+	now := l.router.loop.Now()
+	if f.dry > 0 {
+		f.waited += max(0, now-max(f.dry, f.op.Due))
+	}
+	f.dry = 0
 	if c.line[0] == f.op {
 		if !f.begun {
 			f.begun = true
@@ -64,17 +71,17 @@
 			return
 		}
 	}
-	l.router.loop.Set(&f.stuck, f.patience())
-	l.conn.Pause(l.conn.In.Len() > 0)
-}
-
-// patience is for how long a flow may stand as it is. Where it is for the host to go on, that is its op's TTL: behind that its
-// client would wait for an end that may never come.
-func (f *flow) patience() float64 {
-	if f.op.client.line[0] != f.op || f.source().Len() > 0 {
-		return stuckFor
+	patience := stuckFor
+	if c.line[0] == f.op && f.source().Len()+c.conn.Out.Len() == 0 { // it is for the host to go on, and not much past the TTL
+		f.dry = now
+		patience = min(max(f.op.Due-now, 0)+pauseFor-f.waited, stuckFor)
 	}
-	return min(max(f.op.Due-f.link.router.loop.Now(), pauseFor), stuckFor)
+	if patience <= 0 {
+		f.broke(transport.PushLate, balance.TimedOut)
+		return
+	}
+	l.router.loop.Set(&f.stuck, patience)
+	l.conn.Pause(l.conn.In.Len() > 0)
 }
 
 // whole ends a flow with its last byte.
