Undone: long values ended for their op's TTL; a host that still gives one is not cut off

Test: Example_longTrickle, turned round: a value that comes by and by is whole 1 s behind its TTL; on it fails: whole: false.

--- a/internal/routing/flow.go
+++ b/internal/routing/flow.go
@@ -14,8 +14,6 @@
 	begun  bool            // its first bytes have been passed on
 	in     transport.Chain // what the host had sent when it closed the connection
 	closed bool            // it has
-	dry    float64         // ms, since when the client has all that has come; 0 while it has not
-	waited float64         // ms behind the TTL for which that was so
 	stuck  transport.Timer // until something has to move
 }
 
@@ -43,11 +41,6 @@
 // advance passes on what has come, as far as the client takes it. Behind an op that has no answer yet it waits.
 func (f *flow) advance() {
 	c, l := f.op.client, f.link
-	now := l.router.loop.Now()
-	if f.dry > 0 {
-		f.waited += max(0, now-max(f.dry, f.op.Due))
-	}
-	f.dry = 0
 	if c.line[0] == f.op {
 		if !f.begun {
 			f.begun = true
@@ -71,16 +64,7 @@
 			return
 		}
 	}
-	patience := stuckFor
-	if c.line[0] == f.op && f.source().Len()+c.conn.Out.Len() == 0 { // it is for the host to go on, and not much past the TTL
-		f.dry = now
-		patience = min(max(f.op.Due-now, 0)+pauseFor-f.waited, stuckFor)
-	}
-	if patience <= 0 {
-		f.broke(transport.PushLate, balance.TimedOut)
-		return
-	}
-	l.router.loop.Set(&f.stuck, patience)
+	l.router.loop.Set(&f.stuck, stuckFor)
 	l.conn.Pause(l.conn.In.Len() > 0)
 }
 
@@ -111,7 +95,7 @@
 
 // stopped takes word that nothing has moved for long: the client takes nothing, or the host sends nothing.
 func (f *flow) stopped() {
-	if f.source().Len() > 0 {
+	if f.source().Len() > 0 || f.op.client.conn.Out.Len() > 0 {
 		f.op.client.cut(transport.SlowReader)
 		return
 	}
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -29,7 +29,6 @@
 	shortMost   = 1 << 10  // bytes of an answer that waits for its turn without a buffer of its own
 	replyMost   = 1 << 20  // bytes of answers not taken at which reading stops: a dozen of the largest
 	flowMost    = 64 << 10 // bytes of a long value that wait for the client: what a short one may have
-	pauseFor    = 200.0    // ms past its op's TTL for which a host may have its client wait for more of a long value: a lost packet
 	bulkShare   = 0.5      // part of the buffers that long values of writes may take together
 	stall       = 25.0     // ms between two rounds, over twice the timer's period, that tell of a stall
 	restFor     = 2600.0   // ms for the rest of a command, or the first op of a connection: a slow client takes 2 s for a head
