--- a/balance/ramp_test.go
+++ b/balance/ramp_test.go
@@ -5,11 +5,10 @@
 	"math"
 	"math/rand/v2"
 	"slices"
-	"testing"
 )
 
 // ramp plays what n balancers together send hosts that have come up cold, from the moment they are listed until they are warm,
-// where more wants to go there than may. It tells by how much the most that a host got in any span exceeds what it can bear.
+// where more wants to go there than may. It counts the draws in which one of them got more in some span than it can bear.
 type ramp struct {
 	n           int     // balancers
 	hosts       int     // all
@@ -26,7 +25,7 @@
 const (
 	rampWarmUp = 4000.0 // ms, twice what rates are averaged over
 	rampStep   = 10.0   // ms
-	rampDraws  = 20
+	rampDraws  = 20     // of each kind: a few seconds; a thousand were drawn once (docs/standing.md)
 )
 
 func (r *ramp) draw(seed uint64) {
@@ -140,9 +139,6 @@
 			for seed := range draws {
 				k.r.draw(uint64(seed))
 			}
-			if testing.Verbose() {
-				println(n, k.name, k.r.over, k.r.drawn)
-			}
 			if k.r.over > 0 {
 				fmt.Println(n, "balancers,", k.name, "over in", k.r.over, "of", k.r.drawn)
 			}
--- a/cmd/larchthread/crossings_test.go
+++ b/cmd/larchthread/crossings_test.go
@@ -82,14 +82,19 @@
 	h.filler = c
 }
 
-// heard is what has come on a connection by a time, a line each.
-func heard(c net.Conn, within time.Duration) (lines []string) {
-	c.SetReadDeadline(time.Now().Add(within))
-	all, _ := io.ReadAll(c)
-	for line := range strings.Lines(string(all)) {
-		lines = append(lines, strings.TrimSpace(line))
+// letIn ends the hold, and prints what the next connection hears, if one comes.
+func (h *lateHost) letIn() {
+	h.Accept() // the one that fills the queue
+	h.Listener.(*net.TCPListener).SetDeadline(time.Now().Add(3 * time.Second))
+	var heard []string
+	if late, err := h.Accept(); err == nil {
+		late.SetReadDeadline(time.Now().Add(time.Second))
+		all, _ := io.ReadAll(late)
+		for line := range strings.Lines(string(all)) {
+			heard = append(heard, strings.TrimSpace(line))
+		}
 	}
-	return lines
+	fmt.Println("heard:", heard)
 }
 
 // A signal that comes before the program has read its start file is heeded once it serves. It once ended the program.
@@ -209,13 +214,7 @@
 		} else {
 			c.say(1, "")
 		}
-		h.Accept() // the one that fills the queue
-		h.Listener.(*net.TCPListener).SetDeadline(time.Now().Add(3 * time.Second))
-		if late, err := h.Accept(); err == nil {
-			fmt.Println("heard:", heard(late, time.Second))
-		} else {
-			fmt.Println("heard: []")
-		}
+		h.letIn()
 		f.stop()
 	}
 	// Output:
@@ -250,13 +249,7 @@
 	h.hold()
 	first.Close()                      // it may have run
 	time.Sleep(600 * time.Millisecond) // the window is over, and the repeat's connection has been turned down
-	h.Accept()                         // the one that fills the queue
-	h.Listener.(*net.TCPListener).SetDeadline(time.Now().Add(3 * time.Second))
-	if late, err := h.Accept(); err == nil {
-		fmt.Println("heard:", heard(late, time.Second))
-	} else {
-		fmt.Println("heard: []")
-	}
+	h.letIn()
 	// Output:
 	// true
 	// VA 5 O1
@@ -550,13 +543,7 @@
 	time.Sleep(50 * time.Millisecond)
 	f.Changed <- standin.List(2, false, strings.Replace(f.Members[0], "in_service", "terminating", 1))
 	f.await("discovery: 2", 1)
-	h.Accept() // the one that fills the queue
-	h.Listener.(*net.TCPListener).SetDeadline(time.Now().Add(3 * time.Second))
-	if late, err := h.Accept(); err == nil {
-		fmt.Println("heard:", heard(late, time.Second))
-	} else {
-		fmt.Println("heard: []")
-	}
+	h.letIn()
 	c.say(1, "")
 	// Output:
 	// heard: []
