Names of the field: half-close, graceful shutdown

transport.Conn.Finish is HalfClose, its status finishing halfClosing; routing's stop is shutdown, Router.Stop Shutdown, and their constants alike. Log codes stay as they are. No decision changes; the tests of the loop, the front and of planned ends pass.

--- a/cmd/larchthread/main.go
+++ b/cmd/larchthread/main.go
@@ -70,7 +70,7 @@
 	}
 	go func() {
 		<-stop
-		router.Stop()
+		router.Shutdown()
 	}()
 	go func() {
 		for range anew {
--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -74,7 +74,7 @@
 	}
 	c.Ended(c.conn, "")
 	protocol.WriteCallAnswer(&c.conn.Out, status, strings.TrimSuffix(text, "\n")+"\n")
-	c.conn.Finish(transport.LastAnswer)
+	c.conn.HalfClose(transport.LastAnswer)
 }
 
 // methods are the calls there are.
--- a/internal/routing/client.go
+++ b/internal/routing/client.go
@@ -313,7 +313,7 @@
 		switch {
 		case c.ending != "" && len(c.line) == 0:
 			c.finish(c.ending)
-		case r.stop.closing && r.successor == nil && c.between(): // a client without pauses would go on until the end is forced
+		case r.shutdown.closing && r.successor == nil && c.between(): // a client without pauses would go on until the end is forced
 			c.finish(transport.Stopping)
 		case full: // commands that have come meanwhile are read on
 			r.loop.Later(c.conn)
@@ -329,7 +329,7 @@
 // finish takes the client out of the books and ends its connection in good order.
 func (c *client) finish(why transport.Reason) {
 	c.leave()
-	c.conn.Finish(why)
+	c.conn.HalfClose(why)
 }
 
 // leave takes the client's ops out of the books.
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -44,11 +44,11 @@
 	watchSlack = 1000.0 // ms beyond that until the call counts as lost: answers that are due come at once
 	wholePause = 4000.0 // ms between two calls for the whole list: what it would tell counts as told after 6 s
 
-	stopLinger = 450.0 // ms for which connections stay open after the word to stop: new ones still come
-	stopSweep  = 10.0  // ms between two looks for connections to close: a small part of what is left
-	stopGrace  = 100.0 // ms that a new connection is left open for its first command to come: many round trips
-	stopTake   = 600.0 // ms from which ops are nacked: the end may be forced 700 ms behind the longest TTL
-	stopLast   = 250.0 // ms after the last client until the end, for the sockets to be closed in good order
+	shutdownLinger = 450.0 // ms for which connections stay open after the word to stop: new ones still come
+	shutdownSweep  = 10.0  // ms between two looks for connections to close: a small part of what is left
+	shutdownGrace  = 100.0 // ms that a new connection is left open for its first command to come: many round trips
+	shutdownTake   = 600.0 // ms from which ops are nacked: the end may be forced 700 ms behind the longest TTL
+	shutdownLast   = 250.0 // ms after the last client until the end, for the sockets to be closed in good order
 )
 
 // Router is the front of one balancer, and its port.
@@ -78,7 +78,7 @@
 	figures    Figures
 	tallies    map[*balance.Category]*Tally
 	calledOff  []*push // of which the balancer has still to hear
-	stop       stop
+	shutdown   shutdown
 	told       atomic.Pointer[params.Told]      // read anew, still to be heeded
 	inventory  atomic.Pointer[[]inventory.Host] // a list by hand, still to be heeded
 	byFile     *[]inventory.Host                // the list by hand that is in force
@@ -111,7 +111,7 @@
 	r.watch = watch{router: r, address: told.Discovery}
 	r.watch.limit.Fire = r.watch.overdue
 	r.wake.Fire = func() { r.balancer.Woke() }
-	r.stop.timer.Fire = r.sweep
+	r.shutdown.timer.Fire = r.sweep
 	var known protocol.List
 	if len(told.Known) > 0 && string(told.Known) != "null" {
 		if err := json.Unmarshal(told.Known, &known); err != nil {
@@ -138,12 +138,12 @@
 
 // round begins a round of input: the time, and the outcomes of the pushes called off in the last.
 func (r *Router) round(now float64) {
-	r.stop.heed(r)
+	r.shutdown.heed(r)
 	r.balancer.At(now)
 	r.balancer.Behind(r.loop.Waits())
 	r.reload()
 	r.takeInventory()
-	if r.stop.closing && r.successor != nil {
+	if r.shutdown.closing && r.successor != nil {
 		r.passOn()
 	}
 	over := r.calledOff
--- a/internal/routing/stop.go
+++ b/internal/routing/shutdown.go
@@ -6,8 +6,8 @@
 	"larchthread/internal/transport"
 )
 
-// stop is the state of a planned end.
-type stop struct {
+// shutdown is the state of a graceful shutdown.
+type shutdown struct {
 	asked   atomic.Bool // another goroutine sets it
 	on      bool
 	closing bool    // connections are closed as they come between two commands
@@ -16,14 +16,14 @@
 	timer   transport.Timer
 }
 
-// Stop lets the program end when all is answered. It may be called from any goroutine.
-func (r *Router) Stop() {
-	r.stop.asked.Store(true)
+// Shutdown lets the program end when all is answered. It may be called from any goroutine.
+func (r *Router) Shutdown() {
+	r.shutdown.asked.Store(true)
 	r.loop.Ring()
 }
 
 // heed takes the word to stop.
-func (s *stop) heed(r *Router) {
+func (s *shutdown) heed(r *Router) {
 	if s.on || !s.asked.Load() {
 		return
 	}
@@ -33,35 +33,35 @@
 		r.sweep()
 		return
 	}
-	r.loop.Set(&s.timer, stopLinger)
+	r.loop.Set(&s.timer, shutdownLinger)
 }
 
 // sweep closes clients' connections between two commands, or passes them on. What comes until the end is still served.
 func (r *Router) sweep() {
 	now := r.loop.Now()
-	r.stop.closing = true
+	r.shutdown.closing = true
 	if r.successor != nil {
 		r.passOn()
 	}
 	for i := len(r.clients) - 1; i >= 0 && r.successor == nil; i-- {
-		if c := r.clients[i]; c.idle() && (c.proven || now-c.conn.Began > stopGrace) && !c.conn.Unheard() {
+		if c := r.clients[i]; c.idle() && (c.proven || now-c.conn.Began > shutdownGrace) && !c.conn.Unheard() {
 			c.finish(transport.Stopping)
 		}
 	}
-	if now-r.stop.began > stopTake && r.successor == nil {
+	if now-r.shutdown.began > shutdownTake && r.successor == nil {
 		r.balancer.Close()
 	}
 	if len(r.clients) == 0 && !r.loop.Unsent() {
-		if r.stop.empty == 0 {
-			r.stop.empty = now
+		if r.shutdown.empty == 0 {
+			r.shutdown.empty = now
 		}
-		if now-r.stop.empty > stopLast && (r.successor == nil || !r.successor.Waiting()) {
-			r.log.Info("stopped", "ms", int(now-r.stop.began))
+		if now-r.shutdown.empty > shutdownLast && (r.successor == nil || !r.successor.Waiting()) {
+			r.log.Info("stopped", "ms", int(now-r.shutdown.began))
 			r.loop.End()
 			return
 		}
 	} else {
-		r.stop.empty = 0
+		r.shutdown.empty = 0
 	}
-	r.loop.Set(&r.stop.timer, stopSweep)
+	r.loop.Set(&r.shutdown.timer, shutdownSweep)
 }
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -61,10 +61,10 @@
 type status uint8
 
 const (
-	connecting status = iota // on its way up
-	up                       // open
-	finishing                // our side has said its last; what still comes is thrown away until the other ends
-	closed                   // over; its socket is closed when the round is carried out
+	connecting  status = iota // on its way up
+	up                        // open
+	halfClosing               // our side has said its last; what still comes is thrown away until the other ends
+	closed                    // over; its socket is closed when the round is carried out
 )
 
 // Conn is one connection.
@@ -92,7 +92,7 @@
 	since  float64 // ms, before which nothing came of what is unread; 0 where nothing is
 	first  float64 // ms, since when it can be this process that has it wait
 	heard  float64 // the same of what stands in In
-	last   Timer   // until a finishing connection is closed
+	last   Timer   // until a half-closed connection is closed
 	took   uint64  // bytes read
 	gave   uint64  // bytes written
 }
@@ -196,15 +196,15 @@
 	return fd, unread
 }
 
-// Finish closes the connection once what stands in Out is written, and the other side has ended or let its
+// HalfClose closes the connection once what stands in Out is written, and the other side has ended or let its
 // time pass: closing a socket with unread input would throw away the answers that are on their way. The
 // owner hears no more of it.
-func (c *Conn) Finish(why Reason) {
+func (c *Conn) HalfClose(why Reason) {
 	if c.status != up {
 		c.Close(why)
 		return
 	}
-	c.move(finishing)
+	c.move(halfClosing)
 	c.In.Free()
 	c.Use = func() Use {
 		if c.Out.Len() > 0 {
@@ -215,7 +215,7 @@
 	c.Wrote = nil
 	c.last.Fire = func() { c.Close(why) }
 	c.Owner = ender{why}
-	c.loop.Set(&c.last, finishMost)
+	c.loop.Set(&c.last, halfCloseMost)
 	c.paused = false
 	c.Flush()
 }
@@ -398,9 +398,9 @@
 	if c.paused && c.Out.Len() == 0 { // what was left unread for the answers not taken would wait for ever
 		c.loop.Later(c)
 	}
-	if c.status == finishing && c.Out.Len() == 0 {
+	if c.status == halfClosing && c.Out.Len() == 0 {
 		unix.Shutdown(c.fd, unix.SHUT_WR)
-		c.loop.Set(&c.last, finishFor)
+		c.loop.Set(&c.last, halfCloseFor)
 	}
 	c.interest()
 }
--- a/internal/transport/loop.go
+++ b/internal/transport/loop.go
@@ -25,15 +25,15 @@
 	poolKept   = 512            // free buffers that the pool holds on to: 8 MB; more go back to the garbage collector
 	readMost   = 5 * BufferSize // bytes read from one connection in a round: the largest value and its line
 
-	quietFor    = 0.25   // ms of a round in which what it has gathered counts as all that has come
-	sliceFor    = 0.5    // ms of a round for what clients ask: a hundred ops
-	eventsMost  = 512    // events taken in one round at the least
-	acceptMost  = 256    // connections accepted in one round, so that those that are open are heard in between
-	backlog     = 4096   // connections that the kernel may accept for us between two rounds: its own upper end
-	finishMost  = 5000.0 // ms that a slow reader may take over the answers before our last word: over any TTL
-	finishFor   = 200.0  // ms that the other side may take to end after our last word: many round trips
-	resendAfter = 2.0    // ms until letters that the other process has no room for are tried again: it reads in each round
-	doorPause   = 5.0    // ms until it is tried again to accept, where no connection was idle: a busy one takes as long
+	quietFor      = 0.25   // ms of a round in which what it has gathered counts as all that has come
+	sliceFor      = 0.5    // ms of a round for what clients ask: a hundred ops
+	eventsMost    = 512    // events taken in one round at the least
+	acceptMost    = 256    // connections accepted in one round, so that those that are open are heard in between
+	backlog       = 4096   // connections that the kernel may accept for us between two rounds: its own upper end
+	halfCloseMost = 5000.0 // ms that a slow reader may take over the answers before our last word: over any TTL
+	halfCloseFor  = 200.0  // ms that the other side may take to end after our last word: many round trips
+	resendAfter   = 2.0    // ms until letters that the other process has no room for are tried again: it reads in each round
+	doorPause     = 5.0    // ms until it is tried again to accept, where no connection was idle: a busy one takes as long
 
 	SpareFiles    = 32    // descriptors of the runtime, the log, operators' calls and an upgrade: about 25, and room
 	unprovenFor   = 100.0 // ms that a new client has for its first command before it makes room: many round trips
@@ -244,7 +244,7 @@
 	var oldest, unproven *Conn
 	n := 0
 	for _, c := range l.conns {
-		if c == nil || c.status != up && c.status != finishing || c.why != "" || c.fresh || c.Use == nil || c.reserved() {
+		if c == nil || c.status != up && c.status != halfClosing || c.why != "" || c.fresh || c.Use == nil || c.reserved() {
 			continue
 		}
 		switch c.Use() {
@@ -333,7 +333,7 @@
 	l.dialed = l.dialed[:0]
 	for _, c := range l.dirty {
 		c.marked = false
-		if c.status == up || c.status == finishing {
+		if c.status == up || c.status == halfClosing {
 			c.write()
 		}
 	}
@@ -345,7 +345,7 @@
 
 // Unsent tells whether a connection that is to end has still something to send.
 func (l *Loop) Unsent() bool {
-	return slices.ContainsFunc(l.conns, func(c *Conn) bool { return c != nil && c.status == finishing && c.Out.Len() > 0 })
+	return slices.ContainsFunc(l.conns, func(c *Conn) bool { return c != nil && c.status == halfClosing && c.Out.Len() > 0 })
 }
 
 // Most sets how many sockets may be open, beside the spare ones; what is open stays.
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -25,7 +25,7 @@
 	e.note("received %q", line)
 	c.Out.WriteString(line + "\n")
 	if line == "bye" {
-		c.Finish(Stopping)
+		c.HalfClose(Stopping)
 		return
 	}
 	c.Flush()
