--- /dev/null
+++ b/balance/connections_test.go
@@ -0,0 +1,74 @@
+package balance
+
+import (
+	"fmt"
+)
+
+// A host takes so many connections. When one cannot be made, idle ones are given back sooner, so that others
+// find room; with room they are kept again.
+func Example_idleConnections() {
+	x := open(start(), "a", "b", "c")
+	x.silent = true
+	for range 60 {
+		x.after(4000)
+		x.ask("full", 0, "page", 500, false)
+		x.end("full", NoConn, 5)
+		x.end("full", Served, 5)
+	}
+	fmt.Printf("60 failed connects: idle ones are kept %.0f ms\n", x.keep)
+	for i := range 40 {
+		x.ask("op", 0, fmt.Sprint("key", i), 500, false)
+		x.end("op", Served, 5)
+		x.after(400)
+	}
+	fmt.Printf("with room again: %.0f ms\n", x.keep)
+	// Output:
+	// 60 failed connects: idle ones are kept 484 ms
+	// with room again: 2998 ms
+}
+
+// A host whose table of connections is full is passed over for a while by what would need a new one there, and is not blamed;
+// an op that it turned away goes to the next. With 300 balancers and room for 23 each op was turned away at host after host,
+// and was the origin's once two had done so.
+func Example_fullTable() {
+	x := open(start(), "a", "b", "c")
+	x.ask("first", 0, "page", 500, false)
+	x.end("first", Shut, 2)
+	x.end("first", Served, 10)
+	x.ask("next", 0, "page", 500, false)
+	x.end("next", Served, 10)
+	fmt.Println("suspect:", x.hosts["a"].fail+x.hosts["b"].fail+x.hosts["c"].fail > 0)
+	x.after(1600)
+	x.ask("later", 0, "page", 500, false)
+	x.end("later", Served, 10) // with that a connection to it is open
+	x.ask("last", 0, "page", 500, false)
+	// Output:
+	//    0 push first to c
+	//    0 push first to a
+	//    0 first acked
+	//    0 push next to a
+	//    0 next acked
+	// suspect: false
+	// 1600 push later to c
+	// 1600 later acked
+	// 1600 push last to c
+}
+
+// Where every table is full an op still tries, for places come free.
+func Example_allTablesFull() {
+	x := open(start(), "a", "b")
+	for _, name := range []string{"one", "two"} {
+		x.ask(name, 0, "page", 500, false)
+		x.end(name, Shut, 2)
+		x.end(name, Shut, 2)
+	}
+	x.end("two", Served, 10)
+	// Output:
+	//    0 push one to a
+	//    0 push one to b
+	//    0 push one to a
+	//    0 push two to a
+	//    0 push two to b
+	//    0 push two to a
+	//    0 two acked
+}
--- /dev/null
+++ b/balance/fairness_test.go
@@ -0,0 +1,101 @@
+package balance
+
+import (
+	"fmt"
+)
+
+// Under overload a tenant beyond its share gives way to one within it.
+func Example_tenants() {
+	s := start()
+	big, small := &Tenant{Quota: 20}, &Tenant{Quota: 20}
+	s.Tenants = []*Tenant{big, small}
+	x := open(s, "a")
+	x.silent = true
+	served := map[*Tenant]int{}
+	var outs []*Op
+	for i := range 600 {
+		x.after(5)
+		t := big
+		if i%10 == 0 {
+			t = small
+		}
+		op := &Op{Category: x.Categories[0], Tenant: t, Key: "page", Due: x.t + 500}
+		x.Arrive(op)
+		if outs = append(outs, op); i%3 != 0 {
+			continue
+		}
+		for len(outs) > 0 && outs[0].out == 0 {
+			outs = outs[1:]
+		}
+		if len(outs) > 0 {
+			x.Ended(at(outs[0]), Served, x.t-at(outs[0]).sent, true, nil)
+			served[outs[0].Tenant]++
+		}
+	}
+	fmt.Println("big:", served[big], "of 540, small:", served[small], "of 60")
+	// Output:
+	// big: 149 of 540, small: 51 of 60
+}
+
+// A tenant's share is reckoned from what this balancer gets acked: with a part of 1/100 of the quota one that carries far more
+// than its fellows once took all tenants for greedy. One that sends three times what the other does is found out in time.
+func Example_tenantOfMany() {
+	s := start()
+	s.Group = 100
+	fair, heavy := &Tenant{Quota: 100}, &Tenant{Quota: 100}
+	s.Tenants = []*Tenant{fair, heavy}
+	x := open(s, "a", "b")
+	x.silent = true
+	within := map[*Tenant]int{}
+	ask := func(t *Tenant) {
+		op := &Op{Category: x.Categories[0], Tenant: t, Due: x.t + 500}
+		if x.Arrive(op); op.value >= 1/op.Category.lat {
+			within[t]++
+		}
+		if p := at(op); p != nil {
+			x.Ended(p, Served, 5, true, nil)
+		}
+	}
+	for range 10 {
+		x.after(3000)
+		for range 3 {
+			ask(fair)
+		}
+		for range 9 {
+			ask(heavy)
+		}
+	}
+	fmt.Println("fair:", within[fair], "of 30, heavy:", within[heavy], "of 90")
+	// Output:
+	// fair: 30 of 30, heavy: 66 of 90
+}
+
+// An op counts for its tenant's share once it is acked. Of two within theirs the tenant further behind comes first: one that
+// sends three times its share would else have it all, for what is turned away of its ops others of them replace.
+func Example_sharesByAckedOps() {
+	s := start()
+	greedy, modest := &Tenant{Quota: 50}, &Tenant{Quota: 50}
+	s.Tenants = []*Tenant{greedy, modest}
+	x := open(s, "a")
+	arrive := func(t *Tenant, o Outcome) *Op {
+		op := &Op{Category: x.Categories[0], Tenant: t, Due: x.t + 500}
+		x.Arrive(op)
+		x.Ended(at(op), o, 5, true, nil)
+		return op
+	}
+	x.silent = true
+	within := 0
+	for range 20 {
+		if arrive(modest, TimedOut).paid {
+			within++
+		}
+	}
+	fmt.Println("of 20 that came to nothing, within the share:", within)
+	for range 5 {
+		arrive(greedy, Served)
+	}
+	fmt.Println("modest first:", arrive(modest, Served).value > arrive(greedy, Served).value)
+	// Output:
+	// of 20 that came to nothing, within the share: 20
+	// modest first: true
+}
--- /dev/null
+++ b/balance/fetch_test.go
@@ -0,0 +1,221 @@
+package balance
+
+import (
+	"fmt"
+	"slices"
+)
+
+func aside() *scene {
+	s := start()
+	s.Aside = true
+	return open(s, "a", "b", "c", "origin")
+}
+
+// One fetch a key is out. Other ops of the key wait for it and then go to the host that holds it.
+func Example_sharedFetch() {
+	x := aside()
+	x.ask("op0", 0, "page", 500, false)
+	x.end("op0", Missed, 1)
+	x.ask("op1", 0, "page", 500, false)
+	x.ask("op2", 0, "page", 500, false)
+	x.end("op0", Served, 20)
+	x.end("op1", Served, 5)
+	// Output:
+	// 0 push op0 to c
+	//    0 push op0 to origin
+	//    0 push op1 to c
+	//    0 push op2 to c
+	//    0 op0 acked
+	//    0 op1 acked
+}
+
+// When the op that leads a fetch goes away, the fetch passes to those that wait with all its benefit.
+func Example_fetchPassedOn() {
+	x := aside()
+	x.ask("op0", 0, "page", 500, false)
+	x.end("op0", Missed, 1)
+	x.ask("op1", 0, "page", 500, false)
+	x.ask("op2", 0, "page", 500, false)
+	x.Left(x.ops["op0"])
+	x.end("op1", Served, 20)
+	// Output:
+	// 0 push op0 to c
+	//    0 push op0 to origin
+	//    0 cancel op0
+	//    0 push op1 to origin
+	//    0 push op2 to c
+	//    0 op1 acked
+}
+
+// The last push is kept for the origin: an op that found two hosts full would otherwise miss and end.
+func Example_lastPushIsOrigins() {
+	x := aside()
+	x.ask("op0", 0, "page", 500, false)
+	x.end("op0", Refused, 1)
+	x.end("op0", Refused, 1)
+	x.end("op0", Served, 20)
+	// Output:
+	// 0 push op0 to c
+	//    0 push op0 to a
+	//    0 push op0 to origin
+	//    0 op0 acked
+}
+
+// A stopped origin holds up no hit, and its line is short: what can't be fetched in time is nacked.
+func Example_stoppedOrigin() {
+	x := aside()
+	for i := range 60 {
+		x.silent = i < 58
+		name := fmt.Sprint("miss", i)
+		x.ask(name, 0, name, 500, false)
+		x.end(name, Missed, 1)
+	}
+	x.ask("hit", 0, "page", 500, false)
+	x.end("hit", Served, 5)
+	// Output:
+	// 0 push miss58 to a
+	//    0 nack miss58
+	//    0 push miss59 to a
+	//    0 nack miss59
+	//    0 push hit to c
+	//    0 hit acked
+}
+
+// A full origin that turns fetches away at once: 200 balancers with a miss each all the time let out few in
+// all, where one each would keep it full of fetches that come too late.
+func Example_fullOriginOfMany() {
+	s := start()
+	s.Aside = true
+	all := group(200, s, "a", "b", "c", "origin")
+	outs := make([][]*Op, len(all))
+	for sec := range 3 {
+		fetches := 0
+		for t := range 50 {
+			for i, x := range all {
+				x.after(20)
+				x.pushes["origin"] = 0
+				name := fmt.Sprint(sec, t, i)
+				if op := x.ask(name, 0, name, 500, false); op.out > 0 && !at(op).Host.Origin {
+					x.end(name, Missed, 1)
+				}
+				outs[i] = slices.DeleteFunc(append(outs[i], x.ops[name]), (*Op).Over)
+				for _, op := range outs[i] {
+					if op.out > 0 && at(op).Host.Origin {
+						x.Ended(at(op), Refused, 1, false, nil)
+					}
+				}
+				fetches += x.pushes["origin"]
+			}
+		}
+		fmt.Printf("second %d: %d fetches of 10000 misses\n", sec+1, fetches)
+	}
+	// Output:
+	// second 1: 2050 fetches of 10000 misses
+	// second 2: 372 fetches of 10000 misses
+	// second 3: 358 fetches of 10000 misses
+}
+
+// Fetches wait at a full origin until nobody waits for them, and it goes on with them for nothing. Where it has answered nobody
+// for a target the gate narrows by half, so that the origin can work off what stands there; where it answers others the op
+// may be a heavy one.
+func Example_standingOrigin() {
+	for _, answers := range []bool{false, true} {
+		s := start()
+		s.Aside, s.Group = true, 50
+		x := open(s, "a", "b", "origin")
+		x.silent = true
+		fetch := func(name string) {
+			x.ask(name, 0, name, 200, false)
+			x.end(name, Missed, 1)
+		}
+		fmt.Print("answers others ", answers, ", limit")
+		for i := range 5 {
+			fetch(fmt.Sprint("stuck", i))
+			x.after(150)
+			if fetch(fmt.Sprint("other", i)); answers {
+				x.end(fmt.Sprint("other", i), Served, 10)
+			}
+			x.after(250)
+			fmt.Printf(" %.2f", x.origin.limit)
+		}
+		fmt.Println()
+	}
+	// Output:
+	// answers others false, limit 0.50 0.12 0.14 0.17 0.10
+	// answers others true, limit 4.00 4.00 4.00 4.00 4.00
+}
+
+// Past a gate that turns ops away by chance few fetches go out, and each tells more: once two came in time it opens by
+// doubling, where some twenty had to before.
+func Example_fullOriginIsWell() {
+	s := start()
+	s.Aside, s.Group = true, 100
+	x := open(s, "a", "b", "origin")
+	x.silent = true
+	x.origin.limit, x.origin.pain = 0.02, 2
+	fetches := 0
+	for i := 0; x.origin.limit < 1; i++ {
+		x.origin.told = x.t // it does not open by itself
+		name := fmt.Sprint("op", i)
+		x.ask(name, 0, name, 200, false)
+		x.end(name, Missed, 1)
+		if at(x.ops[name]) != nil {
+			x.end(name, Served, 10)
+			fetches++
+		}
+		x.after(1)
+	}
+	fmt.Println("open after", fetches, "timely fetches")
+	// Output:
+	// open after 9 timely fetches
+}
+
+// Writes take longer than reads at the origin, and come on top of no miss. Judged by the goal of fetches, a usual write would
+// narrow the origin's gate with nothing wrong there; one that takes most of its target still does.
+func Example_writesAtOrigin() {
+	for _, took := range []float64{45, 90} {
+		s := start()
+		s.Aside = true
+		x := open(s, "a", "origin")
+		x.silent = true
+		before := x.origin.limit
+		for i := range 30 {
+			op := fmt.Sprint("op", i)
+			x.ask(op, 1, op, 500, true)
+			x.t += 200
+			x.At(x.t)
+			x.Ended(x.ops[op].tried[0], Served, took, true, nil)
+		}
+		fmt.Println(took, "narrowed:", x.origin.limit < before)
+	}
+	// Output:
+	// 45 narrowed: false
+	// 90 narrowed: true
+}
+
+// Most pushes miss where hosts are many and keys few; such an answer tells how quick a host is as a hit does. By hits alone
+// one slow host in ten had narrowed the gate of all to a push or two, and ops waited while hosts had nothing to do.
+func Example_missesAtGate() {
+	s := start()
+	s.Aside, s.Group = true, 20
+	names := []string{"origin"}
+	for i := range 20 {
+		names = append(names, fmt.Sprint("h", i))
+	}
+	x := open(s, names...)
+	x.silent = true
+	for i := range 400 {
+		x.after(40)
+		name := fmt.Sprint("op", i)
+		x.ask(name, 0, name, 900, false)
+		if i%10 == 0 {
+			x.end(name, Served, 200)
+			continue
+		}
+		x.end(name, Missed, 5)
+		x.end(name, Served, 10)
+	}
+	fmt.Println("narrowed:", x.fleet.limit < 8)
+	// Output:
+	// narrowed: false
+}
--- /dev/null
+++ b/balance/hedge_test.go
@@ -0,0 +1,155 @@
+package balance
+
+import (
+	"fmt"
+	"slices"
+)
+
+// twice lets two pushes of an op be out.
+func twice() *scene {
+	s := start()
+	s.MayDuplicate, s.MostPushes = true, 4
+	return open(s, "a", "b", "c", "d")
+}
+
+// A push that is out for long stays out, and a second copy goes to another host. The first good answer is the op's; the
+// other still teaches. What must not run twice has no copy, and neither has a deduplicated op whose group is one host's.
+func Example_copy() {
+	x := twice()
+	for row, name := range []string{"read", "put", "once", "zoned"} {
+		x.ask(name, row, "page", 500, false)
+	}
+	x.after(101)
+	first, second := x.ops["read"].tried[0], x.ops["read"].tried[1]
+	x.over(second, Served, 1)
+	x.over(first, Served, 101)
+	fmt.Println("both over:", x.ops["read"].Over(), "learned:", second.Host.answered == x.t, first.Host.answered == x.t)
+	// Output:
+	// 0 push read to c
+	//    0 push put to c
+	//    0 push once to a
+	//    0 push zoned to a
+	//   50 push read to b
+	//   50 push put to d
+	//  101 read acked
+	// both over: true learned: true true
+}
+
+// Where all hosts are slow, copies stay a part of the ops.
+func Example_copiesOfSlowFleet() {
+	x := twice()
+	x.silent = true
+	var outs []*Op
+	for i := range 400 {
+		x.after(5)
+		outs = append(outs, x.ask(fmt.Sprint("op", i), 0, fmt.Sprint("key", i), 900, false))
+		for _, op := range outs {
+			for _, p := range slices.Clone(op.tried) {
+				if !p.over && x.t-p.sent > 300 {
+					x.over(p, Served, x.t-p.sent)
+				}
+			}
+		}
+		outs = slices.DeleteFunc(outs, (*Op).Over)
+	}
+	copies := 0
+	for _, op := range x.ops {
+		copies += max(0, len(op.tried)-1)
+	}
+	fmt.Println("copies of 400 ops:", copies)
+	// Output:
+	// copies of 400 ops: 9
+}
+
+// The rules ask all pushes of an op. With one still out, a deduplicated op may be nacked inside its window and not after
+// it; the last push allowed has no copy; a host that began to drain gets none; a client with little time left is answered.
+func Example_rulesOfTwo() {
+	x := twice()
+	x.ask("in its window", 1, "page", 200, false)
+	x.ask("past it", 1, "atlas", 450, false)
+	x.after(450)
+	fmt.Println()
+	s := start()
+	s.MayDuplicate, s.MostPushes = true, 1
+	x = open(s, "a", "b")
+	x.ask("last push", 0, "page", 200, false)
+	x.after(200)
+	fmt.Println()
+	x = open(func() Start { s.MostPushes = 4; return s }(), "a", "b")
+	x.ask("drained", 0, "page", 150, false)
+	x.tell("a", Draining, 0)
+	x.tell("b", Draining, 0)
+	x.after(200)
+	// Output:
+	// 0 push in its window to c
+	//    0 push past it to b
+	//   50 push in its window to d
+	//   50 push past it to a
+	//  188 nack in its window
+	//  188 cancel in its window
+	//  188 cancel in its window
+	//  438 dead-letter past it
+	//  438 cancel past it
+	//  438 cancel past it
+	//
+	//    0 push last push to a
+	//  188 nack last push
+	//  188 cancel last push
+	//
+	//    0 push drained to a
+	//  138 nack drained
+	//  138 cancel drained
+}
+
+// A copy that misses is fetched from the origin while the first push is out; that one's miss fetches nothing more. When the
+// origin fails the fetch, the first is waited for.
+func Example_copyMisses() {
+	s := start()
+	s.MayDuplicate, s.MostPushes, s.Aside = true, 4, true
+	for _, fetched := range []Outcome{Served, Failed} {
+		x := open(s, "a", "b", "origin")
+		op := x.ask("op", 0, "page", 500, false)
+		x.after(101)
+		x.over(op.tried[1], Missed, 1)
+		if fetched == Served {
+			x.over(op.tried[0], Missed, 102)
+		}
+		x.over(op.tried[2], fetched, 20)
+		x.over(op.tried[0], Served, 130)
+		fmt.Println("over:", op.Over())
+	}
+	// Output:
+	// 0 push op to a
+	//   50 push op to b
+	//  101 push op to origin
+	//  101 op acked
+	// over: true
+	//    0 push op to a
+	//   50 push op to b
+	//  101 push op to origin
+	//  101 op acked
+	// over: true
+}
+
+// An op whose copy waits for a fetch and may have no further push is not given up: its first push is still out.
+func Example_waitingCopy() {
+	s := start()
+	s.MayDuplicate, s.MostPushes, s.Aside = true, 3, true
+	x := open(s, "a", "b", "origin")
+	x.ask("op", 0, "page", 500, false)
+	x.after(30)
+	x.ask("leads", 0, "page", 500, false)
+	x.end("leads", Missed, 1)
+	x.after(60)
+	x.over(x.ops["op"].tried[1], Missed, 1)
+	x.ops["op"].tried = append(x.ops["op"].tried, x.ops["op"].tried[1]) // one more that never ran: none is left
+	x.end("leads", Served, 20)
+	x.end("op", Served, 80)
+	// Output:
+	// 0 push op to a
+	//   30 push leads to a
+	//   30 push leads to origin
+	//   75 push op to b
+	//   90 leads acked
+	//   90 op acked
+}
--- /dev/null
+++ b/balance/learned_test.go
@@ -0,0 +1,64 @@
+package balance
+
+import (
+	"fmt"
+)
+
+// The same events bring the same actions.
+func Example_sameActions() {
+	run := func() (trace string) {
+		x := aside()
+		for i := range 500 {
+			x.silent = true
+			x.after(3)
+			name := fmt.Sprint("op", i)
+			op := x.ask(name, i%4, fmt.Sprint("key", i%17), 300, i%5 == 0)
+			for k := i; op.out > 0; k += 3 {
+				trace += at(op).Host.Name
+				x.Ended(at(op), Outcome(k%10), 5, Outcome(k%10) == Served, nil)
+			}
+		}
+		return trace
+	}
+	first := run()
+	fmt.Println(len(first) > 300, first == run())
+	// Output:
+	// true true
+}
+
+// The next process goes by what the one before has learned, but not of a host that has started anew. Cold hosts' budgets are one
+// process's at a time.
+func Example_learned() {
+	x := open(start(), "a", "b", "c")
+	x.silent = true
+	for i := range 20 {
+		op := fmt.Sprint("op", i)
+		x.ask(op, 0, op, 500, false)
+		x.end(op, Served, 40)
+	}
+	x.t += 5000
+	x.At(x.t)
+	x.rate = 0.01
+	x.hosts["a"].restUntil, x.hosts["b"].restUntil = x.t+1000, x.t+1000
+	x.hosts["c"].UpSince = x.t - 100
+	x.afford(x.hosts["c"])
+	left := x.hosts["c"].budget
+	x.Yield(true)
+	fmt.Println("the old one affords a cold host:", x.afford(x.hosts["c"]))
+	y := open(start(), "a", "b", "c")
+	y.At(x.t)
+	y.hosts["b"].UpSince, y.hosts["c"].UpSince = x.t-500, x.hosts["c"].UpSince
+	for _, part := range x.Learned().Split(2) {
+		y.Resume(part)
+	}
+	fmt.Println("latency:", y.Categories[0].lat == x.Categories[0].lat, "gate:", y.fleet.limit == x.fleet.limit)
+	fmt.Println("rests:", y.hosts["a"].restUntil > x.t, y.hosts["b"].restUntil > x.t, "budget:", y.hosts["c"].budget == left)
+	early := boot(start()).Learned()
+	y.Resume(early)
+	fmt.Println("before a list:", early, y.Categories[0].lat == x.Categories[0].lat)
+	// Output:
+	// the old one affords a cold host: false
+	// latency: true gate: true
+	// rests: true false budget: true
+	// before a list: {0 0 {0 0 0 0} {0 0 0 0} [] map[]} true
+}
--- a/balance/list_test.go
+++ b/balance/list_test.go
@@ -37,3 +37,203 @@
 	// 503 as it is to be given up: in time true and spread true
 	// never answered: in time true and spread true
 }
+
+// A failed list call is made again after a spread and growing wait, as is one that nobody answers.
+func Example_listErrors() {
+	s := start()
+	s.OnRequest = true
+	x := boot(s)
+	x.ListFailed()
+	x.after(1000)
+	x.ListFailed()
+	x.after(2000)
+	x.after(10000)
+	x.list(true, "a")
+	x.after(60000)
+	// Output:
+	// 0 watch
+	//  900 watch
+	// 2800 watch
+	// 7000 watch
+	// 11300 watch
+}
+
+// With no host listed an op is held while there is hope.
+func Example_emptyList() {
+	x := open(start())
+	x.ask("op0", 0, "page", 500, false)
+	x.ask("op1", 0, "page", 500, false)
+	x.after(50)
+	x.tell("a", Ready, 0)
+	x.tell("a", Gone, 0)
+	x.ask("op2", 0, "page", 500, false)
+	x.after(100)
+	// Output:
+	// 50 push op0 to a
+	//   50 push op1 to a
+	//  120 nack op2
+	//  138 cancel op0
+	//  138 cancel op1
+	//  138 nack op0
+	//  138 nack op1
+}
+
+// Odd lists stop no routing to hosts that are known to be ready: changes to hosts never listed, a host listed
+// twice, a whole list of nothing or of the origin alone, and one of a thousand hosts.
+func Example_oddLists() {
+	for _, group := range []int{1, 1000} {
+		s := start()
+		s.Group, s.Aside = group, true
+		x := open(s, "a", "b")
+		x.tell("never", Gone, 0)
+		x.tell("other", Draining, 5)
+		a := x.hosts["a"]
+		x.List([]Entry{{a, Listing{Size: 2}}, {a, Listing{Size: 1}}}, false, false)
+		x.silent = true
+		at := func(key string) string {
+			op := x.ask(key, 0, key, 500, false)
+			if op.out == 0 {
+				x.Left(op)
+				return "none"
+			}
+			name := at(op).Host.Name
+			x.end(key, Served, 1)
+			return name
+		}
+		fmt.Print(group, " balancers: ", len(x.Balancer.hosts), " hosts, ", at("page"), at("atlas"))
+		x.List(nil, true, false)
+		fmt.Print(", empty ", at("k1"))
+		x.list(true, "origin")
+		fmt.Print(", origin ", at("k2"))
+		var many []string
+		for i := range 1000 {
+			many = append(many, fmt.Sprint("h", i))
+		}
+		x.list(true, many...)
+		fmt.Println(", thousand", at("page"), len(x.ready))
+	}
+	// Output:
+	// 1 balancers: 3 hosts, ab, empty none, origin none, thousand h818 1000
+	// 1000 balancers: 3 hosts, ab, empty none, origin none, thousand h818 1000
+}
+
+// A balancer back from a restart routes by its saved list as its peers do by theirs, whatever its seed,
+// and takes the new list when one comes, if ever.
+func Example_restart() {
+	s := start()
+	s.OnRequest = true
+	peer := open(start(), "a", "b", "c")
+	s.Seed = 99
+	x := boot(s)
+	for _, n := range []string{"a", "b", "c"} {
+		x.hosts[n] = &Host{Name: n}
+		x.List([]Entry{{x.hosts[n], Listing{Size: 1}}}, false, true)
+	}
+	x.after(8000)
+	x.ask("op", 0, "page", 500, false)
+	peer.ask("peer's", 0, "page", 500, false)
+	x.end("op", NoConn, 1)
+	x.list(true, "a", "b")
+	// Output:
+	// 0 watch
+	// 3900 watch
+	// 8000 push op to c
+	//    0 push peer's to c
+	// 8000 push op to a
+}
+
+// Calls for the list fail ever longer apart; where another service tells it from now on, it is asked at once.
+func Example_listMoved() {
+	s := start()
+	s.OnRequest = true
+	x := boot(s)
+	for range 4 {
+		x.ListFailed()
+	}
+	x.after(100)
+	x.ListMoved()
+	x.ListFailed()
+	x.after(1000)
+	// Output:
+	// 0 watch
+	//  100 watch
+	//  700 watch
+}
+
+// However lists come, a changed cycle is the one that a balancer with the last list alone has; and hosts are looked at ten
+// times a second, not at each tick. Sorting all points and visiting all hosts once cost a thousand balancers 75 s of CPU in 18.
+func Example_cheapLists() {
+	x := open(start(), "a", "b", "c", "d", "e")
+	x.silent = true
+	for i := range 200 {
+		name := string(rune('a' + i*7%13))
+		x.tell(name, []Status{Ready, Draining, Ready, Gone}[i%4], 0)
+	}
+	var left []string
+	for _, h := range x.ready {
+		left = append(left, h.Name)
+	}
+	y := open(start(), left...)
+	same := len(x.cycle.points) == len(y.cycle.points)
+	for i, p := range x.cycle.points {
+		q := y.cycle.points[i]
+		same = same && p.hash == q.hash && x.cycle.slots[p.slot].Name == y.cycle.slots[q.slot].Name
+	}
+	looks, last := 0, x.ticked
+	for range 100 {
+		x.after(10)
+		if x.ticked != last {
+			looks, last = looks+1, x.ticked
+		}
+	}
+	fmt.Println(len(left), "hosts, the same cycle:", same, "looks in a second:", looks)
+	// Output:
+	// 6 hosts, the same cycle: true looks in a second: 9
+}
+
+// A host that operators take out gets nothing new, in whichever way an op would come to it: first push, next push after a
+// failure, or once lists name it again. What it owes is waited for. When it is put back, its rest is forgotten.
+func Example_ban() {
+	x := open(start(), "a", "b", "c")
+	x.ask("out", 0, "page", 500, false)
+	first := x.ops["out"].tried[0].Host
+	for range 2 {
+		x.Ban(first, true) // twice is as once
+	}
+	x.ask("next", 0, "page", 500, false)
+	x.list(true, "a", "b", "c") // and it is listed as ready
+	x.ask("listed", 0, "page", 500, false)
+	x.end("next", Broken, 5)
+	x.end("out", Served, 10)
+	fmt.Println(x.Hosts())
+	x.Ban(first, false)
+	first.restUntil = math.Inf(1)
+	x.Ban(first, true)
+	x.Ban(first, false)
+	fmt.Println(x.Hosts())
+	x.ask("again", 0, "page", 500, false)
+	// Output:
+	// 0 push out to c
+	//    0 push next to a
+	//    0 push listed to a
+	//    0 push next to b
+	//    0 out acked
+	// 3 2
+	// 3 1
+	//    0 push again to c
+}
+
+// Where operators have taken out all hosts, reads go to the origin. Before there is a list they are held.
+func Example_allBanned() {
+	s := start()
+	s.Aside = true
+	x := open(s, "a", "origin")
+	x.Ban(x.hosts["a"], true)
+	x.ask("read", 0, "page", 500, false)
+	x.end("read", Served, 10)
+	x = boot(s)
+	x.ask("early", 0, "page", 500, false)
+	// Output:
+	// 0 push read to origin
+	//    0 read acked
+}
--- /dev/null
+++ b/balance/repeat_test.go
@@ -0,0 +1,144 @@
+package balance
+
+import (
+	"fmt"
+)
+
+// What may follow each outcome, for each kind of repeat.
+func Example_repeats() {
+	names := []string{"refused", "no connection", "error", "broken", "unknown"}
+	for row, kind := range []string{"redeliverable", "deduplicated", "at most once", "dropped in its zone"} {
+		fmt.Print(kind, ":")
+		for i, o := range []Outcome{Refused, NoConn, Failed, Broken, Unknown} {
+			x := open(start(), "a", "b", "c")
+			x.silent = true
+			op := x.ask("op", row, "page", 500, false)
+			x.end("op", o, 1)
+			fmt.Print(" ", names[i], " ", map[state]string{out: "push", settled: "dead letter"}[op.state])
+		}
+		fmt.Println()
+	}
+	// Output:
+	// redeliverable: refused push no connection push error push broken push unknown push
+	// deduplicated: refused push no connection push error push broken push unknown push
+	// at most once: refused push no connection push error dead letter broken dead letter unknown dead letter
+	// dropped in its zone: refused push no connection push error dead letter broken dead letter unknown dead letter
+}
+
+// Past its window a deduplicated op that may have run is neither pushed again nor nacked.
+func Example_window() {
+	s := start()
+	s.MayCancel = false
+	x := open(s, "a", "b", "c")
+	x.ask("op", 1, "page", 900, false)
+	x.after(310)
+	x.end("op", Broken, 310)
+	// Output:
+	// 0 push op to c
+	//  310 dead-letter op
+}
+
+// Every op is settled ahead of its TTL, also one that comes with next to no time left; what is out is
+// called off, and an outcome that comes late changes nothing.
+func Example_settlement() {
+	x := open(start(), "a", "b", "c")
+	x.ask("read", 0, "page", 200, false)
+	x.ask("once", 2, "page", 200, false)
+	x.ask("late", 0, "page", 8, false)
+	x.after(200)
+	x.end("once", Broken, 200)
+	// Output:
+	// 0 push read to c
+	//    0 push once to c
+	//    0 nack late
+	//   88 cancel read
+	//   88 push read to a
+	//  188 nack read
+	//  188 cancel read
+	//  188 dead-letter once
+	//  188 cancel once
+}
+
+// Where a late answer is worth nothing an op is settled at its target latency, and its push called off.
+func Example_worthlessLate() {
+	s := start()
+	s.Categories[0].Tardy = 0
+	x := open(s, "a", "b")
+	x.ask("op0", 0, "page", 900, false)
+	x.ask("op1", 0, "page", 900, false)
+	x.after(50)
+	x.end("op1", Served, 50)
+	x.after(100)
+	// Output:
+	// 0 push op0 to a
+	//    0 push op1 to a
+	//   50 op1 acked
+	//  100 nack op0
+	//  100 cancel op0
+}
+
+// A stream is bound to its push: neither TTL nor a break pushes it again.
+func Example_stream() {
+	x := open(start(), "a", "b")
+	op := x.ask("op", 0, "page", 200, false)
+	x.Streaming(at(op))
+	x.after(300)
+	x.Ended(at(op), Broken, 300, true, nil)
+	fmt.Println(op.Over())
+	// Output:
+	// 0 push op to a
+	// true
+}
+
+// Clients that go away, and pushes that get no answer while their host answers others, are no sign of crowding: the gates
+// stay as wide as they were. An op that takes as long unanswered by all is one.
+func Example_leavers() {
+	x := open(start(), "a", "b", "c", "d", "o")
+	x.silent = true
+	before := x.fleet.limit
+	for i := range 200 {
+		name := fmt.Sprint("op", i)
+		x.ask(name, 0, name, 500, false)
+		x.after(3)
+		x.Left(x.ops[name])
+		x.after(20)
+	}
+	fmt.Println("as wide as before:", x.fleet.limit == before)
+	for i := range 20 {
+		name := fmt.Sprint("late", i)
+		x.ask(name, 2, name, 300, false)
+		x.after(300)
+		x.end(name, TimedOut, 300)
+	}
+	fmt.Println("narrower:", x.fleet.limit < before)
+	// Output:
+	// as wide as before: true
+	// narrower: true
+}
+
+// A long answer that has begun to flow gives back its places at host and gate, and those that waited for its key go on: its
+// client may take seconds over the rest. Where it breaks midway the host is blamed.
+func Example_longAnswer() {
+	s := start()
+	s.Aside = true
+	x := open(s, "a", "origin")
+	x.ask("leads", 0, "page", 500, false)
+	x.end("leads", Missed, 5)
+	x.ask("waits", 0, "page", 500, false)
+	p := x.ops["leads"].tried[1]
+	x.Streaming(p)
+	fmt.Println(p.Host.out, x.origin.out, x.fleet.out)
+	x.Ended(p, Served, 5, true, nil)
+	fmt.Println(p.Host.out, x.origin.out, x.fleet.out, x.ops["leads"].Over())
+	p = x.ops["waits"].tried[0]
+	x.Streaming(p)
+	x.Ended(p, Broken, 5, true, nil)
+	fmt.Println(p.Host.fail > failFrom, p.Host.out)
+	// Output:
+	// 0 push leads to a
+	//    0 push leads to origin
+	//    0 push waits to a
+	// 0 0 1
+	// 0 0 1 true
+	// true 0
+}
--- /dev/null
+++ b/balance/zones_test.go
@@ -0,0 +1,145 @@
+package balance
+
+import (
+	"fmt"
+	"slices"
+)
+
+// Silent hosts close no gate: with most of the fleet cut off, ops go to those that answer.
+func Example_cutOffZone() {
+	x := open(start(), "a", "b", "c", "d", "e", "f")
+	x.silent = true
+	served := 0
+	var outs []*Op
+	for i := range 3000 {
+		x.after(2)
+		name := fmt.Sprint("op", i)
+		outs = append(outs, x.ask(name, 0, name, 400, false))
+		for _, op := range outs {
+			if op.out > 0 && at(op).Host.Name < "c" {
+				x.end(op.Ref.(string), Served, 10)
+				served++
+			}
+		}
+		outs = slices.DeleteFunc(outs, (*Op).Over)
+	}
+	fmt.Println("served:", served > 2700, "gate above its floor:", x.fleet.limit > x.fleet.floor)
+	// Output:
+	// served: true gate above its floor: true
+}
+
+// zones opens a balancer of the first of two zones; the hosts in upper case stand in its zone.
+func zones(s Start, names ...string) *scene {
+	s.Zone, s.Zones, s.CrossCost, s.Aside = 0, 2, 0.03, true
+	x := boot(s)
+	for _, n := range names {
+		x.hosts[n] = &Host{Name: n, Origin: n[0] == 'o'}
+		zone := 1
+		if n < "a" {
+			zone = 0
+		}
+		x.List([]Entry{{x.hosts[n], Listing{Zone: zone, Size: 1}}}, false, false)
+	}
+	return x
+}
+
+// Where crossing zones costs more than a fetch, keys keep to their balancer's zone; an op that fails there goes to the
+// other zone's first host. While fetches come late keys are pooled over all zones again.
+func Example_zones() {
+	x := zones(start(), "A", "B", "c", "d", "origin")
+	x.silent = true
+	near := func(ops int) int {
+		x.pushes = map[string]int{}
+		for i := range ops {
+			name := fmt.Sprint("op", i)
+			x.ask(name, 0, name, 900, false)
+			x.end(name, Served, 5)
+		}
+		return x.pushes["A"] + x.pushes["B"]
+	}
+	fmt.Println("in the zone:", near(400), "of 400")
+	x.ask("fails", 0, "page", 500, false)
+	x.end("fails", Failed, 1)
+	fmt.Println("then to", at(x.ops["fails"]).Host.Name)
+	for i := range 12 {
+		name := fmt.Sprint("miss", i)
+		x.ask(name, 0, name, 900, false)
+		x.end(name, Missed, 1)
+		x.after(90)
+		x.end(name, Served, 90)
+	}
+	fmt.Println("with late fetches:", near(40), "of 40")
+	// Output:
+	// in the zone: 400 of 400
+	// then to c
+	// with late fetches: 26 of 40
+}
+
+// Hosts of the own zone that say they are busier than the others lose their claim on its keys: a zone may have more traffic
+// than its hosts can carry.
+func Example_zonesByReport() {
+	x := zones(start(), "A", "B", "c", "d", "origin")
+	x.silent = true
+	for i := range 60 {
+		name := fmt.Sprint("op", i)
+		op := x.ask(name, 0, name, 900, false)
+		x.Ended(at(op), Refused, 1, false, &Report{Busy: 0.9})
+		x.Ended(at(op), Served, 1, true, &Report{Busy: 0.2})
+		x.after(400)
+	}
+	fmt.Println("keys that keep to no zone:", x.pool > 0.8)
+	// Output:
+	// keys that keep to no zone: true
+}
+
+// A deduplicated op that may have run stays with its zone's hosts, also when its last push would be the origin's.
+func Example_zoneOfOrigin() {
+	s := start()
+	s.MostPushes, s.Aside = 2, true
+	x := open(s, "a", "origin")
+	x.ask("op", 3, "page", 500, false)
+	x.end("op", Failed, 5)
+	// Output:
+	// 0 push op to a
+	//    0 dead-letter op
+}
+
+// Crossing is cheap here, so keys keep to no zone; but where balancers outnumber the hosts, or tables of connections are
+// found full, they do, for fewer hosts need a connection then.
+func Example_zonesOfMany() {
+	for _, group := range []int{3, 5} {
+		s := start()
+		s.FetchCost, s.Group = 0.03, group
+		x := zones(s)
+		var entries []Entry
+		for i, n := range []string{"A", "B", "c", "d"} {
+			x.hosts[n] = &Host{Name: n}
+			entries = append(entries, Entry{x.hosts[n], Listing{Zone: i / 2, Size: 1}})
+		}
+		x.List(entries, true, false)
+		x.silent = true
+		near := func() int {
+			x.pushes = map[string]int{}
+			for i := range 400 {
+				name := fmt.Sprint("op", i)
+				x.ask(name, 0, name, 900, false)
+				x.end(name, Served, 5)
+			}
+			return x.pushes["A"] + x.pushes["B"]
+		}
+		fmt.Println(group, "balancers:", near(), "of 400 in the zone")
+		for i := range 12 {
+			name := fmt.Sprint("turned away", i)
+			x.ask(name, 0, name, 900, false)
+			x.end(name, Shut, 1)
+			x.end(name, Served, 5)
+		}
+		x.after(20000)
+		fmt.Println("after full tables:", near(), "of 400")
+	}
+	// Output:
+	// 3 balancers: 225 of 400 in the zone
+	// after full tables: 400 of 400
+	// 5 balancers: 395 of 400 in the zone
+	// after full tables: 400 of 400
+}
