Example_longReads reads its slow clients side by side

Seen: with sixteen of it at once under eight busy loops it failed in 29 of 32 runs, and on the untouched build in 20 of 32 (whether the two differ by more than chance was not followed). Traced by a line on each run: with 4 to 26 values missing and no slow-reader in the log, clients that had been nacked stood idle for over 2.1 s until it was their turn to be read, and were closed as such; with 6 to 48 missing and 2 to 32 slow-reader, the last ones had taken nothing for 5 s. Both are the program's stated bounds. The client of the last op had been idle for as long.

--- a/cmd/larchthread/long_test.go
+++ b/cmd/larchthread/long_test.go
@@ -9,6 +9,7 @@
 	"regexp"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"larchthread/internal/standin"
@@ -54,13 +55,18 @@
 	}
 	time.Sleep(200 * time.Millisecond)
 	c.say(2, "mg hot v O4 Pc=read,d=500\r\n")
-	whole := 0
-	for i, s := range slow {
-		if s.take(big, ask(i)) {
-			whole++
-		}
+	var whole atomic.Int32
+	var all sync.WaitGroup
+	for i, s := range slow { // side by side: one that has to wait for the others for over 2 s is idle, and for over 5 s takes nothing
+		all.Go(func() {
+			if s.take(big, ask(i)) {
+				whole.Add(1)
+			}
+		})
 	}
-	fmt.Println("slow ones whole:", whole, "within memory:", f.resident() < 64)
+	all.Wait()
+	fmt.Println("slow ones whole:", whole.Load(), "within memory:", f.resident() < 64)
+	c = f.client() // the other may have been idle for too long
 	c.say(0, "mg cut v O5 Pc=read,d=500\r\n")
 	head, _ := c.r.ReadString('\n')
 	rest, err := io.ReadAll(c.r)
