--- /dev/null
+++ b/balance/decisions_test.go
@@ -0,0 +1,222 @@
+package balance
+
+import (
+	"fmt"
+	"hash/fnv"
+	"math"
+	"math/rand/v2"
+)
+
+// play is a drawn day: ops, lists and troubles as its seed has them. Every action of the balancer goes into a digest, so that a
+// change that is to move code alone can be seen to change no decision. A commit that changes one says which, and puts the new
+// digests here.
+type play struct {
+	*Balancer
+	rng   *rand.Rand
+	t     float64
+	wake  float64
+	hosts []*Host
+	open  []*Op
+	due   []happening
+	hash  interface{ Write([]byte) (int, error) }
+	count map[string]int
+}
+
+// happening is what is to happen at a time.
+type happening struct {
+	at float64
+	do func()
+}
+
+func (d *play) note(form string, args ...any) {
+	fmt.Fprintf(d.hash, "%.3f "+form+"\n", append([]any{d.t}, args...)...)
+	d.count[form]++
+}
+
+func (d *play) later(after float64, do func()) { d.due = append(d.due, happening{d.t + after, do}) }
+
+// Push implements Port, as do the methods below. What comes of a push is drawn as it is sent.
+func (d *play) Push(p *Push, limit float64) {
+	d.note("push %v to %s, %.3f, %.3f", p.Op.Ref, p.Host.Name, limit, p.Before)
+	x, spent := d.rng.Float64(), 2+d.rng.ExpFloat64()*15
+	o := Served
+	switch bad := p.Host.Size > 1.5; { // large hosts are the bad ones of the day
+	case !p.Host.Origin && !p.Op.Write && d.Aside && x < 0.25:
+		o = Missed
+	case bad && x < 0.5:
+		o = []Outcome{Failed, Refused, Broken, NoConn, Stale, Spoilt, Shut}[d.rng.IntN(7)]
+	case bad && x < 0.6:
+		spent = math.Inf(1)
+	case x > 0.97:
+		o = []Outcome{Refused, Failed, NoConn}[d.rng.IntN(3)]
+	}
+	if spent > limit {
+		o, spent = TimedOut, limit
+	}
+	d.later(spent, func() {
+		if p.over || p.called {
+			return
+		}
+		if o == Served && d.rng.Float64() < 0.02 {
+			d.Streaming(p)
+			d.later(20, func() { d.Ended(p, Served, spent, true, nil) })
+			return
+		}
+		var r *Report
+		if d.MayDuplicate {
+			r = &Report{Busy: d.rng.Float64()}
+		}
+		d.Ended(p, o, spent, o == Served || p.Op.state == settled, r)
+	})
+}
+
+func (d *play) Cancel(p *Push) {
+	d.note("cancel %v", p.Op.Ref)
+	d.later(0, func() {
+		if !p.over {
+			d.Ended(p, Cancelled, d.t-p.sent, p.Op.state == settled, nil)
+		}
+	})
+}
+func (d *play) Nack(op *Op, backoff float64) { d.note("nack %v, %.3f", op.Ref, backoff) }
+func (d *play) DeadLetter(op *Op)            { d.note("dead-letter %v", op.Ref) }
+func (d *play) Wake(after float64)           { d.wake = d.t + after }
+func (d *play) HangUp(h *Host)               { d.note("hang up %s", h.Name) }
+func (d *play) Watch() {
+	d.note("watch")
+	d.later(d.rng.Float64()*300, func() {
+		if d.rng.Float64() < 0.3 {
+			d.ListFailed()
+			return
+		}
+		d.list(true)
+	})
+}
+
+// list tells of all hosts, or of one that has changed.
+func (d *play) list(whole bool) {
+	var entries []Entry
+	for i, h := range d.hosts {
+		l := Listing{Zone: i % 2, Cell: i % 3, Size: 1, UpSince: h.UpSince, Status: h.Status}
+		if i%5 == 4 {
+			l.Size = 2
+		}
+		if !whole {
+			if d.rng.IntN(len(d.hosts)) != 0 || h.Origin {
+				continue
+			}
+			switch d.rng.IntN(4) {
+			case 0:
+				l.Status = Draining
+			case 1:
+				l.Status = Gone
+			default:
+				l.Status, l.UpSince = Ready, d.t
+			}
+		}
+		entries = append(entries, Entry{h, l})
+	}
+	d.List(entries, whole, false)
+}
+
+// digest plays a day and tells what came of it.
+func digest(s Start, seed uint64, change func(d *play, ms int)) string {
+	hash := fnv.New64a()
+	d := &play{rng: rand.New(rand.NewPCG(seed, 7)), hash: hash, count: map[string]int{}, wake: math.Inf(1)}
+	for i := range 10 {
+		d.hosts = append(d.hosts, &Host{Name: fmt.Sprint("host", i)})
+	}
+	if s.Aside {
+		d.hosts = append(d.hosts, &Host{Name: "origin", Origin: true})
+	}
+	s.Seed, s.OnRequest = seed, true
+	d.Balancer = New(s, d, 0)
+	for ms := range 12000 {
+		d.t = float64(ms)
+		d.At(d.t)
+		for i := 0; i < len(d.due); {
+			if x := d.due[i]; x.at <= d.t {
+				d.due = append(d.due[:i], d.due[i+1:]...)
+				x.do()
+				continue
+			}
+			i++
+		}
+		if ms%400 == 399 {
+			d.list(false)
+		}
+		if change != nil {
+			change(d, ms)
+		}
+		for range poisson(d.rng, 0.5+0.4*math.Sin(d.t/2000)) {
+			row := d.rng.IntN(len(s.Categories))
+			op := &Op{Ref: len(d.open), Category: s.Categories[row], Key: fmt.Sprint("key", int(d.rng.ExpFloat64()*30)),
+				Due: d.t + 100 + d.rng.Float64()*400, Write: row > 0}
+			if len(s.Tenants) > 0 {
+				op.Tenant = s.Tenants[d.rng.IntN(len(s.Tenants))]
+			}
+			d.open = append(d.open, op)
+			if room, _ := d.Room(); room {
+				d.Arrive(op)
+			}
+			if d.rng.Float64() < 0.05 {
+				d.later(d.rng.Float64()*100, func() {
+					if op.state != settled {
+						d.Left(op)
+					}
+				})
+			}
+		}
+		if d.t >= d.wake {
+			d.Woke()
+		}
+	}
+	n := 0
+	for _, x := range d.count {
+		n += x
+	}
+	return fmt.Sprintf("%016x of %d actions", hash.Sum64(), n)
+}
+
+func Example_decisions() {
+	aside := start()
+	aside.Aside = true
+	fmt.Println("fetched beside:", digest(aside, 1, nil))
+
+	twice := start()
+	twice.MayDuplicate, twice.Zones, twice.CrossCost, twice.FetchCost, twice.ByWork = true, 2, 0.1, 0.05, true
+	fmt.Println("second copies and zones:", digest(twice, 2, nil))
+
+	shared := start()
+	shared.Tenants = []*Tenant{{Quota: 100}, {Quota: 20}, {Quota: 5}}
+	shared.Categories[0].Ordered, shared.KeyRest, shared.ReplySlots, shared.Group = true, 50, 20, 30
+	fmt.Println("tenants, order, many balancers:", digest(shared, 3, nil))
+
+	stood := start()
+	stood.Aside, stood.MayCancel, stood.LeftOff, stood.StampDoubt = true, false, 30, 100
+	fmt.Println("bans, stalls, an heir:", digest(stood, 4, func(d *play, ms int) {
+		switch ms {
+		case 2000:
+			d.Ban(d.hosts[3], true)
+		case 4000:
+			d.Ban(d.hosts[3], false)
+			d.Yield(true)
+		case 5000:
+			d.Yield(false)
+			for _, part := range d.Learned().Split(4) {
+				d.Resume(part)
+			}
+		case 6000, 6100, 6200:
+			d.Behind(400)
+		case 7000:
+			d.ListMoved()
+		case 11500:
+			d.Close()
+		}
+	}))
+	// Output:
+	// fetched beside: 2586aadf4cbbb484 of 6715 actions
+	// second copies and zones: a7182d9658bb1383 of 6129 actions
+	// tenants, order, many balancers: bc9248223b68c4d6 of 5999 actions
+	// bans, stalls, an heir: 3e784a3ac52bd7e9 of 5231 actions
+}
