Two more crossings: an op on one of many resting clients, signals while the program stops

With faults planted: opAsOneOfMany (the oldest is ended whatever has come on it): client: false true in place of the value; signalsWhileStopping (SIGTERM back to its default behind the first): signal: terminated.

--- a/cmd/larchthread/crossings_test.go
+++ b/cmd/larchthread/crossings_test.go
@@ -903,3 +903,55 @@
 	// Output:
 	// whole: false ended soon: true
 }
+
+// Of many connections with nothing open none is ended that an op has just come on.
+func Example_opAsOneOfMany() {
+	f := &fleet{limits: `{"cores":1,"memory_mb":64,"sockets":96}`} // sixteen may rest
+	f.Host("a", slowly(100*time.Millisecond))
+	f.start()
+	defer f.stop()
+	var all []*client
+	for i := range 16 {
+		c := f.client()
+		c.say(0, fmt.Sprintf("mg k v O%d Pc=read,d=500\r\n", i))
+		c.take("value", "")
+		all = append(all, c)
+	}
+	last := f.client()
+	last.say(0, "mg slow v Olast Pc=once,d=590\r\n")
+	f.await("a: mg slow v Olast Pc=once,d=..", 1)
+	f.stopped(func() {
+		time.Sleep(120 * time.Millisecond) // it is answered, and one too many will rest
+		all[0].say(0, "mg k v Ofirst Pc=read,d=500\r\n")
+	})
+	last.say(2, "")
+	all[0].say(2, "")
+	// Output:
+	// VA 5 Olast
+	// value
+	// VA 5 Ofirst
+	// value
+}
+
+// A second word to stop, and one to read the configuration anew, change nothing of how the program ends.
+func Example_signalsWhileStopping() {
+	f := &fleet{}
+	f.Host("a", slowly(100*time.Millisecond))
+	f.start()
+	defer f.stop()
+	c := f.client()
+	c.say(0, "mg slow v O1 Pc=read,d=590\r\n")
+	f.await("a: mg slow v O1 Pc=read,d=..", 1)
+	f.process.Process.Signal(syscall.SIGTERM)
+	for !strings.Contains(f.log.String(), "msg=stopping") {
+		time.Sleep(time.Millisecond)
+	}
+	f.process.Process.Signal(syscall.SIGHUP)
+	f.process.Process.Signal(syscall.SIGTERM)
+	c.say(2, "")
+	fmt.Println(f.process.Wait())
+	// Output:
+	// VA 5 O1
+	// value
+	// <nil>
+}
