--- a/cmd/larchthread/crossings_test.go
+++ b/cmd/larchthread/crossings_test.go
@@ -955,3 +955,64 @@
 	// value
 	// <nil>
 }
+
+// A process that is to take over and dies behind any of the letters, before its yes or after it, leaves the running one serving.
+func Example_successorDiesAnywhere() {
+	f := &fleet{admin: freeAddress(), tmp: filepath.Join(os.TempDir(), fmt.Sprint("anywhere", os.Getpid()))}
+	os.MkdirAll(f.tmp, 0o700)
+	defer os.RemoveAll(f.tmp)
+	f.Host("a", hit)
+	f.Origin(fetch)
+	f.start()
+	defer f.stop()
+	box := filepath.Join(f.tmp, "larchthread-"+strings.ReplaceAll(f.listen, ":", "-"))
+	kept := f.client()
+	for last := 0; ; last++ {
+		heir, err := net.Dial("unixpacket", box)
+		if err != nil {
+			fmt.Println(err)
+			return
+		}
+		heir.SetDeadline(time.Now().Add(time.Second))
+		io.WriteString(heir, `{"word":"hello","version":1}`)
+		said, letter := "", make([]byte, 1<<16)
+		for range last {
+			n, _ := heir.Read(letter)
+			said = string(letter[:n])
+		}
+		ready := strings.Contains(said, `"door"`)
+		if ready {
+			io.WriteString(heir, `{"word":"ready"}`)
+			for !strings.Contains(f.log.String(), "handed over") {
+				time.Sleep(time.Millisecond)
+			}
+		}
+		heir.Close()
+		for strings.Count(f.log.String(), "is gone") <= last {
+			time.Sleep(time.Millisecond)
+		}
+		kept.say(0, fmt.Sprintf("mg k v Okept%d Pc=read,d=500\r\n", last))
+		fmt.Println(kept.take("value", ""), f.call("GET", "/status", ""))
+		c := f.client()
+		c.say(0, fmt.Sprintf("mg k v Onew%d Pc=read,d=500\r\n", last))
+		if !c.take("value", "") {
+			fmt.Println("not served behind letter", last)
+		}
+		c.Close()
+		if ready {
+			break
+		}
+	}
+	f.upgrade()
+	f.client().say(2, "mg k v O1 Pc=read,d=500\r\n")
+	// Output:
+	// true 200 serving
+	// true 200 serving
+	// true 200 serving
+	// true 200 serving
+	// true 200 serving
+	// true 200 serving
+	// the old one ends: <nil>
+	// VA 5 O1
+	// value
+}
