Reread: one place says what epoll looks for, one writes a call for the list

A connection's first registration and its later ones go by Conn.wants, where enter and connect had copies of their own; Unheard is a plain switch. Nothing behaves otherwise.

--- a/internal/protocol/discovery.go
+++ b/internal/protocol/discovery.go
@@ -135,11 +135,14 @@
 
 // WriteWhole asks discovery for the whole list.
 func WriteWhole(out *transport.Chain, host string) {
-	out.WriteString(fmt.Sprintf("GET /discovery/hosts HTTP/1.1\r\nHost: %s\r\n\r\n", host))
+	writeCall(out, host, "")
 }
 
 // WriteWatch asks discovery for what is newer than a revision, within wait ms.
 func WriteWatch(out *transport.Chain, host string, revision uint64, wait int) {
-	out.WriteString(fmt.Sprintf("GET /discovery/hosts?index=%d&wait=%d HTTP/1.1\r\nHost: %s\r\n\r\n",
-		revision, wait, host))
+	writeCall(out, host, fmt.Sprintf("?index=%d&wait=%d", revision, wait))
+}
+
+func writeCall(out *transport.Chain, host, query string) {
+	fmt.Fprintf(out, "GET /discovery/hosts%s HTTP/1.1\r\nHost: %s\r\n\r\n", query, host)
 }
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -128,8 +128,11 @@
 
 // Unheard tells whether something has come, be it the end, that the owner has not been told yet.
 func (c *Conn) Unheard() bool {
-	if c.fresh || c.why != "" || c.paused { // what comes on a paused one is not to be heard yet
-		return !c.paused
+	switch {
+	case c.paused: // what comes on it is not to be heard yet
+		return false
+	case c.fresh || c.why != "":
+		return true
 	}
 	_, err := c.peek()
 	return err != unix.EAGAIN
@@ -279,10 +282,9 @@
 	c.noted()
 }
 
-// interest tells epoll what to look for. A client's end is looked for whether anything is read or not: what it has asked
-// is not to be sent on for nobody.
-func (c *Conn) interest() {
-	want := uint32(0)
+// wants is what epoll is to look for. A client's end is looked for whether anything is read or not: what it has asked is not
+// to be sent on for nobody.
+func (c *Conn) wants() (want uint32) {
 	if c.puts() && c.status == up {
 		want |= unix.EPOLLRDHUP
 	}
@@ -292,7 +294,12 @@
 	if c.status == connecting || c.Out.Len() > 0 {
 		want |= unix.EPOLLOUT
 	}
-	if want != c.events {
+	return want
+}
+
+// interest tells epoll what to look for.
+func (c *Conn) interest() {
+	if want := c.wants(); want != c.events {
 		c.events = want
 		unix.EpollCtl(c.loop.epoll, unix.EPOLL_CTL_MOD, c.fd, &unix.EpollEvent{Events: want, Fd: int32(c.fd)})
 	}
--- a/internal/transport/door.go
+++ b/internal/transport/door.go
@@ -106,10 +106,6 @@
 		d.guests = append(d.guests, c)
 	}
 	d.accept(c)
-	c.events = unix.EPOLLIN
-	if c.puts() {
-		c.events |= unix.EPOLLRDHUP
-	}
 	l.adopt(c)
 	return c
 }
--- a/internal/transport/loop.go
+++ b/internal/transport/loop.go
@@ -233,6 +233,7 @@
 	if !c.reserved() {
 		l.open++
 	}
+	c.events = c.wants()
 	if err := l.look(c.fd, c.events); err != nil {
 		c.broke(OutOfSockets)
 	}
@@ -377,7 +378,7 @@
 	fd, err := dial(c.peer)
 	switch err {
 	case nil:
-		c.fd, c.events = fd, unix.EPOLLOUT
+		c.fd = fd
 		l.adopt(c)
 		if c.Wrote != nil {
 			c.Wrote()
