Reread: the program's tests share a fleet behind a late host, a drain, and where two processes meet

Three set-ups, five drains and three paths were written out each; the digest's hash is an io.Writer.

--- a/balance/decisions_test.go
+++ b/balance/decisions_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"hash/fnv"
+	"io"
 	"math"
 	"math/rand/v2"
 )
@@ -18,7 +19,7 @@
 	hosts []*Host
 	open  []*Op
 	due   []happening
-	hash  interface{ Write([]byte) (int, error) }
+	hash  io.Writer
 	count map[string]int
 }
 
--- a/cmd/larchthread/crossings_test.go
+++ b/cmd/larchthread/crossings_test.go
@@ -31,12 +31,6 @@
 	return strings.Replace(settings, old, now, 1)
 }
 
-// slowToConnect is settings by which connections may take long to come up, and pushes are not called off.
-func slowToConnect(old, now string) string {
-	return strings.NewReplacer(`"connectTimeoutUs":50000`, `"connectTimeoutUs":2000000`, `"cancelling":true`, `"cancelling":false`,
-		`"ttlUs":600000`, `"ttlUs":3000000`).Replace(strings.ReplaceAll(settings, old, now))
-}
-
 // stopped runs do while the program stands still, so that all that do brings about reaches it in one round.
 func (f *fleet) stopped(do func()) {
 	f.process.Process.Signal(syscall.SIGSTOP)
@@ -73,6 +67,17 @@
 	return &lateHost{Listener: l}
 }
 
+// slowToConnect starts a fleet of one such host, by settings with which connections may take long to come up, and pushes are not
+// called off.
+func slowToConnect(sets string) (*fleet, *lateHost) {
+	h := newLateHost()
+	f := &fleet{sets: strings.NewReplacer(`"connectTimeoutUs":50000`, `"connectTimeoutUs":2000000`, `"cancelling":true`,
+		`"cancelling":false`, `"ttlUs":600000`, `"ttlUs":3000000`).Replace(sets)}
+	f.Members = append(f.Members, standin.Line("a", h.Addr().String(), standin.KindHost, standin.InService))
+	f.start()
+	return f, h
+}
+
 // hold fills the queue.
 func (h *lateHost) hold() {
 	c, err := net.Dial("tcp", h.Addr().String())
@@ -201,10 +206,7 @@
 // pushes may not be called off: it has not been sent yet, so its op is nacked and not dead-lettered.
 func Example_lateConnection() {
 	for _, leave := range []bool{true, false} {
-		h := newLateHost()
-		f := &fleet{sets: slowToConnect(`"tardyBenefit":0.5`, `"tardyBenefit":0`)} // an op is settled with its target
-		f.Members = append(f.Members, standin.Line("a", h.Addr().String(), standin.KindHost, standin.InService))
-		f.start()
+		f, h := slowToConnect(strings.ReplaceAll(settings, `"tardyBenefit":0.5`, `"tardyBenefit":0`)) // an op is settled with its target
 		h.hold()
 		c := f.client()
 		c.say(0, "mg k v O1 Pc=once,d=2500\r\n")
@@ -226,10 +228,7 @@
 // A repeat of a deduplicated op is not written once the time in which repeats are dropped may be over: its connection may have
 // come up late.
 func Example_repeatBehindItsWindow() {
-	h := newLateHost()
-	f := &fleet{sets: slowToConnect(`"tardyBenefit":0.5`, `"tardyBenefit":0.5`)}
-	f.Members = append(f.Members, standin.Line("a", h.Addr().String(), standin.KindHost, standin.InService))
-	f.start()
+	f, h := slowToConnect(settings)
 	defer f.stop()
 	c := f.client()
 	c.say(0, "mg k v O1 Pc=put,d=2500\r\n")
@@ -454,7 +453,7 @@
 	f.Host("a", hit)
 	f.start() // the watch stands
 	defer f.stop()
-	f.Changed <- standin.List(2, false, strings.Replace(f.Members[0], "in_service", "terminating", 1))
+	f.drain()
 	f.await("discovery: 2", 1)
 	f.client().say(1, "mg k v O1 Pc=read,d=100\r\n")
 	// Output:
@@ -532,16 +531,13 @@
 
 // A host that begins to drain while a connection to it comes up is not written to by it: that may be past any grace.
 func Example_drainWhileConnecting() {
-	h := newLateHost()
-	f := &fleet{sets: slowToConnect(`"tardyBenefit":0.5`, `"tardyBenefit":0.5`)}
-	f.Members = append(f.Members, standin.Line("a", h.Addr().String(), standin.KindHost, standin.InService))
-	f.start()
+	f, h := slowToConnect(settings)
 	defer f.stop()
 	h.hold()
 	c := f.client()
 	c.say(0, "mg k v O1 Pc=once,d=2500\r\n")
 	time.Sleep(50 * time.Millisecond)
-	f.Changed <- standin.List(2, false, strings.Replace(f.Members[0], "in_service", "terminating", 1))
+	f.drain()
 	f.await("discovery: 2", 1)
 	h.letIn()
 	c.say(1, "")
@@ -765,7 +761,7 @@
 	began := time.Now()
 	f.write(f.watched)
 	f.process.Process.Signal(syscall.SIGHUP)
-	f.Changed <- standin.List(2, false, strings.Replace(f.Members[0], "in_service", "terminating", 1))
+	f.drain()
 	f.await("discovery: 2", 1)
 	fmt.Println("at once:", time.Since(began) < time.Second)
 	// Output:
@@ -781,7 +777,7 @@
 	f.Origin(fetch)
 	f.start()
 	defer f.stop()
-	box := filepath.Join(f.tmp, "larchthread-"+strings.ReplaceAll(f.listen, ":", "-"))
+	box := f.box()
 	heir, err := net.Dial("unixpacket", box)
 	if err != nil {
 		fmt.Println(err)
@@ -965,7 +961,7 @@
 	f.Origin(fetch)
 	f.start()
 	defer f.stop()
-	box := filepath.Join(f.tmp, "larchthread-"+strings.ReplaceAll(f.listen, ":", "-"))
+	box := f.box()
 	kept := f.client()
 	for last := 0; ; last++ {
 		heir, err := net.Dial("unixpacket", box)
--- a/cmd/larchthread/fleet_test.go
+++ b/cmd/larchthread/fleet_test.go
@@ -192,6 +192,16 @@
 	fmt.Printf("never came: %q\n", note)
 }
 
+// box is where a process that takes over finds the running one.
+func (f *fleet) box() string {
+	return filepath.Join(f.tmp, "larchthread-"+strings.ReplaceAll(f.listen, ":", "-"))
+}
+
+// drain has discovery tell that the first host drains.
+func (f *fleet) drain() {
+	f.Changed <- standin.List(2, false, strings.Replace(f.Members[0], standin.InService, standin.Terminating, 1))
+}
+
 // stop ends what start began.
 func (f *fleet) stop() {
 	f.process.Process.Kill()
--- a/cmd/larchthread/lists_test.go
+++ b/cmd/larchthread/lists_test.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"os"
-	"strings"
 	"syscall"
 	"time"
 
@@ -18,7 +17,7 @@
 	defer f.stop()
 	c := f.client()
 	c.say(2, "mg k v O1 Pc=read,d=500\r\n")
-	f.Changed <- standin.List(2, false, strings.Replace(f.Members[0], "in_service", "terminating", 1))
+	f.drain()
 	f.await("a: connection closed", 1)
 	c.say(1, "mg k v O2 Pc=read,d=100\r\n")
 	f.Changed <- standin.List(3, true, f.Members[0])
@@ -93,7 +92,7 @@
 	f.process.Process.Signal(syscall.SIGHUP)
 	f.await("discovery, moved: 1", 2) // a first call and the one that waits
 	c.say(2, "")
-	f.Changed <- standin.List(2, false, strings.Replace(f.Members[0], "in_service", "terminating", 1))
+	f.drain()
 	f.await("a: connection closed", 1)
 	f.heard()
 	c.Close()
--- a/cmd/larchthread/upgrade_test.go
+++ b/cmd/larchthread/upgrade_test.go
@@ -192,7 +192,7 @@
 	f.Origin(fetch)
 	f.start()
 	defer f.stop()
-	box := filepath.Join(f.tmp, "larchthread-"+strings.ReplaceAll(f.listen, ":", "-"))
+	box := f.box()
 	newer, err := net.Dial("unixpacket", box)
 	if err != nil {
 		fmt.Println(err)
