Every attempt tells what is left to its client at the moment of writing

Seen: further attempts told their server more time than the client had left.

Cause: protocol.WriteFetch wrote the client's own d whatever time had passed. Beside it, link.carry fixed what a host is told when its connection began to be made, though the bytes leave once that is up.

Change: a push's command is made when its connection is about to be written to (Conn.Prepare), and push.split alone says what it tells, hosts and origin alike: what is left to client and balancer then. With under 1 ms left nothing is sent. A push that has not begun to be written is called off when its host drains, also on an open connection.

--- a/internal/protocol/command.go
+++ b/internal/protocol/command.go
@@ -267,7 +267,7 @@
 // clip shortens what is quoted in an error.
 func clip(s string) string { return s[:min(len(s), 40)] }
 
-// attrs writes the list of names and values, with d as given where that is not below 0.
+// attrs writes the list of names and values, with d in place of the client's own.
 func (c *Command) attrs(b *transport.Chain, d int) {
 	var digits [20]byte
 	for i, a := range c.Attrs {
@@ -276,7 +276,7 @@
 		}
 		b.WriteString(a.Name)
 		b.WriteString("=")
-		if a.Name == "d" && d >= 0 {
+		if a.Name == "d" {
 			b.Write(strconv.AppendInt(digits[:0], int64(d), 10))
 		} else {
 			b.WriteString(a.Value)
--- a/internal/protocol/http.go
+++ b/internal/protocol/http.go
@@ -296,15 +296,15 @@
 	return a
 }
 
-// WriteFetch passes a command on to the origin.
-func WriteFetch(out *transport.Chain, c *Command, host string) (s Sent) {
+// WriteFetch passes a command on to the origin, which hears that the answer is waited for d ms.
+func WriteFetch(out *transport.Chain, c *Command, host string, d int) (s Sent) {
 	method := http.MethodGet
 	if c.Verb == Set {
 		method = http.MethodPut
 	}
 	fmt.Fprintf(out, "%s /%s HTTP/1.1\r\nHost: %s\r\nX-Request-ID: %s\r\nX-Attrs: ", method,
 		url.PathEscape(c.Key), host, c.ID)
-	c.attrs(out, -1)
+	c.attrs(out, d)
 	if c.Verb == Set {
 		fmt.Fprintf(out, "\r\nContent-Length: %d", c.Value.Len())
 	}
--- a/internal/protocol/protocol_test.go
+++ b/internal/protocol/protocol_test.go
@@ -208,7 +208,7 @@
 	// 0 bytes left
 }
 
-// A command goes on as it came but for the time that the balancer will wait; the origin gets all as it came.
+// A command goes on as it came but for the time that the balancer will wait, to hosts and to the origin alike.
 func ExampleWriteCommand() {
 	var pool transport.Pool
 	in, out := pool.Chain(), pool.Chain()
@@ -217,7 +217,7 @@
 	for range 2 {
 		c, _ := r.Next(&in)
 		WriteCommand(&out, c, 70)
-		WriteFetch(&out, c, "10.0.0.1:80")
+		WriteFetch(&out, c, "10.0.0.1:80", 70)
 		c.Value.Free()
 	}
 	fmt.Print(strings.ReplaceAll(string(out.Bytes()), "\r", ""))
@@ -229,14 +229,14 @@
 	// PUT /k%2F2 HTTP/1.1
 	// Host: 10.0.0.1:80
 	// X-Request-ID: 9
-	// X-Attrs: c=put,d=480,k=5c,size=5
+	// X-Attrs: c=put,d=70,k=5c,size=5
 	// Content-Length: 5
 	//
 	// hellomg a%b v O8 Pc=read,d=70
 	// GET /a%25b HTTP/1.1
 	// Host: 10.0.0.1:80
 	// X-Request-ID: 8
-	// X-Attrs: c=read,d=99
+	// X-Attrs: c=read,d=70
 	//
 	// 0 bytes held
 }
--- a/internal/routing/client.go
+++ b/internal/routing/client.go
@@ -21,16 +21,17 @@
 // op is an op with what the front holds of it.
 type op struct {
 	balance.Op
-	client  *client
-	command *protocol.Command
-	reply   transport.Chain // its answer, where that has to wait for its turn
-	short   []byte          // the same, where that is short: a buffer each would be most of the memory
-	behind  []byte          // answers to commands right behind it that were turned away unread
-	flow    *flow           // of its long answer, or nil
-	bulk    int             // bytes reserved for its long value
-	pushes  []*push         // that are not over
-	first   [1]*push        // room for that: most have one
-	state   opState
+	client   *client
+	command  *protocol.Command
+	deadline float64         // ms, until which the client waits
+	reply    transport.Chain // its answer, where that has to wait for its turn
+	short    []byte          // the same, where that is short: a buffer each would be most of the memory
+	behind   []byte          // answers to commands right behind it that were turned away unread
+	flow     *flow           // of its long answer, or nil
+	bulk     int             // bytes reserved for its long value
+	pushes   []*push         // that are not over
+	first    [1]*push        // room for that: most have one
+	state    opState
 }
 
 // move is the one place where an op changes its state here. Once it is not open any more, what has not been sent of it is not
@@ -267,7 +268,8 @@
 	default:
 		r.ops[command.ID], o.pushes = o, o.first[:0]
 		c.proven = true
-		o.Op = balance.Op{Ref: o, Category: category, Key: command.Key, Due: c.came() + command.TTL,
+		o.deadline = c.came() + command.TTL
+		o.Op = balance.Op{Ref: o, Category: category, Key: command.Key, Due: o.deadline,
 			Write: command.Verb == protocol.Set}
 		r.balancer.Arrive(&o.Op)
 		return
--- a/internal/routing/link.go
+++ b/internal/routing/link.go
@@ -13,7 +13,8 @@
 type pushState uint8
 
 const (
-	carried pushState = iota // it stands on a connection, perhaps still to be written
+	waiting pushState = iota // its connection is to be written to, or is still coming up
+	writing                  // its command has begun to be written, and may be out whole
 	flowing                  // the value that answers it is being passed on
 	over                     // answered, given up, called off, or its connection is gone
 )
@@ -25,6 +26,7 @@
 	op      *op
 	link    *link
 	began   float64 // ms, when it was written, or the connection for it was begun to be made
+	until   float64 // ms, when the balancer gives it up
 	limit   transport.Timer
 	before  transport.Timer // until its last byte has to be written
 	state   pushState
@@ -40,24 +42,30 @@
 		return
 	}
 	p.state = to
-	p.router.loop.Stop(&p.limit)
+	if to >= flowing {
+		p.router.loop.Stop(&p.limit)
+	}
 	if to == over {
 		p.router.loop.Stop(&p.before)
 		own := func(x *push) bool { return x == p }
-		p.link.host.pushes = slices.DeleteFunc(p.link.host.pushes, own)
 		p.op.pushes = slices.DeleteFunc(p.op.pushes, own)
+		if p.link != nil {
+			p.link.host.pushes = slices.DeleteFunc(p.link.host.pushes, own)
+		}
 	}
 }
 
 // withdraw calls off a push that has not been written whole: it never runs.
 func (p *push) withdraw() {
-	if p.state == carried && !p.sent() {
+	if p.state < flowing && !p.sent() {
 		p.callOff(transport.CalledOff)
 	}
 }
 
 // sent tells whether the last byte has been written: from then on the push may have run.
-func (p *push) sent() bool { return p.link.rest.Over() && p.link.conn.Out.Len() == 0 }
+func (p *push) sent() bool {
+	return p.state != waiting && p.link.rest.Over() && p.link.conn.Out.Len() == 0
+}
 
 // unheard takes note of a push given up at a host that has answered nothing since it began. One called off sooner than a
 // connection may take to come up, as where its client went away, says nothing of the host.
@@ -66,14 +74,20 @@
 	h.silent = h.silent || h.heard < p.began && p.router.loop.Now()-p.began > p.router.connect
 }
 
-// callOff ends a push by closing its connection. The balancer hears of it in the next round.
+// callOff ends a push by closing its connection.
 func (p *push) callOff(why transport.Reason) {
-	p.outcome = balance.Cancelled
+	outcome := balance.Cancelled
 	if !p.sent() {
-		p.outcome = balance.NotSent
+		outcome = balance.NotSent
 	}
-	p.move(over)
+	p.end(outcome)
 	p.link.close(why)
+}
+
+// end ends a push that no connection carries. The balancer hears of it in the next round.
+func (p *push) end(outcome balance.Outcome) {
+	p.outcome = outcome
+	p.move(over)
 	p.router.calledOff = append(p.router.calledOff, p)
 	p.router.loop.Again()
 }
@@ -127,7 +141,7 @@
 		kind, l.reader = "origin", protocol.NewFetched()
 	}
 	l.conn = r.loop.Dial(kind, h.address, l)
-	l.conn.Wrote = l.wrote
+	l.conn.Prepare, l.conn.Wrote = l.prepare, l.wrote
 	l.conn.Use = func() transport.Use {
 		if l.push != nil && l.push.op.state == open { // a second push whose op has its answer makes room
 			return transport.Needed
@@ -161,22 +175,39 @@
 	return nil
 }
 
-// carry writes a push.
-func (l *link) carry(p *push, limit float64) {
+// carry has a push written once the connection is up and this round's input has been heard.
+func (l *link) carry(p *push) {
 	l.push, p.link, l.heard = p, l, false
 	l.host.pushes = append(l.host.pushes, p)
+	l.conn.Flush()
+}
+
+// prepare begins to write the push, if it has not been. Only now is it known how much time is left.
+func (l *link) prepare() {
+	p := l.push
+	if p == nil || p.state != waiting {
+		return
+	}
+	remaining, sending := p.split(l.router.loop.Clock())
+	if remaining < leastLeft {
+		p.callOff(transport.PushLate)
+		return
+	}
+	p.move(writing)
 	if f, ok := l.reader.(*protocol.Fetched); ok {
 		f.Write = p.op.command.Verb == protocol.Set
-		l.rest = protocol.WriteFetch(&l.conn.Out, p.op.command, l.host.address.String())
+		l.rest = protocol.WriteFetch(&l.conn.Out, p.op.command, l.host.address.String(), int(remaining))
 	} else {
-		l.rest = protocol.WriteCommand(&l.conn.Out, p.op.command, max(1, int(limit)))
+		l.rest = protocol.WriteCommand(&l.conn.Out, p.op.command, int(remaining))
+	}
+	if p.op.command.Verb == protocol.Set {
+		l.router.loop.Set(&p.before, min(sending, p.Before-l.router.loop.Now()))
 	}
-	l.conn.Flush()
 }
 
-// left tells the balancer how long a push had to wait for this process: its host's time begins when it is written, or with
+// went tells the balancer how long a push had to wait for this process: its host's time begins when it is written, or with
 // the connection for it.
-func (p *push) left() {
+func (p *push) went() {
 	if !p.gone {
 		p.gone = true
 		now := p.router.loop.Clock()
@@ -189,7 +220,7 @@
 func (l *link) wrote() {
 	p := l.push
 	if p != nil {
-		p.left()
+		p.went()
 	}
 	switch {
 	case p == nil:
@@ -198,6 +229,7 @@
 	case l.conn.Out.Len() == 0 && l.rest.More(&l.conn.Out):
 	case !p.whole && p.sent():
 		p.whole = true
+		l.router.loop.Stop(&p.before)
 		l.router.figures.Pushes++
 	}
 }
@@ -361,12 +393,12 @@
 	h.idle = nil
 }
 
-// leave closes the connections to a host that nothing more is to be sent to, but for those on which a push has been begun:
-// one that is still coming up may be up after any grace.
+// leave closes the connections to a host that nothing more is to be sent to, but for those on which a push has begun to be
+// written: a connection that is still coming up may be up after any grace.
 func (h *host) leave() {
 	h.hangUp(transport.Unlisted)
 	for _, p := range slices.Clone(h.pushes) {
-		if !p.link.conn.Up() {
+		if p.state == waiting {
 			p.callOff(transport.Unlisted)
 		}
 	}
--- a/internal/routing/link_test.go
+++ b/internal/routing/link_test.go
@@ -62,7 +62,7 @@
 		fmt.Println(err, err2)
 		return
 	}
-	r.hosts["b"].pushes = []*push{{link: &link{conn: door.Passed(pair[0], nil)}}}
+	r.hosts["b"].pushes = []*push{{state: writing, link: &link{conn: door.Passed(pair[0], nil)}}}
 	tell(true, protocol.InService, "d")
 	for _, h := range r.hosts {
 		h.gone = min(h.gone, 1) // long ago
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -237,15 +237,19 @@
 
 // Push implements balance.Port, as do the methods below.
 func (r *Router) Push(b *balance.Push, limit float64) {
-	p := &push{Push: b, router: r, op: b.Op.Ref.(*op), began: r.loop.Now()}
+	now := r.loop.Now()
+	p := &push{Push: b, router: r, op: b.Op.Ref.(*op), began: now, until: now + limit}
 	b.Ref = p
-	p.limit.Fire = p.late
+	if p.left(now) < leastLeft {
+		p.end(balance.NotSent)
+		return
+	}
+	p.limit.Fire, p.before.Fire = p.late, p.withdraw
 	r.loop.Set(&p.limit, limit)
 	p.op.pushes = append(p.op.pushes, p)
-	b.Host.Ref.(*host).link(r, b.Op.Category.Repeat != balance.Redeliverable).carry(p, limit)
-	if l := p.link; !l.conn.Up() || !l.rest.Over() { // else it goes out with this round
-		p.before.Fire = p.withdraw
-		r.loop.Set(&p.before, b.Before-r.loop.Now())
+	b.Host.Ref.(*host).link(r, b.Op.Category.Repeat != balance.Redeliverable).carry(p)
+	if !p.link.conn.Up() { // else it goes out with this round
+		r.loop.Set(&p.before, b.Before-now)
 	}
 }
 
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -71,6 +71,7 @@
 type Conn struct {
 	In, Out Chain
 	Owner   Owner
+	Prepare func()     // called right before Out is written: it appends what depends on the time of writing; may be nil
 	Wrote   func()     // hears that some of Out has been written, or that a dial has begun; nil where nobody wants to
 	Use     func() Use // tells whether the connection may be closed to make room
 	Used    float64    // ms, when it last carried anything
@@ -381,6 +382,12 @@
 
 // write passes on what stands in Out, as far as the socket takes it.
 func (c *Conn) write() {
+	if c.Prepare != nil {
+		c.Prepare()
+	}
+	if c.status == closed { // what was to be written has no time left
+		return
+	}
 	before := c.Out.Len()
 	for c.Out.Len() > 0 {
 		b := c.Out.bufs[0]
