A client's time counts from the earliest moment at which its command can have come

Cause: client.came took now for when a command came, a stall of over 25 ms aside; Conn.Pause and Loop.Later set the time back to now, Door.Passed and the accepting of a connection began with none. A stop between two calls of the kernel, or one that breaks no wait, left the loop's own time behind it.

Change: a connection keeps the earliest time at which what stands unread can have come, through pauses, hand- overs and the listener's queue (there by the kernel's own word); Conn.Arrived is that of the command that is read, and both what an op has and what its attempts tell go by it. The tolerance of 25 ms goes. A wait that takes over 50 ms longer than it may counts as a stop.

Undone one by one, the tests of the listener and the pause fail: "sent 0 ms after the pause began, counts from 300 ms after", "sent long after the pause, counts from 301 ms before", "sent 301 ms before it was told, counts from 0 ms before".

--- a/internal/routing/client.go
+++ b/internal/routing/client.go
@@ -268,7 +268,7 @@
 	default:
 		r.ops[command.ID], o.pushes = o, o.first[:0]
 		c.proven = true
-		o.deadline = c.came() + command.TTL
+		o.deadline = c.conn.Arrived + command.TTL
 		o.Op = balance.Op{Ref: o, Category: category, Key: command.Key, Due: o.deadline,
 			Write: command.Verb == protocol.Set}
 		r.balancer.Arrive(&o.Op)
@@ -277,15 +277,6 @@
 	c.answer(o)
 }
 
-// came is when a command that is read now has come. Where it may have waited for as long as a stall of the process, its
-// client may be about to give up.
-func (c *client) came() float64 {
-	if now := c.router.loop.Now(); now-c.conn.Came <= stall {
-		return now
-	}
-	return c.conn.Came
-}
-
 // answer passes on the answers at the head of the line; one behind an op without an answer waits.
 func (c *client) answer(o *op) {
 	if o.state != open {
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -30,7 +30,6 @@
 	replyMost   = 1 << 20  // bytes of answers not taken at which reading stops: a dozen of the largest
 	flowMost    = 64 << 10 // bytes of a long value that wait for the client: what a short one may have
 	bulkShare   = 0.5      // part of the buffers that long values of writes may take together
-	stall       = 25.0     // ms between two rounds, over twice the timer's period, that tell of a stall
 	restFor     = 2600.0   // ms for the rest of a command, or the first op of a connection: a slow client takes 2 s for a head
 	restShare   = 6        // one in so many sockets may be a client's with nothing open: clients hold a third in all
 	heardFor    = 10.0     // ms for what has come to be heard, before an end for silence is looked at again: some rounds
--- /dev/null
+++ b/internal/transport/arrival_test.go
@@ -0,0 +1,186 @@
+package transport
+
+import (
+	"log/slog"
+	"net"
+	"net/netip"
+	"testing"
+	"time"
+)
+
+const (
+	waitFor   = 300 * time.Millisecond // that bytes wait unread
+	clockSlip = 30.0                   // ms between a test's clock and the system's: some of its ticks
+)
+
+// arrival is what an owner was told of bytes: when it was, and when they can have come at the earliest.
+type arrival struct{ told, earliest float64 }
+
+// recorder notes when bytes came on connections from clients.
+type recorder struct {
+	came   chan arrival
+	during func(c *Conn) // called with each, on the loop's thread
+}
+
+func (r *recorder) Received(c *Conn) {
+	c.In.Free()
+	r.came <- arrival{c.loop.Now(), c.Arrived}
+	if r.during != nil {
+		r.during(c)
+	}
+}
+
+func (r *recorder) Ended(*Conn, Reason) {}
+
+// record runs a loop whose clients' connections belong to r, and are not closed to make room, until the test is over.
+func record(t *testing.T, r *recorder, descriptors int) (*Loop, netip.AddrPort) {
+	t.Helper()
+	address := netip.MustParseAddrPort(unusedAddress(t))
+	loop, err := NewLoop(descriptors, 64<<20, slog.New(slog.DiscardHandler))
+	if err != nil {
+		t.Fatal(err)
+	}
+	accept := func(c *Conn) { c.Owner, c.Use = r, func() Use { return Needed } }
+	if _, err := loop.Listen("client", address, 0, accept); err != nil {
+		t.Fatal(err)
+	}
+	stop, done := make(chan bool), make(chan error)
+	loop.Round = func(float64) {
+		select {
+		case <-stop:
+			loop.End()
+		default:
+		}
+	}
+	go func() { done <- loop.Run() }()
+	t.Cleanup(func() {
+		close(stop)
+		loop.Ring()
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+	})
+	return loop, address
+}
+
+func unusedAddress(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	return listener.Addr().String()
+}
+
+func dialTest(t *testing.T, address netip.AddrPort) net.Conn {
+	t.Helper()
+	conn, err := net.Dial("tcp", address.String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { conn.Close() })
+	return conn
+}
+
+// send writes a byte and returns when, by the loop's clock.
+func send(t *testing.T, loop *Loop, conn net.Conn) float64 {
+	t.Helper()
+	at := loop.Clock()
+	if _, err := conn.Write([]byte("x")); err != nil {
+		t.Fatal(err)
+	}
+	return at
+}
+
+// What waits while nothing is read counts from the pause on. What comes after it counts from when it comes.
+func TestArrivedWhilePaused(t *testing.T) {
+	r := &recorder{came: make(chan arrival, 3)}
+	var resume Timer
+	pauses := 0
+	r.during = func(c *Conn) {
+		if pauses++; pauses > 1 {
+			return
+		}
+		c.Pause(true)
+		resume.Fire = func() { c.Pause(false) }
+		c.loop.Set(&resume, float64(waitFor.Milliseconds()))
+	}
+	loop, address := record(t, r, 256)
+	client := dialTest(t, address)
+	send(t, loop, client)
+	paused := (<-r.came).told
+	sent := send(t, loop, client)
+	held := <-r.came
+	if held.earliest > sent+clockSlip || held.earliest < paused-clockSlip {
+		t.Errorf("sent %.0f ms after the pause began, counts from %.0f ms after", sent-paused, held.earliest-paused)
+	}
+	if waited := held.told - sent; waited < float64(waitFor.Milliseconds())/2 {
+		t.Fatalf("the bytes were told after %.0f ms: they did not wait", waited)
+	}
+	time.Sleep(waitFor)
+	sent = send(t, loop, client)
+	if prompt := <-r.came; prompt.earliest < sent-clockSlip {
+		t.Errorf("sent after the pause was over, counts from %.0f ms before", sent-prompt.earliest)
+	}
+}
+
+// A pause in which nothing came leaves no trace.
+func TestArrivedAfterEmptyPause(t *testing.T) {
+	r := &recorder{came: make(chan arrival, 2)}
+	var resume Timer
+	r.during = func(c *Conn) {
+		c.Pause(true)
+		resume.Fire = func() { c.Pause(false) }
+		c.loop.Set(&resume, 1)
+	}
+	loop, address := record(t, r, 256)
+	client := dialTest(t, address)
+	send(t, loop, client)
+	<-r.came
+	time.Sleep(waitFor)
+	sent := send(t, loop, client)
+	if second := <-r.came; second.earliest < sent-clockSlip {
+		t.Errorf("sent long after the pause, counts from %.0f ms before", sent-second.earliest)
+	}
+}
+
+// What a client sent while it stood in the queue of a listener that had no socket for it counts from then.
+func TestArrivedInQueue(t *testing.T) {
+	r := &recorder{came: make(chan arrival, 64)}
+	loop, address := record(t, r, 2*SpareFiles)
+	var clients []net.Conn
+	for range SpareFiles - SpareFiles/dialShare {
+		client := dialTest(t, address)
+		send(t, loop, client)
+		<-r.came
+		clients = append(clients, client)
+	}
+	queued := dialTest(t, address)
+	sent := send(t, loop, queued)
+	time.Sleep(waitFor)
+	select {
+	case <-r.came:
+		t.Fatal("the listener had a socket for one more")
+	default:
+	}
+	clients[0].Close()
+	got := <-r.came
+	if got.earliest > sent+clockSlip || got.earliest < sent-clockSlip {
+		t.Errorf("sent %.0f ms before it was told, counts from %.0f ms before", got.told-sent, got.told-got.earliest)
+	}
+}
+
+// A wait that takes far longer than it may tells that the process stood still, as where its share of the cores is used up. A
+// wait without an end tells nothing.
+func TestOverslept(t *testing.T) {
+	for _, c := range []struct {
+		took     float64
+		patience int
+		want     bool
+	}{{100, 100, false}, {100 + oversleepMost, 100, false}, {101 + oversleepMost, 100, true}, {1, 0, false}, {1e6, -1, false}} {
+		if got := overslept(c.took, c.patience); got != c.want {
+			t.Errorf("a wait of %v ms that took %v ms: overslept %v, want %v", c.patience, c.took, got, c.want)
+		}
+	}
+}
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -76,7 +76,7 @@
 	Use     func() Use // tells whether the connection may be closed to make room
 	Used    float64    // ms, when it last carried anything
 	Began   float64    // ms
-	Came    float64    // ms, before which nothing came of what stands in In
+	Arrived float64    // ms, the earliest time at which the last byte of a command in In can have come
 
 	loop   *Loop
 	door   *Door  // through which it came, or nil
@@ -90,8 +90,8 @@
 	fresh  bool    // bytes have come that the owner has not seen
 	marked bool    // in the loop's list of connections to write to
 	paused bool    // nothing is read for now
-	since  float64 // ms, before which nothing came of what is unread; 0 where nothing is
-	first  float64 // ms, since when it can be this process that has it wait
+	unread float64 // ms, the earliest time at which what stands unread at the socket can have come; 0 where not known
+	first  float64 // ms, since when it can be this process that has it wait; 0 where not known
 	heard  float64 // the same of what stands in In
 	last   Timer   // until a half-closed connection is closed
 	took   uint64  // bytes read
@@ -123,8 +123,7 @@
 	if c.loop.Clock()-c.loop.now < quietFor { // this round has looked at all sockets
 		return true
 	}
-	_, err := c.peek()
-	return err == unix.EAGAIN
+	return c.nothingUnread()
 }
 
 // Unheard tells whether something has come, be it the end, that the owner has not been told yet.
@@ -135,8 +134,7 @@
 	case c.fresh || c.why != "":
 		return true
 	}
-	_, err := c.peek()
-	return err != unix.EAGAIN
+	return !c.nothingUnread()
 }
 
 // AtEnd tells whether nothing more will come: the other side has ended the connection, and all it said is taken.
@@ -233,12 +231,34 @@
 // Paused tells whether nothing is read for now.
 func (c *Conn) Paused() bool { return c.paused }
 
-// Pause stops reading, or starts it again.
+// Pause stops reading, or starts it again. What comes meanwhile may have come from the pause on.
 func (c *Conn) Pause(on bool) {
-	if c.paused != on && c.status == up {
-		c.paused, c.since = on, 0 // what waits while paused waits for the other side
-		c.interest()
+	if c.paused == on || c.status != up {
+		return
+	}
+	c.paused = on
+	c.first = 0 // this process has it wait for the other side's sake
+	switch {
+	case !c.puts(): // nobody asks when an answer came
+	case on:
+		c.unreadSince(c.loop.least())
+	case c.nothingUnread():
+		c.unread = 0
 	}
+	c.interest()
+}
+
+// unreadSince notes the earliest time at which what stands unread at the socket can have come, unless an earlier one is known.
+func (c *Conn) unreadSince(at float64) {
+	if c.unread == 0 {
+		c.unread = at
+	}
+}
+
+// nothingUnread tells whether neither a byte nor the end stands unread at the socket.
+func (c *Conn) nothingUnread() bool {
+	_, err := c.peek()
+	return err == unix.EAGAIN
 }
 
 func (c *Conn) log(why Reason) {
@@ -339,8 +359,9 @@
 
 // read takes what has come.
 func (c *Conn) read() {
-	if c.since == 0 {
-		c.since, c.first = c.loop.least(), c.loop.Heard()
+	c.unreadSince(c.loop.least())
+	if c.first == 0 {
+		c.first = c.loop.Heard()
 	}
 	if c.news && c.fresh && c.puts() { // what is read has still to be heard: one read then takes more
 		return
@@ -349,9 +370,9 @@
 		return
 	}
 	if !c.fresh {
-		c.Came, c.heard = c.since, c.first
+		c.Arrived, c.heard = c.unread, c.first
 	}
-	c.since = 0
+	c.unread, c.first = 0, 0
 	for got := 0; got < readMost; {
 		b := c.In.tail()
 		n, err := unix.Read(c.fd, b.data[b.w:])
@@ -422,7 +443,7 @@
 // Later has the owner look in the next round at what stands in In.
 func (l *Loop) Later(c *Conn) {
 	if !c.fresh {
-		c.Came, c.heard = l.now, l.now
+		c.heard = l.now
 	}
 	l.Rest(c)
 }
--- a/internal/transport/door.go
+++ b/internal/transport/door.go
@@ -15,6 +15,7 @@
 	accept  func(c *Conn)
 	reserve int     // connections that it may have open out of the spare descriptors; 0: out of the loop's, as any other
 	guests  []*Conn // those, oldest first
+	behind  bool    // connections may have stood in the queue since before this round
 	resting bool    // another process has its queue
 	shut    bool    // it is not looked at, for want of sockets
 	reopen  Timer
@@ -73,6 +74,9 @@
 
 // welcome accepts what stands at the door, as far as there are sockets.
 func (d *Door) welcome() {
+	l := d.loop
+	behind := d.behind
+	d.behind = true
 	for range acceptMost {
 		if !d.room() {
 			d.watch(false)
@@ -86,11 +90,16 @@
 		case unix.EMFILE, unix.ENFILE, unix.ENOMEM, unix.ENOBUFS:
 			d.watch(false)
 			return
-		default:
+		default: // the queue is empty
+			d.behind = false
 			return
 		}
 		unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_NODELAY, 1)
-		d.enter(fd, from).arrived()
+		c := d.enter(fd, from)
+		if behind {
+			c.unread = l.now - lastReceived(fd)
+		}
+		c.arrived()
 	}
 }
 
@@ -120,6 +129,10 @@
 	unix.SetNonblock(fd, true)
 	from, _ := unix.Getpeername(fd)
 	c := d.enter(fd, from)
+	c.Arrived = d.loop.least()
+	if !c.nothingUnread() {
+		c.unread = c.Arrived
+	}
 	if len(unread) > 0 {
 		c.In.Write(unread)
 		d.loop.Later(c)
--- a/internal/transport/loop.go
+++ b/internal/transport/loop.go
@@ -25,6 +25,7 @@
 	poolKept   = 512            // free buffers that the pool holds on to: 8 MB; more go back to the garbage collector
 	readMost   = 5 * BufferSize // bytes read from one connection in a round: the largest value and its line
 
+	oversleepMost = 50.0   // ms that a wait may take too long on a busy machine
 	quietFor      = 0.25   // ms of a round in which what it has gathered counts as all that has come
 	sliceFor      = 0.5    // ms of a round for what clients ask: a hundred ops
 	eventsMost    = 512    // events taken in one round at the least
@@ -156,9 +157,11 @@
 func (l *Loop) Run() error {
 	events := make([]unix.EpollEvent, max(eventsMost, l.most+SpareFiles)) // all that is ready belongs to one round
 	for !l.ended {
+		looked, patience := l.Clock(), 0
 		n, err := unix.EpollWait(l.epoll, events, 0)
 		if l.waited = n == 0 && err == nil; l.waited {
-			n, err = unix.EpollWait(l.epoll, events, l.patience())
+			patience = l.patience()
+			n, err = unix.EpollWait(l.epoll, events, patience)
 		}
 		if err == unix.EINTR { // as after a stop of the process: what came meanwhile belongs to the next round
 			l.broken = l.waited
@@ -170,11 +173,17 @@
 		l.tick()
 		l.again = false
 		l.idle, l.broken = l.waited || l.broken, false
+		stoodStill := overslept(l.now-looked, patience)
+		l.waited = l.waited && !stoodStill
 		for _, e := range events[:n] {
 			l.gather(int(e.Fd), e.Events)
 		}
 		l.hand()
-		if n < len(events) { // else more stands ready that came before
+		switch {
+		case n == len(events): // more stands ready that came before
+		case stoodStill: // perhaps behind the look at what is ready
+			l.before = looked
+		default:
 			l.before = l.now
 		}
 		l.carryOut()
@@ -182,7 +191,13 @@
 	return nil
 }
 
-// patience is how long the next round may wait, in ms.
+// overslept tells whether a wait took so many ms longer than it should have at the most that the process must have stood
+// still: what came meanwhile waited for it, nobody knows for how long.
+func overslept(took float64, patience int) bool {
+	return patience >= 0 && took > float64(patience)+oversleepMost
+}
+
+// patience is how long the next round may wait, in ms; -1 for as long as nothing happens.
 func (l *Loop) patience() int {
 	if l.again || len(l.ready) > 0 {
 		return 0
--- a/internal/transport/socket.go
+++ b/internal/transport/socket.go
@@ -64,6 +64,15 @@
 	return fd, nil
 }
 
+// lastReceived is for how many ms nothing has come on a connection; 0 where the system does not tell.
+func lastReceived(fd int) float64 {
+	info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO)
+	if err != nil {
+		return 0
+	}
+	return float64(info.Last_data_recv)
+}
+
 // pending takes the error that a socket holds.
 func pending(fd int) error {
 	code, err := unix.GetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_ERROR)
--- a/internal/trial/check_test.go
+++ b/internal/trial/check_test.go
@@ -63,6 +63,9 @@
 		{"moot", "pushed after the TTL", func(r *Record) {
 			run(r, standin.Run{Host: "h2", From: "s1", ID: "r1", Category: "read", Came: 800 * ms})
 		}},
+		{"deadlines", "told the client's own time long after it was sent", func(r *Record) {
+			run(r, standin.Run{Host: "origin", From: "s1", ID: "r1", Category: "read", Came: 400 * ms, Due: 400*ms + ttl})
+		}},
 		{"effects", "ran twice", func(r *Record) {
 			run(r, standin.Run{Host: "h2", From: "s1", ID: "o2", Category: "once", Came: 520 * ms, Ran: true})
 		}},
