Stand-ins record what each attempt told, and when its last byte came

Notes of scripted hosts and origins leave out d, as it depends on the time, so no test could hold what an attempt tells its server against what was left to its client.

A Script now records an Attempt for each command and request: server, op, verb, the time left as told and as written, the rest of the list, the repeat mark, and when the kernel received the last byte. Scripted hosts read the value of a write. ServeHost and ServeOrigin answer on a listener of the caller, which may be slow or late.

--- /dev/null
+++ b/internal/standin/attempt_test.go
@@ -0,0 +1,72 @@
+package standin
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+)
+
+// A scripted host and origin record what each attempt told, when its last byte had come, and its list as it stood.
+func TestAttempts(t *testing.T) {
+	s := &Script{}
+	defer s.Close()
+	l := Anywhere()
+	s.ServeHost("a", l, func([]string) string { return "EN O{id}\r\n" })
+	origin := Anywhere()
+	s.ServeOrigin(origin, func(w http.ResponseWriter, r *http.Request) {})
+
+	c, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(5 * time.Second))
+	answers := bufio.NewReader(c)
+	said := func(piece string) time.Time {
+		io.WriteString(c, piece)
+		return time.Now()
+	}
+	said("mg k v O1 Pc=read,d=400.5,k=m\r\n")
+	answers.ReadString('\n')
+	said("ms k 4 O2 Pr=1,d=70,c=put\r\nmg")
+	time.Sleep(200 * time.Millisecond)
+	before := time.Now()
+	last := said(" \r\r\n")
+	answers.ReadString('\n')
+
+	request, _ := http.NewRequest(http.MethodPut, "http://"+origin.Addr().String()+"/k", strings.NewReader("value"))
+	request.Header.Set("X-Request-ID", "3")
+	request.Header.Set("X-Attrs", "c=put,d=9")
+	answer, err := http.DefaultClient.Do(request)
+	if err != nil {
+		t.Fatal(err)
+	}
+	answer.Body.Close()
+
+	attempts := s.Attempts()
+	want := []Attempt{
+		{Server: "a", Op: "1", Verb: "mg", TimeLeft: 400500 * time.Microsecond, TimeLeftText: "400.5", Attributes: "c=read,d=..,k=m"},
+		{Server: "a", Op: "2", Verb: "ms", TimeLeft: 70 * time.Millisecond, TimeLeftText: "70", Attributes: "r=1,d=..,c=put", Repeat: true},
+		{Server: OriginID, Op: "3", Verb: "PUT", TimeLeft: 9 * time.Millisecond, TimeLeftText: "9", Attributes: "c=put,d=.."},
+	}
+	if len(attempts) != len(want) {
+		t.Fatalf("%d attempts, want %d: %+v", len(attempts), len(want), attempts)
+	}
+	const clockStep = 10 * time.Millisecond // the kernel tells the time of the last byte by its own tick
+	if came := attempts[1].Came; came.Before(before.Add(-clockStep)) || came.After(last.Add(time.Second)) {
+		t.Errorf("the last byte came %v after it was sent", came.Sub(last))
+	}
+	for i, a := range attempts {
+		a.Came = time.Time{}
+		if a != want[i] {
+			t.Errorf("got  %+v\nwant %+v", a, want[i])
+		}
+	}
+	if s.Forget(); len(s.Attempts()) != 0 {
+		t.Error("attempts that were forgotten")
+	}
+}
--- a/internal/standin/script.go
+++ b/internal/standin/script.go
@@ -2,13 +2,14 @@
 
 import (
 	"bufio"
+	"context"
 	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
-	"regexp"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -22,13 +23,11 @@
 	Changed chan string // the answers to watches; "down" for a failure
 	Closers []io.Closer
 
-	mu    sync.Mutex
-	notes []string
+	mu       sync.Mutex
+	notes    []string
+	attempts []Attempt
 }
 
-// What a note leaves out, as it depends on the time: for how long a balancer waits.
-var waited = regexp.MustCompile(`d=[0-9.]+`)
-
 // Note notes something.
 func (s *Script) Note(form string, args ...any) {
 	s.mu.Lock()
@@ -43,12 +42,12 @@
 	return append([]string(nil), s.notes...)
 }
 
-// Forget takes all notes, and has noted nothing from then on.
+// Forget takes all notes, and has noted nothing from then on; attempts are forgotten too.
 func (s *Script) Forget() []string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	all := s.notes
-	s.notes = nil
+	s.notes, s.attempts = nil, nil
 	return all
 }
 
@@ -99,6 +98,11 @@
 func (s *Script) Host(name string, say func(words []string) string) {
 	l := Anywhere()
 	s.Members = append(s.Members, Line(name, l.Addr().String(), KindHost, InService))
+	s.ServeHost(name, l, say)
+}
+
+// ServeHost answers on a listener as Host does; it is for the caller to list the host.
+func (s *Script) ServeHost(name string, l net.Listener, say func(words []string) string) {
 	s.Serve(l, func(c net.Conn) {
 		for r := bufio.NewReader(c); ; {
 			line, err := r.ReadString('\n')
@@ -110,6 +114,10 @@
 				return
 			}
 			words := strings.Fields(line)
+			if err := skipValue(r, words); err != nil {
+				return
+			}
+			s.attempted(commandAttempt(name, words, lastReceived(c)))
 			s.Note("%s: %s", name, strings.TrimSpace(line))
 			answer := strings.ReplaceAll(say(words), "{id}", strings.TrimPrefix(words[3], "O"))
 			last := strings.HasSuffix(answer, "drop")
@@ -124,6 +132,19 @@
 	})
 }
 
+// skipValue reads the value that follows the line of a write, and its line end.
+func skipValue(r *bufio.Reader, words []string) error {
+	if words[0] != "ms" {
+		return nil
+	}
+	length, err := strconv.Atoi(words[2])
+	if err != nil || length < 0 || length > longestValue {
+		return fmt.Errorf("length %.20q", words[2])
+	}
+	_, err = r.Discard(length + len("\r\n"))
+	return err
+}
+
 // cork has the end of a connection come with its last bytes, not some time behind them.
 func cork(c net.Conn) {
 	if raw, err := c.(*net.TCPConn).SyscallConn(); err == nil {
@@ -135,17 +156,33 @@
 func (s *Script) Origin(handle func(w http.ResponseWriter, r *http.Request)) {
 	l := Anywhere()
 	s.Members = append(s.Members, Line("log", l.Addr().String(), KindOrigin, InService))
+	s.ServeOrigin(l, handle)
+}
+
+// ServeOrigin answers on a listener as Origin does; it is for the caller to list the origin.
+func (s *Script) ServeOrigin(l net.Listener, handle func(w http.ResponseWriter, r *http.Request)) {
 	s.Closers = append(s.Closers, l)
-	go http.Serve(l, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		body, _ := io.ReadAll(r.Body)
-		if len(body) > 100 {
-			body = []byte(fmt.Sprint(len(body), " bytes"))
-		}
-		s.Note("origin: %s %s %q %s %s", r.Method, r.URL.Path, body, r.Header.Get("X-Request-ID"), r.Header.Get("X-Attrs"))
-		handle(w, r)
-	}))
+	server := &http.Server{
+		ConnContext: func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connection{}, c) },
+		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			body, err := io.ReadAll(r.Body)
+			if err == nil {
+				came := lastReceived(r.Context().Value(connection{}).(net.Conn))
+				s.attempted(newAttempt(OriginID, r.Header.Get("X-Request-ID"), r.Method, r.Header.Get("X-Attrs"), came))
+			}
+			if len(body) > 100 {
+				body = []byte(fmt.Sprint(len(body), " bytes"))
+			}
+			s.Note("origin: %s %s %q %s %s", r.Method, r.URL.Path, body, r.Header.Get("X-Request-ID"), r.Header.Get("X-Attrs"))
+			handle(w, r)
+		}),
+	}
+	go server.Serve(l)
 }
 
+// connection is the key of a request's connection in its context.
+type connection struct{}
+
 // Line is a member in discovery's form.
 func Line(id, address, kind, phase string) string {
 	return fmt.Sprintf(`{"id":%q,"host_port":%q,"locality":"z","flavor":%q,"cell":0,"phase":%q,"size":1,"up_since_ms":0}`,
