Upgrades of large fleets: letters are cut by their bytes, bans are taken over in one go

The running process told its successor of hosts, ids and what it has learned 500 a letter, whatever their length, and of all categories in one. A letter has 128 KiB at the most, so fleets with long names or many categories could not be handed over: the test failed, before the change, for 2,048 hosts with names of 128 bytes and for 4,096 categories with not in the log: handed over level=WARN msg="the process that was to take over is gone" served=false and the two processes went on side by side. Each ban that was handed over laid all hosts out anew: for 2,048 hosts and 1,024 bans the hand-over took 1.021 s of the 3 s that it has, and four times that for twice the fleet.

Now a part of a list goes out by halves where its letter would be too long, categories are split as hosts are (`Learned.First` tells where a part begins), and bans are set together (`BanAll`).

Example_learned prints the whole of what is learned before a list; that has one field more now, so its line has one 0 more.

--- a/balance/learned.go
+++ b/balance/learned.go
@@ -10,6 +10,7 @@
 type Learned struct {
 	Rate, Usual   float64
 	Fleet, Origin Gauge
+	First         int               `json:",omitempty"` // category of the first row, where this is a part
 	Rows          []Row             // by category, as the start has them
 	Hosts         map[string]Record // by name
 }
@@ -48,9 +49,9 @@
 		b.fleet.resume(l.Fleet)
 		b.origin.resume(l.Origin)
 	}
-	for i, c := range b.Categories {
-		if i < len(l.Rows) && l.Rows[i].Target == c.Target {
-			c.lat, c.dev = l.Rows[i].Lat, l.Rows[i].Dev
+	for i, r := range l.Rows {
+		if at := l.First + i; at < len(b.Categories) && b.Categories[at].Target == r.Target {
+			b.Categories[at].lat, b.Categories[at].dev = r.Lat, r.Dev
 		}
 	}
 	for _, h := range b.hosts {
@@ -71,10 +72,25 @@
 // time.
 func (b *Balancer) Yield(on bool) { b.yielded = on }
 
-// Split cuts what was learned into parts of so many hosts at the most, for messages of bounded length.
-func (l Learned) Split(most int) []Learned {
-	all := []Learned{l}
-	all[0].Hosts = nil
+// BanAll takes cache hosts out of use by hand, as Ban does one. The others are laid out once, not for each ban: that takes a
+// look at all hosts.
+func (b *Balancer) BanAll(hosts []*Host) {
+	for _, h := range hosts {
+		h.Banned = true
+		h.forgive()
+	}
+	b.layOut()
+}
+
+// Split cuts what was learned into parts of so many categories or hosts at the most, for messages of bounded length.
+func (l Learned) Split(most int) (all []Learned) {
+	first := l.First
+	for rows := range slices.Chunk(l.Rows, most) {
+		part := l
+		part.First, part.Rows, part.Hosts = first, rows, nil
+		all = append(all, part)
+		first += len(rows)
+	}
 	for names := range slices.Chunk(slices.Sorted(maps.Keys(l.Hosts)), most) {
 		part := Learned{Hosts: map[string]Record{}}
 		for _, n := range names {
--- a/balance/learned_test.go
+++ b/balance/learned_test.go
@@ -60,5 +60,5 @@
 	// the old one affords a cold host: false
 	// latency: true gate: true
 	// rests: true false budget: true
-	// before a list: {0 0 {0 0 0 0} {0 0 0 0} [] map[]} true
+	// before a list: {0 0 {0 0 0 0} {0 0 0 0} 0 [] map[]} true
 }
--- a/internal/routing/ban.go
+++ b/internal/routing/ban.go
@@ -38,16 +38,9 @@
 
 // TakeBan bans a host here, or lifts its ban.
 func (r *Router) TakeBan(id string, out bool) error {
-	h := r.hosts[id]
-	if h == nil && r.past.ids[id] { // it may come back under its id
-		h = r.host(id, false)
-		h.Status = balance.Gone
-	}
-	switch {
-	case h == nil:
-		return ErrNeverListed
-	case h.Origin:
-		return errOrigin
+	h, err := r.bannable(id)
+	if err != nil {
+		return err
 	}
 	r.balancer.Ban(&h.Host, out)
 	h.silent = false
@@ -59,6 +52,42 @@
 	return nil
 }
 
+// banAll bans the hosts that another process has banned.
+func (r *Router) banAll(ids []string) {
+	var hosts []*balance.Host
+	for _, id := range ids {
+		r.past.add(id)
+		if h, err := r.bannable(id); err == nil {
+			hosts = append(hosts, &h.Host)
+		}
+	}
+	if len(hosts) == 0 {
+		return
+	}
+	r.balancer.BanAll(hosts)
+	for _, b := range hosts {
+		h := b.Ref.(*host)
+		h.silent = false
+		h.leave()
+	}
+}
+
+// bannable finds the host that a call names, also one that is known no more: it may come back under its id.
+func (r *Router) bannable(id string) (*host, error) {
+	h := r.hosts[id]
+	if h == nil && r.past.ids[id] {
+		h = r.host(id, false)
+		h.Status = balance.Gone
+	}
+	switch {
+	case h == nil:
+		return nil, ErrNeverListed
+	case h.Origin:
+		return nil, errOrigin
+	}
+	return h, nil
+}
+
 // past holds the ids of hosts that are known no more, the latest of them: each may still be named by a call.
 type past struct {
 	ids   map[string]bool
--- a/internal/routing/upgrade.go
+++ b/internal/routing/upgrade.go
@@ -80,8 +80,8 @@
 // Yield leaves the budgets for cold hosts to another process, or takes them back.
 func (r *Router) Yield(on bool) { r.balancer.Yield(on) }
 
-// Learned is what the balancer has learned, in parts of so many hosts.
-func (r *Router) Learned(most int) []balance.Learned { return r.balancer.Learned().Split(most) }
+// Learned is what the balancer has learned.
+func (r *Router) Learned() balance.Learned { return r.balancer.Learned() }
 
 // Adopt takes what another process knows of hosts.
 func (r *Router) Adopt(l *protocol.List, past, banned []string, learned []balance.Learned) {
@@ -100,10 +100,7 @@
 	for _, part := range learned {
 		r.balancer.Resume(part)
 	}
-	for _, id := range banned {
-		r.past.add(id)
-		r.TakeBan(id, true)
-	}
+	r.banAll(banned)
 }
 
 // Passed takes a client's connection that another process has passed on.
--- a/internal/takeover/heir.go
+++ b/internal/takeover/heir.go
@@ -1,8 +1,6 @@
 package takeover
 
 import (
-	"slices"
-
 	"golang.org/x/sys/unix"
 
 	"larchthread/internal/protocol"
@@ -66,18 +64,12 @@
 	own := max(most/2, min(open+most/headroom, most-most/headroom))
 	h.loop.Most(own)
 	l, past, banned := h.router.Known()
-	for part := range slices.Chunk(l.Members, idsMost) {
-		send(h.post, letter{Word: "list", List: &protocol.List{Revision: l.Revision, Complete: true, Members: part}}, -1)
-	}
-	for part := range slices.Chunk(past, idsMost) {
-		send(h.post, letter{Word: "past", Past: part}, -1)
-	}
-	for part := range slices.Chunk(banned, idsMost) {
-		send(h.post, letter{Word: "past", Banned: part}, -1)
-	}
-	for _, part := range h.router.Learned(idsMost) {
-		send(h.post, letter{Word: "learned", Learned: &part}, -1)
-	}
+	sendParts(h.post, l.Members, func(part []protocol.Listed) letter {
+		return letter{Word: "list", List: &protocol.List{Revision: l.Revision, Complete: true, Members: part}}
+	})
+	sendParts(h.post, past, func(part []string) letter { return letter{Word: "past", Past: part} })
+	sendParts(h.post, banned, func(part []string) letter { return letter{Word: "past", Banned: part} })
+	sendLearned(h.post, h.router.Learned(), idsMost)
 	send(h.post, letter{Word: "door", Sockets: max(most-own-transport.SpareFiles, most/headroom)}, door)
 }
 
--- a/internal/takeover/takeover.go
+++ b/internal/takeover/takeover.go
@@ -10,8 +10,6 @@
 	"path/filepath"
 	"strings"
 
-	"larchthread/balance"
-	"larchthread/internal/protocol"
 	"larchthread/internal/routing"
 	"larchthread/internal/transport"
 )
@@ -21,28 +19,9 @@
 	askMost  = 3000.0 // ms for the running process to hand over: half of what operators wait for the yes
 	askAgain = 100.0  // ms until a process that is busy with another successor is asked again
 	tellMost = 700.0  // ms for the other process to heed a ban: the caller waits 1 s
-	idsMost  = 500    // ids or hosts in a letter: some tens of KB
 	headroom = 8      // one in so many sockets that the old process may open beyond those it has
 )
 
-// letter is what one process tells the other. What a build does not know in it is passed over.
-type letter struct {
-	Word    string           `json:"word"`
-	Version int              `json:"version,omitempty"`
-	Why     string           `json:"why,omitempty"`     // of a refusal
-	List    *protocol.List   `json:"list,omitempty"`    // part of the list, in discovery's form
-	Past    []string         `json:"past,omitempty"`    // ids of hosts there were
-	Banned  []string         `json:"banned,omitempty"`  // ids of hosts that are banned
-	Learned *balance.Learned `json:"learned,omitempty"` // part of what the balancer has learned
-	Sockets int              `json:"sockets,omitempty"` // that the new process may open
-	Unread  []byte           `json:"unread,omitempty"`  // of a passed connection
-	Proven  bool             `json:"proven,omitempty"`  // an op has come on it
-	ID      string           `json:"id,omitempty"`      // of a host to be banned
-	Out     bool             `json:"out,omitempty"`     // it is to be banned, not put back
-	Number  int              `json:"number,omitempty"`  // of a word on a ban, and of the answer to it
-	Known   bool             `json:"known,omitempty"`   // the host is known there
-}
-
 // Takeover is one process's side of upgrades.
 type Takeover struct {
 	loop    *transport.Loop
@@ -159,14 +138,6 @@
 	return l
 }
 
-func send(p *transport.Post, l letter, fd int) {
-	text, err := json.Marshal(l)
-	if err != nil { // no field can fail
-		panic(err)
-	}
-	p.Send(text, fd)
-}
-
 // bans are the words on bans that the other process has not answered yet.
 type bans struct {
 	number int
--- /dev/null
+++ b/internal/takeover/takeover_test.go
@@ -0,0 +1,211 @@
+package takeover
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"larchthread/balance"
+	"larchthread/internal/params"
+	"larchthread/internal/protocol"
+	"larchthread/internal/routing"
+	"larchthread/internal/transport"
+)
+
+const (
+	waitFor   = 8 * time.Second // for a hand-over: many times what it takes
+	longAgo   = 1.7e12          // ms, Unix time
+	farFuture = 4e12            // ms, Unix time
+)
+
+// logText is a log that several goroutines write and read.
+type logText struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+func (l *logText) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.Write(p)
+}
+
+func (l *logText) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.String()
+}
+
+// process is a balancer with its side of upgrades, on a loop of its own in this test.
+type process struct {
+	loop   *transport.Loop
+	router *routing.Router
+	log    *logText
+	done   chan error
+}
+
+// newProcess makes a balancer that is not serving yet.
+func newProcess(t *testing.T, told *params.Told) *process {
+	p := &process{log: &logText{}, done: make(chan error, 1)}
+	log := slog.New(slog.NewTextHandler(p.log, nil))
+	var err error
+	if p.loop, err = transport.NewLoop(told.Sockets, int(told.MemoryMB)<<20, log); err != nil {
+		t.Fatal(err)
+	}
+	if p.router, err = routing.New(p.loop, log, told, true); err != nil {
+		t.Fatal(err)
+	}
+	return p
+}
+
+// run opens the door and serves.
+func (p *process) run(t *testing.T, told *params.Told, dir string) {
+	if _, err := Begin(p.loop, p.loop.Log, p.router, told.Listen, dir, func(int) {}); err != nil {
+		t.Fatal(err)
+	}
+	go func() { p.done <- p.loop.Run() }()
+}
+
+// await waits until the log says something.
+func (p *process) await(t *testing.T, text string) {
+	t.Helper()
+	for end := time.Now().Add(waitFor); !strings.Contains(p.log.String(), text); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("not in the log: %s\n%.4000s", text, p.log)
+		}
+	}
+}
+
+// stop ends the process in good order.
+func (p *process) stop(t *testing.T) {
+	t.Helper()
+	p.router.Shutdown()
+	select {
+	case err := <-p.done:
+		if err != nil {
+			t.Fatal(err)
+		}
+	case <-time.After(waitFor):
+		t.Fatal("it goes on")
+	}
+}
+
+// toldWith is what a balancer with so many categories is told.
+func toldWith(t *testing.T, categories int) *params.Told {
+	free, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer free.Close()
+	var rows []map[string]any
+	for i := range categories {
+		rows = append(rows, map[string]any{"name": fmt.Sprint("category", i), "targetLatencyUs": 1e5 + i, "repeat": "retryable"})
+	}
+	text, err := json.Marshal(map[string]any{"categories": rows, "groupSize": 1, "discovery": "on_request",
+		"limits": map[string]any{"mostPushes": 3}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	told := &params.Told{Listen: free.Addr().(*net.TCPAddr).AddrPort(), MemoryMB: 192, Sockets: 1024}
+	if told.Params, err = params.Read(text); err != nil {
+		t.Fatal(err)
+	}
+	return told
+}
+
+// fleetState is what a process knows of a fleet: the list, the bans and what was learned.
+type fleetState struct {
+	list    *protocol.List
+	banned  []string
+	learned balance.Learned
+}
+
+// stateOf makes the state of a fleet in which every second host is banned, and something was learned of each host and category.
+func stateOf(told *params.Told, hosts int, suffix string) fleetState {
+	s := fleetState{list: &protocol.List{Revision: 7, Complete: true}}
+	s.learned = balance.Learned{Rate: 0.123456789, Usual: 1.23456789,
+		Fleet: balance.Gauge{Limit: 1234.56789, Pain: 0.123456789, Lat: 12.3456789, Dev: 1.23456789}, Hosts: map[string]balance.Record{}}
+	for i, c := range told.Params.Categories {
+		s.learned.Rows = append(s.learned.Rows, balance.Row{Target: c.Target / 1000, Lat: 10 + float64(i)/7, Dev: 1 + float64(i)/7})
+	}
+	for i := range hosts {
+		id := fmt.Sprintf("cache-%05d%s", i, suffix)
+		upSince := longAgo + float64(i)/7
+		s.list.Members = append(s.list.Members, protocol.Listed{ID: id, Size: 1, Phase: protocol.InService, UpSince: upSince,
+			Address:  netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 1, byte(i >> 8), byte(i)}), 11211),
+			Locality: "zone" + suffix, Flavor: "box" + suffix})
+		s.learned.Hosts[id] = balance.Record{UpSince: upSince, Slow: 1.23456789, Fail: 0.123456789, Rest: 1234.56789,
+			RestUntil: farFuture + float64(i)/7, Budget: 3, Budgeted: longAgo + float64(i)/7}
+		if i%2 == 1 {
+			s.banned = append(s.banned, id)
+		}
+	}
+	return s
+}
+
+// A successor has all that the running process knew, however many hosts, bans and categories there are, and however long
+// their names: no letter may grow past what a socket takes.
+func TestHandOverOfManyHosts(t *testing.T) {
+	for _, c := range []struct {
+		name              string
+		hosts, categories int
+		suffix            string
+	}{
+		{"2,048 hosts, 1,024 bans, 1,024 categories", 2048, 1024, ""},
+		{"2,048 hosts with names of 128 bytes", 2048, 1, strings.Repeat("-long", 23) + "-"},
+		{"4,096 categories", 4, 4096, ""},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			dir, told := t.TempDir(), toldWith(t, c.categories)
+			state := stateOf(told, c.hosts, c.suffix)
+			running, next := newProcess(t, told), newProcess(t, told)
+			running.router.Adopt(state.list, nil, state.banned, []balance.Learned{state.learned})
+			running.run(t, told, dir)
+			running.await(t, "listening")
+			began := time.Now()
+			next.run(t, told, dir)
+			running.await(t, "handed over")
+			t.Logf("handed over in %v", time.Since(began).Round(time.Millisecond))
+			running.stop(t)
+			next.stop(t)
+			if text := running.log.String() + next.log.String(); strings.Contains(text, "level=WARN") {
+				t.Errorf("warnings:\n%.4000s", text)
+			}
+			list, _, banned := next.router.Known()
+			if len(list.Members) != c.hosts || len(banned) != len(state.banned) {
+				t.Errorf("%d hosts and %d bans, want %d and %d", len(list.Members), len(banned), c.hosts, len(state.banned))
+			}
+			checkLearned(t, state, next.router.Learned())
+		})
+	}
+}
+
+// checkLearned looks for what was learned of categories, and of hosts that are not banned: a ban voids what it voids.
+func checkLearned(t *testing.T, want fleetState, got balance.Learned) {
+	t.Helper()
+	wrong := 0
+	for i, r := range want.learned.Rows {
+		if i >= len(got.Rows) || got.Rows[i] != r {
+			wrong++
+		}
+	}
+	if wrong > 0 {
+		t.Errorf("%d of %d categories have not what was learned of them", wrong, len(want.learned.Rows))
+	}
+	wrong = 0
+	for i, m := range want.list.Members {
+		if i%2 == 0 && got.Hosts[m.ID].RestUntil != want.learned.Hosts[m.ID].RestUntil {
+			wrong++
+		}
+	}
+	if wrong > 0 {
+		t.Errorf("%d of %d hosts have not what was learned of them", wrong, len(want.list.Members)/2)
+	}
+}
--- a/internal/transport/post.go
+++ b/internal/transport/post.go
@@ -11,11 +11,13 @@
 )
 
 const (
-	pathMost   = 107       // bytes of a Unix socket's path, as the kernel has it
-	letterMost = 128 << 10 // bytes of a letter: the kernel's usual buffer of a Unix socket takes it whole
-	inboxMost  = 64        // letters read in a round, so that sockets are heard in between
+	pathMost  = 107 // bytes of a Unix socket's path, as the kernel has it
+	inboxMost = 64  // letters read in a round, so that sockets are heard in between
 )
 
+// LetterMost is how many bytes a letter may have: the kernel's usual buffer of a Unix socket takes it whole.
+const LetterMost = 128 << 10
+
 // Letter is a message from one process to another on this machine, perhaps with a descriptor.
 type Letter struct {
 	Text []byte
@@ -155,7 +157,7 @@
 
 // read takes the letters that have come.
 func (p *Post) read() {
-	text := make([]byte, letterMost)
+	text := make([]byte, LetterMost)
 	var rights [64]byte
 	for len(p.inbox) < inboxMost {
 		n, m, flags, _, err := unix.Recvmsg(p.fd, text, rights[:], unix.MSG_CMSG_CLOEXEC)
