--- /dev/null
+++ b/internal/inventory/many_test.go
@@ -0,0 +1,54 @@
+package inventory
+
+import (
+	"fmt"
+	"reflect"
+	"strings"
+	"testing"
+)
+
+// A file of 1,024 hosts, or more, is read whole in either form, and one change in it is found.
+func TestManyHosts(t *testing.T) {
+	for _, n := range []int{1024, 5000} {
+		asCSV, asYAML := manyRows(n, -1)
+		fromCSV, err := Read("fleet.csv", []byte(asCSV))
+		if err != nil {
+			t.Fatalf("%.400s", err)
+		}
+		fromYAML, err := Read("fleet.yaml", []byte(asYAML))
+		if err != nil {
+			t.Fatalf("%.400s", err)
+		}
+		for i := range fromYAML { // one line of head in CSV, two in YAML
+			fromYAML[i].Line--
+		}
+		if len(fromCSV) != n || !reflect.DeepEqual(fromCSV, fromYAML) {
+			t.Fatalf("%d hosts of CSV, %d of YAML", len(fromCSV), len(fromYAML))
+		}
+		changed, _ := manyRows(n, n/2)
+		after, err := Read("fleet.csv", []byte(changed))
+		if err != nil {
+			t.Fatalf("%.400s", err)
+		}
+		if d := Diff(fromCSV, after); len(d) != 1 || d[0].ID != fmt.Sprintf("cache%05d", n/2) || d[0].New.Weight != 2 {
+			t.Errorf("%d hosts: changes %v", n, d)
+		}
+	}
+}
+
+// manyRows are the two forms of a file of so many hosts, of which one has twice the weight.
+func manyRows(n, heavy int) (asCSV, asYAML string) {
+	var c, y strings.Builder
+	c.WriteString("id,address,zone,kind,weight\n")
+	y.WriteString("x-usual: &usual {kind: full}\nhosts:\n")
+	for i := range n {
+		weight := 1
+		if i == heavy {
+			weight = 2
+		}
+		address := fmt.Sprintf("10.0.%d.%d:11211", i/250, i%250)
+		fmt.Fprintf(&c, "cache%05d,%s,zone%d,full,%d\n", i, address, i%3, weight)
+		fmt.Fprintf(&y, "- {<<: *usual, id: cache%05d, address: %q, zone: zone%d, weight: %d}\n", i, address, i%3, weight)
+	}
+	return c.String(), y.String()
+}
--- /dev/null
+++ b/internal/protocol/many_test.go
@@ -0,0 +1,88 @@
+package protocol
+
+import (
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"net/netip"
+	"strings"
+	"testing"
+
+	"larchthread/internal/transport"
+)
+
+// A list of 1,024 hosts, or 2,000, is read whole as discovery sends it, with a length or in chunks, piece by piece; so is
+// one change behind it on the same connection.
+func TestListOfManyHosts(t *testing.T) {
+	for _, n := range []int{1024, 2000} {
+		whole := manyListed(n)
+		text, err := json.Marshal(whole)
+		if err != nil {
+			t.Fatal(err)
+		}
+		change, err := json.Marshal(&List{Revision: 8, Members: []Listed{{ID: "cache7", Phase: Terminated}}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, form := range []func(body []byte) string{sizedAnswer, chunkedAnswer} {
+			loop, err := transport.NewLoop(256, 64<<20, slog.New(slog.DiscardHandler))
+			if err != nil {
+				t.Fatal(err)
+			}
+			in := loop.Pool.Chain()
+			var lists []*List
+			reader := NewLists()
+			for rest := form(text) + form(change); rest != ""; {
+				piece := min(len(rest), 1448)
+				in.WriteString(rest[:piece])
+				rest = rest[piece:]
+				l, _, err := reader.Next(&in)
+				if err != nil {
+					t.Fatal(err)
+				}
+				if l != nil {
+					lists = append(lists, l)
+				}
+			}
+			if l, _, err := reader.Next(&in); l != nil || err != nil { // the last piece had the end of the first
+				lists = append(lists, l)
+			}
+			if len(lists) != 2 || len(lists[0].Members) != n || len(lists[0].Bad) > 0 || len(lists[1].Members) != 1 {
+				t.Fatalf("%d hosts: %d lists", n, len(lists))
+			}
+			for i, m := range lists[0].Members {
+				if m != whole.Members[i] {
+					t.Fatalf("%d hosts: line %d is %+v, want %+v", n, i, m, whole.Members[i])
+				}
+			}
+		}
+	}
+}
+
+// manyListed is a list of so many hosts, with names as clouds give them.
+func manyListed(n int) *List {
+	l := &List{Revision: 7, Complete: true}
+	for i := range n {
+		l.Members = append(l.Members, Listed{ID: fmt.Sprintf("cache%d-%s", i, strings.Repeat("f", 32)), Locality: "north-east-2b",
+			Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}), 11211), Flavor: "box", Cell: i % 16,
+			Phase: InService, Size: 1, UpSince: 1.7e12 + float64(i)})
+	}
+	return l
+}
+
+func sizedAnswer(body []byte) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+}
+
+// chunkedAnswer has a body in chunks of 4 KiB at the most.
+func chunkedAnswer(body []byte) string {
+	var b strings.Builder
+	b.WriteString("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+	for len(body) > 0 {
+		n := min(len(body), 4<<10)
+		fmt.Fprintf(&b, "%x\r\n%s\r\n", n, body[:n])
+		body = body[n:]
+	}
+	b.WriteString("0\r\n\r\n")
+	return b.String()
+}
