--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -7,41 +7,6 @@
 	"golang.org/x/sys/unix"
 )
 
-// Reason is a code for why a connection ended.
-type Reason string
-
-const (
-	PeerClosed   Reason = "peer-closed"     // the other side closed it
-	Reset        Reason = "reset"           // it broke
-	Refused      Reason = "connect-failed"  // it never came up
-	ConnectLate  Reason = "connect-timeout" // it did not come up in time
-	CalledOff    Reason = "called-off"      // the push on it was called off
-	PushLate     Reason = "push-timeout"    // the push on it was given up
-	HungUp       Reason = "hung-up"         // given back while idle
-	IdleTooLong  Reason = "idle"            // idle for nearly as long as the other side keeps it
-	Shed         Reason = "shed"            // idle, closed to make room for another
-	Surplus      Reason = "surplus"         // idle for longest of many
-	Unlisted     Reason = "host-gone"       // its host is draining or gone
-	Doubted      Reason = "host-silent"     // idle since before its host fell silent
-	Unquiet      Reason = "not-quiet"       // something came behind the last answer, or it ended there
-	BadInput     Reason = "bad-input"       // what came on it could not be read
-	WrongAnswer  Reason = "wrong-answer"    // the answer was to another op
-	EarlyAnswer  Reason = "early-answer"    // the answer came before the push was written whole
-	SlowReader   Reason = "slow-reader"     // it does not take its answers
-	HalfSent     Reason = "half-sent"       // the rest of a command did not come
-	Silent       Reason = "silent"          // no command came that could be taken
-	TableFull    Reason = "table-full"      // the other side holds no more connections
-	LastAnswer   Reason = "answered-last"   // the other side asked for it to close
-	Stopping     Reason = "stopping"        // the program stops
-	WatchRenewed Reason = "watch-renewed"   // a new watch begins in place of this one
-	WatchMoved   Reason = "watch-moved"     // the configuration names another address
-	WatchOverdue Reason = "watch-timeout"   // discovery did not answer in time
-	NoList       Reason = "no-list"         // discovery answered with something else than a list
-	HalfAnswer   Reason = "half-answer"     // the value that was passed on broke off
-	PassedOn     Reason = "passed-on"       // the process that takes over has it
-	OutOfSockets Reason = "out-of-sockets"  // none was to be had
-)
-
 // Owner is told what becomes of a connection.
 type Owner interface {
 	Received(c *Conn)          // more bytes stand in c.In
@@ -114,54 +79,6 @@
 	}
 }
 
-// Quiet tells whether the connection is open and nothing stands unread at its socket: what has come behind the last
-// answer, or its end, may not have been gathered yet.
-func (c *Conn) Quiet() bool {
-	if c.status != up || c.why != "" || c.fresh || c.In.Len() > 0 {
-		return false
-	}
-	if c.loop.Clock()-c.loop.now < quietFor { // this round has looked at all sockets
-		return true
-	}
-	return c.nothingUnread()
-}
-
-// Unheard tells whether something has come, be it the end, that the owner has not been told yet.
-func (c *Conn) Unheard() bool {
-	switch {
-	case c.paused: // what comes on it is not to be heard yet
-		return false
-	case c.fresh || c.why != "":
-		return true
-	}
-	return !c.nothingUnread()
-}
-
-// AtEnd tells whether nothing more will come: the other side has ended the connection, and all it said is taken.
-func (c *Conn) AtEnd() bool {
-	n, err := c.peek()
-	return c.In.Len() == 0 && (c.why != "" || n == 0 && err == nil)
-}
-
-// arrived takes what has come on a connection from a client before the loop first looked at it. The client may have left
-// already, behind what it asked.
-func (c *Conn) arrived() {
-	c.read()
-	if !c.puts() || !c.fresh || c.why != "" {
-		return
-	}
-	if n, err := c.peek(); n == 0 && err == nil {
-		c.broke(PeerClosed)
-	}
-}
-
-// peek looks for a byte that stands unread at the socket: none and no error is its end.
-func (c *Conn) peek() (n int, err error) {
-	var b [1]byte
-	n, _, err = unix.Recvfrom(c.fd, b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-	return n, err
-}
-
 // Flush has what stands in Out written when the round is carried out.
 func (c *Conn) Flush() {
 	c.Used = c.loop.now
@@ -228,39 +145,6 @@
 func (ender) Received(c *Conn)            { c.In.Free() }
 func (e ender) Ended(c *Conn, why Reason) { c.Close(e.why) }
 
-// Paused tells whether nothing is read for now.
-func (c *Conn) Paused() bool { return c.paused }
-
-// Pause stops reading, or starts it again. What comes meanwhile may have come from the pause on.
-func (c *Conn) Pause(on bool) {
-	if c.paused == on || c.status != up {
-		return
-	}
-	c.paused = on
-	c.first = 0 // this process has it wait for the other side's sake
-	switch {
-	case !c.puts(): // nobody asks when an answer came
-	case on:
-		c.unreadSince(c.loop.least())
-	case c.nothingUnread():
-		c.unread = 0
-	}
-	c.interest()
-}
-
-// unreadSince notes the earliest time at which what stands unread at the socket can have come, unless an earlier one is known.
-func (c *Conn) unreadSince(at float64) {
-	if c.unread == 0 {
-		c.unread = at
-	}
-}
-
-// nothingUnread tells whether neither a byte nor the end stands unread at the socket.
-func (c *Conn) nothingUnread() bool {
-	_, err := c.peek()
-	return err == unix.EAGAIN
-}
-
 func (c *Conn) log(why Reason) {
 	c.loop.Log.Info("connection ended", "reason", string(why), "kind", c.kind, "peer", c.peer.String(),
 		"ms", int(c.loop.now-c.Began), "in", c.took, "out", c.gave)
@@ -357,50 +241,6 @@
 	}
 }
 
-// read takes what has come.
-func (c *Conn) read() {
-	c.unreadSince(c.loop.least())
-	if c.first == 0 {
-		c.first = c.loop.Heard()
-	}
-	if c.news && c.fresh && c.puts() { // what is read has still to be heard: one read then takes more
-		return
-	}
-	if c.puts() && c.status == up && c.loop.Pool.Full() { // a round that read from all would go over the memory before anything is let go of
-		return
-	}
-	if !c.fresh {
-		c.Arrived, c.heard = c.unread, c.first
-	}
-	c.unread, c.first = 0, 0
-	for got := 0; got < readMost; {
-		b := c.In.tail()
-		n, err := unix.Read(c.fd, b.data[b.w:])
-		switch {
-		case err == unix.EINTR:
-			continue
-		case n > 0:
-			b.w += n
-			c.In.size += n
-			c.took += uint64(n)
-			got += n
-			c.fresh = true
-			c.noted()
-			if b.w < BufferSize {
-				return
-			}
-			continue
-		case err == unix.EAGAIN:
-		case err != nil:
-			c.broke(Reset)
-		default:
-			c.broke(PeerClosed)
-		}
-		c.In.trim()
-		return
-	}
-}
-
 // write passes on what stands in Out, as far as the socket takes it.
 func (c *Conn) write() {
 	if c.Prepare != nil {
@@ -439,19 +279,3 @@
 	}
 	c.interest()
 }
-
-// Later has the owner look in the next round at what stands in In.
-func (l *Loop) Later(c *Conn) {
-	if !c.fresh {
-		c.heard = l.now
-	}
-	l.Rest(c)
-}
-
-// Rest does the same for what the owner had no time for in this round: it waits on.
-func (l *Loop) Rest(c *Conn) {
-	if c.status == up {
-		c.fresh = true
-		c.noted()
-	}
-}
--- /dev/null
+++ b/internal/transport/receive.go
@@ -0,0 +1,144 @@
+package transport
+
+import "golang.org/x/sys/unix"
+
+// Quiet tells whether the connection is open and nothing stands unread at its socket: what has come behind the last
+// answer, or its end, may not have been gathered yet.
+func (c *Conn) Quiet() bool {
+	if c.status != up || c.why != "" || c.fresh || c.In.Len() > 0 {
+		return false
+	}
+	if c.loop.Clock()-c.loop.now < quietFor { // this round has looked at all sockets
+		return true
+	}
+	return c.nothingUnread()
+}
+
+// Unheard tells whether something has come, be it the end, that the owner has not been told yet.
+func (c *Conn) Unheard() bool {
+	switch {
+	case c.paused: // what comes on it is not to be heard yet
+		return false
+	case c.fresh || c.why != "":
+		return true
+	}
+	return !c.nothingUnread()
+}
+
+// AtEnd tells whether nothing more will come: the other side has ended the connection, and all it said is taken.
+func (c *Conn) AtEnd() bool {
+	n, err := c.peek()
+	return c.In.Len() == 0 && (c.why != "" || n == 0 && err == nil)
+}
+
+// arrived takes what has come on a connection from a client before the loop first looked at it. The client may have left
+// already, behind what it asked.
+func (c *Conn) arrived() {
+	c.read()
+	if !c.puts() || !c.fresh || c.why != "" {
+		return
+	}
+	if n, err := c.peek(); n == 0 && err == nil {
+		c.broke(PeerClosed)
+	}
+}
+
+// peek looks for a byte that stands unread at the socket: none and no error is its end.
+func (c *Conn) peek() (n int, err error) {
+	var b [1]byte
+	n, _, err = unix.Recvfrom(c.fd, b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+	return n, err
+}
+
+// nothingUnread tells whether neither a byte nor the end stands unread at the socket.
+func (c *Conn) nothingUnread() bool {
+	_, err := c.peek()
+	return err == unix.EAGAIN
+}
+
+// Paused tells whether nothing is read for now.
+func (c *Conn) Paused() bool { return c.paused }
+
+// Pause stops reading, or starts it again. What comes meanwhile may have come from the pause on.
+func (c *Conn) Pause(on bool) {
+	if c.paused == on || c.status != up {
+		return
+	}
+	c.paused = on
+	c.first = 0 // this process has it wait for the other side's sake
+	switch {
+	case !c.puts(): // nobody asks when an answer came
+	case on:
+		c.unreadSince(c.loop.least())
+	case c.nothingUnread():
+		c.unread = 0
+	}
+	c.interest()
+}
+
+// unreadSince notes the earliest time at which what stands unread at the socket can have come, unless an earlier one is known.
+func (c *Conn) unreadSince(at float64) {
+	if c.unread == 0 {
+		c.unread = at
+	}
+}
+
+// read takes what has come.
+func (c *Conn) read() {
+	c.unreadSince(c.loop.least())
+	if c.first == 0 {
+		c.first = c.loop.Heard()
+	}
+	if c.news && c.fresh && c.puts() { // what is read has still to be heard: one read then takes more
+		return
+	}
+	if c.puts() && c.status == up && c.loop.Pool.Full() { // a round that read from all would go over the memory before anything is let go of
+		return
+	}
+	if !c.fresh {
+		c.Arrived, c.heard = c.unread, c.first
+	}
+	c.unread, c.first = 0, 0
+	for got := 0; got < readMost; {
+		b := c.In.tail()
+		n, err := unix.Read(c.fd, b.data[b.w:])
+		switch {
+		case err == unix.EINTR:
+			continue
+		case n > 0:
+			b.w += n
+			c.In.size += n
+			c.took += uint64(n)
+			got += n
+			c.fresh = true
+			c.noted()
+			if b.w < BufferSize {
+				return
+			}
+			continue
+		case err == unix.EAGAIN:
+		case err != nil:
+			c.broke(Reset)
+		default:
+			c.broke(PeerClosed)
+		}
+		c.In.trim()
+		return
+	}
+}
+
+// Later has the owner look in the next round at what stands in In.
+func (l *Loop) Later(c *Conn) {
+	if !c.fresh {
+		c.heard = l.now
+	}
+	l.Rest(c)
+}
+
+// Rest does the same for what the owner had no time for in this round: it waits on.
+func (l *Loop) Rest(c *Conn) {
+	if c.status == up {
+		c.fresh = true
+		c.noted()
+	}
+}
