--- a/balance/balance.go
+++ b/balance/balance.go
@@ -339,8 +339,8 @@
 	b.port.Watch()
 }
 
-// ListFailed takes word that a call for the list failed or that the watch broke. The next waits a spread time, so
-// that not all ask together, but soon enough from the call: discovery may have been back from just after it on.
+// ListFailed takes word that a call for the list failed or the watch broke. The next waits a spread time,
+// so not all ask together, but is soon after the call: discovery may have been back from just after it on.
 func (b *Balancer) ListFailed() {
 	left := askSpan
 	if b.asking {
