The trial ground's file is split: play, start, inject faults

ground.go plays a plan (121 lines), start.go starts the fleet (170), inject.go brings about the faults (277).

--- /dev/null
+++ b/internal/trial/inject.go
@@ -0,0 +1,277 @@
+package trial
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"larchthread/internal/standin"
+)
+
+// moment is a fault's beginning or end.
+type moment struct {
+	at    time.Duration
+	fault Fault
+	end   bool
+}
+
+// moments are all beginnings and ends in their order: by time, of one time ends first, then as the plan has them. So two
+// faults of one instant strike in the same order each time.
+func (p Plan) moments() (all []moment) {
+	for _, x := range p.ordered() {
+		all = append(all, moment{x.At.d(), x, false})
+		if x.For > 0 {
+			all = append(all, moment{(x.At + x.For).d(), x, true})
+		}
+	}
+	slices.SortStableFunc(all, func(x, y moment) int {
+		return cmp.Or(cmp.Compare(x.at, y.at), cmp.Compare(order(x.end), order(y.end)))
+	})
+	return all
+}
+
+// order has ends come before beginnings.
+func order(end bool) int {
+	if end {
+		return 0
+	}
+	return 1
+}
+
+// strikeAll strikes by the plan. Each fault is struck in its turn, and what takes its time goes on beside the next.
+func (g *Ground) strikeAll(ctx context.Context, began time.Duration) {
+	var slow sync.WaitGroup
+	defer slow.Wait()
+	lanes := map[string]chan struct{}{} // what strikes one process waits for what struck it before
+	for _, m := range g.plan.moments() {
+		select {
+		case <-time.After(began + m.at - g.fleet.Now()):
+		case <-ctx.Done():
+			return
+		}
+		text := m.fault.String()
+		if m.end {
+			text = fmt.Sprintf("%6.2fs end of %s", m.at.Seconds(), strings.TrimSpace(text))
+		}
+		g.mu.Lock()
+		g.struck = append(g.struck, text)
+		g.mu.Unlock()
+		g.Say("%s\n", text)
+		k := kinds[m.fault.What]
+		if k.where != balancers && m.fault.What != "ban" {
+			g.failed(g.strike(m.fault, m.end, began))
+			continue
+		}
+		lane := strings.Join(m.fault.Of, ",")
+		before, done := lanes[lane], make(chan struct{})
+		lanes[lane] = done
+		slow.Add(1)
+		go func() {
+			defer slow.Done()
+			defer close(done)
+			if before != nil {
+				<-before
+			}
+			g.failed(g.strike(m.fault, m.end, began))
+		}()
+	}
+}
+
+func (g *Ground) failed(err error) {
+	if err != nil {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		g.broken = append(g.broken, err)
+	}
+}
+
+// strike begins a fault, or ends it.
+func (g *Ground) strike(x Fault, end bool, began time.Duration) error {
+	of, to, err := x.targets(g.plan.Fleet)
+	if err != nil {
+		return err
+	}
+	switch kinds[x.What].where {
+	case balancers:
+		return each(of, func(name string) error { return g.strikeProcess(x, name, end) })
+	case hosts, servers:
+		return each(of, func(name string) error { return g.strikeServer(x, name, end) })
+	case lists:
+		if x.What == "silent" {
+			g.fleet.Discovery.Silent(!end)
+			return nil
+		}
+		late := time.Duration(0)
+		if ms, err := x.By.number(); !end && err == nil {
+			late = time.Duration(ms * float64(time.Millisecond))
+		}
+		g.fleet.Discovery.Late(late)
+	case links:
+		return each(of, func(b string) error {
+			return each(to, func(part string) error { g.strikeLink(x, g.links[[2]string{b, part}], end); return nil })
+		})
+	}
+	return nil
+}
+
+// each does something for all names, and joins what went wrong.
+func each(names []string, do func(name string) error) error {
+	var all []error
+	for _, n := range names {
+		all = append(all, do(n))
+	}
+	return errors.Join(all...)
+}
+
+func (g *Ground) strikeProcess(x Fault, name string, end bool) error {
+	i := slices.Index(g.plan.Fleet.balancers(), name)
+	p := g.processes[i]
+	switch {
+	case x.What == "disk" && end:
+		return p.spoil("disk well")
+	case x.What == "disk":
+		return p.spoil("disk " + string(x.By))
+	case x.What == "clock" && end:
+		return p.spoil("clock 0s")
+	case x.What == "clock":
+		return p.spoil("clock " + string(x.By))
+	case x.What == "freeze" && end:
+		return p.Thaw()
+	case end:
+		return g.launch(i, func() error { return g.rewrite(i) })
+	case x.What == "kill":
+		return p.Kill()
+	case x.What == "term":
+		return p.Term()
+	case x.What == "wipe":
+		return errors.Join(p.Kill(), p.Empty())
+	case x.What == "freeze":
+		return p.Freeze()
+	}
+	program := g.Program // upgrade
+	if x.With != "" {
+		program = x.With
+	}
+	return p.replace(func() error { return g.rewrite(i) }, program, g.Args...)
+}
+
+func (g *Ground) strikeServer(x Fault, name string, end bool) error {
+	var mode standin.Mode
+	if by, _ := x.By.number(); !end { // a plan's figures are checked before it is played
+		switch x.What {
+		case "hang":
+			mode.Hang = true
+		case "slow":
+			mode.Slow = by
+		case "errors":
+			mode.Errors = by
+		case "resets":
+			mode.Resets = by
+		case "table":
+			mode.Table = int(by)
+		}
+	}
+	if name == standin.OriginID {
+		g.fleet.Origin.Set(mode)
+		return nil
+	}
+	h := g.fleet.Hosts()[slices.Index(g.plan.Fleet.hosts(), name)]
+	lists := g.fleet.Discovery
+	switch x.What {
+	case "die":
+		if !end {
+			h.Die()
+			return lists.Phase(name, standin.Terminated, 0)
+		}
+		return errors.Join(h.Start(), lists.Phase(name, standin.InService, g.fleet.Now()))
+	case "void":
+		h.Void()
+	case "drain":
+		if end {
+			return lists.Phase(name, standin.InService, 0)
+		}
+		return lists.Phase(name, standin.Terminating, 0)
+	case "remove":
+		if end {
+			h.Die()
+			return errors.Join(h.Start(), lists.Phase(name, standin.InService, g.fleet.Now()))
+		}
+		return errors.Join(lists.Phase(name, standin.Terminating, 0), lists.Phase(name, standin.Terminated, 0))
+	case "ban":
+		return each(g.plan.Fleet.balancers(), func(b string) error { return g.ban(b, name, end) })
+	default:
+		h.Set(mode)
+	}
+	return nil
+}
+
+// ban takes a host out by hand at one balancer, or puts it back. A balancer that is not there can't be told: what it does
+// not know does not bind it.
+func (g *Ground) ban(balancer, host string, end bool) error {
+	i := slices.Index(g.plan.Fleet.balancers(), balancer)
+	g.mu.Lock()
+	admin := g.admins[i]
+	g.mu.Unlock()
+	path := "/maintenance/enter"
+	if end {
+		path = "/maintenance/exit"
+		g.unban(balancer, host)
+	}
+	status, text, err := call(admin, "POST", path, host)
+	if err != nil || status != 200 {
+		g.Say("        %s %s at %s: %d %s %v\n", path, host, balancer, status, text, err)
+		return nil
+	}
+	if !end {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		g.bans = append(g.bans, Ban{balancer, host, Span{From: g.fleet.Now()}})
+	}
+	return nil
+}
+
+func (g *Ground) unban(balancer, host string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for i := range g.bans {
+		if b := &g.bans[i]; b.Balancer == balancer && b.Host == host && b.To == 0 {
+			b.To = g.fleet.Now()
+		}
+	}
+}
+
+func (g *Ground) strikeLink(x Fault, l *Link, end bool) {
+	switch x.What {
+	case "cut":
+		l.Cut(!end)
+		return
+	case "single":
+		l.Single(!end)
+		return
+	}
+	var f Flaw
+	if by, _ := x.By.number(); !end {
+		switch x.What {
+		case "hole":
+			f.Hole = true
+		case "delay":
+			f.Delay = time.Duration(by * float64(time.Millisecond))
+			f.Jitter = f.Delay / 2
+		case "rate":
+			f.Rate = by
+		case "sever":
+			f.Sever = int(by)
+		}
+	}
+	if x.Way != "back" {
+		l.Set(Out, f)
+	}
+	if x.Way != "out" {
+		l.Set(Back, f)
+	}
+}
