Rename: a post box is a control listener

PostBox, the socket on which a process is asked for its place, is ControlListener; OpenPostBox is ListenControl, post.go is control.go. In takeover its field is control.

--- a/internal/takeover/heir.go
+++ b/internal/takeover/heir.go
@@ -36,9 +36,9 @@
 	case l.Word == "ready":
 		h.ready = true
 		h.loop.Stop(&h.limit)
-		if h.box != nil {
-			h.box.Close()
-			h.box = nil
+		if h.control != nil {
+			h.control.Close()
+			h.control = nil
 		}
 		h.log.Info("handed over")
 		h.router.Succeed(h)
--- a/internal/takeover/takeover.go
+++ b/internal/takeover/takeover.go
@@ -53,11 +53,11 @@
 	share   func(processes int) // told how many processes share the memory
 	sockets int                 // that this process may open where it is alone
 
-	box    *transport.PostBox
-	before *ancestor // the process whose place this one takes, until it is gone
-	after  *heir     // the process that takes this one's place, or nil
-	limit  transport.Timer
-	failed error
+	control *transport.ControlListener
+	before  *ancestor // the process whose place this one takes, until it is gone
+	after   *heir     // the process that takes this one's place, or nil
+	limit   transport.Timer
+	failed  error
 }
 
 // Begin opens the router's door: by asking the process that runs at the address already for its own, or, where there is
@@ -80,7 +80,7 @@
 	if t == nil {
 		return nil
 	}
-	if t.box != nil {
+	if t.control != nil {
 		os.Remove(t.path)
 	}
 	return t.failed
@@ -123,9 +123,9 @@
 
 // settle lets the next process find this one, and shares out what two have together.
 func (t *Takeover) settle() {
-	if t.box == nil {
+	if t.control == nil {
 		var err error
-		if t.box, err = t.loop.OpenPostBox(t.path, t.welcome); err != nil {
+		if t.control, err = t.loop.ListenControl(t.path, t.welcome); err != nil {
 			t.log.Warn("the next process will not find this one", "error", err)
 		}
 	}
--- a/internal/transport/post.go
+++ b/internal/transport/control.go
@@ -38,8 +38,8 @@
 	lost  bool
 }
 
-// PostBox is where posts come in. It has a path in the file system.
-type PostBox struct {
+// ControlListener accepts posts at a path in the file system.
+type ControlListener struct {
 	loop   *Loop
 	fd     int
 	accept func() Correspondent
@@ -63,8 +63,8 @@
 	return unix.Socket(unix.AF_UNIX, unix.SOCK_SEQPACKET|unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC, 0)
 }
 
-// OpenPostBox opens a post box. It takes the path from whoever had it, in one step.
-func (l *Loop) OpenPostBox(path string, accept func() Correspondent) (*PostBox, error) {
+// ListenControl listens for control connections at a path. It takes the path from whoever had it, in one step.
+func (l *Loop) ListenControl(path string, accept func() Correspondent) (*ControlListener, error) {
 	fd, err := unixSocket()
 	if err != nil {
 		return nil, fmt.Errorf("socket: %w", err)
@@ -81,25 +81,25 @@
 		os.Remove(own)
 		return nil, fmt.Errorf("listen on %s: %w", path, err)
 	}
-	b := &PostBox{loop: l, fd: fd, accept: accept}
-	l.boxes = append(l.boxes, b)
-	return b, l.look(fd, unix.EPOLLIN)
+	c := &ControlListener{loop: l, fd: fd, accept: accept}
+	l.listeners = append(l.listeners, c)
+	return c, l.look(fd, unix.EPOLLIN)
 }
 
-// Close ends a post box; posts that came in by it stay.
-func (b *PostBox) Close() {
-	b.loop.boxes = slices.DeleteFunc(b.loop.boxes, func(x *PostBox) bool { return x == b })
-	unix.Close(b.fd)
+// Close ends the listener; posts that it has accepted stay.
+func (c *ControlListener) Close() {
+	c.loop.listeners = slices.DeleteFunc(c.loop.listeners, func(x *ControlListener) bool { return x == c })
+	unix.Close(c.fd)
 }
 
-// welcome accepts one post; the next round takes the next.
-func (b *PostBox) welcome() {
-	if fd, _, err := unix.Accept4(b.fd, unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC); err == nil {
-		b.loop.post(fd).owner = b.accept()
+// acceptOne accepts one post; the next round takes the next.
+func (c *ControlListener) acceptOne() {
+	if fd, _, err := unix.Accept4(c.fd, unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC); err == nil {
+		c.loop.post(fd).owner = c.accept()
 	}
 }
 
-// DialPost opens a post to the process that has a box at the path. It fails at once where there is none.
+// DialPost opens a post to the process that listens at the path. It fails at once where there is none.
 func (l *Loop) DialPost(path string, owner Correspondent) (*Post, error) {
 	fd, err := unixSocket()
 	if err != nil {
--- a/internal/transport/loop.go
+++ b/internal/transport/loop.go
@@ -56,7 +56,7 @@
 	open         int
 	conns        []*Conn // by descriptor
 	doors        []*Door
-	boxes        []*PostBox
+	listeners    []*ControlListener
 	posts        []*Post
 	resend       Timer // after letters had to wait
 	timers       agenda.Queue[*Timer]
@@ -203,9 +203,9 @@
 			return
 		}
 	}
-	for _, b := range l.boxes {
-		if b.fd == fd {
-			b.welcome()
+	for _, c := range l.listeners {
+		if c.fd == fd {
+			c.acceptOne()
 			return
 		}
 	}
