Rename: a post is a control channel

Post, the connection between two processes of an upgrade, is ControlChannel; DialPost is DialControl. No behaviour changes; go test ./... passes.

--- a/internal/takeover/ancestor.go
+++ b/internal/takeover/ancestor.go
@@ -11,7 +11,7 @@
 // ancestor is the running process, as the new one sees it.
 type ancestor struct {
 	*Takeover
-	post    *transport.Post
+	channel *transport.ControlChannel
 	list    protocol.List // as far as it has come
 	past    []string
 	banned  []string
@@ -21,7 +21,7 @@
 }
 
 // Took implements transport.Correspondent.
-func (a *ancestor) Took(p *transport.Post, in transport.Letter) {
+func (a *ancestor) Took(c *transport.ControlChannel, in transport.Letter) {
 	l, fd := a.read(in), in.FD
 	switch {
 	case l.Word == "list" && l.List != nil:
@@ -42,13 +42,13 @@
 		return
 	case l.Word == "later":
 		a.log.Info("the running process is handing over to another", "why", l.Why)
-		p.Close()
+		c.Close()
 		a.again()
 	case l.Word == "refused":
 		a.log.Warn("the running process refuses", "why", l.Why)
 		a.giveUp("refused: " + l.Why)
 	default:
-		a.bans.heed(a.Takeover, p, l)
+		a.bans.heed(a.Takeover, c, l)
 	}
 	if fd >= 0 {
 		unix.Close(fd)
@@ -66,7 +66,7 @@
 	}
 	a.served = true
 	a.settle()
-	send(a.post, letter{Word: "ready"}, -1)
+	send(a.channel, letter{Word: "ready"}, -1)
 	a.log.Info("took over", "hosts", len(a.list.Members), "banned", len(a.banned), "sockets", sockets)
 }
 
@@ -83,7 +83,7 @@
 }
 
 // Lost implements transport.Correspondent: the running process has ended.
-func (a *ancestor) Lost(*transport.Post, []transport.Letter) {
+func (a *ancestor) Lost(*transport.ControlChannel, []transport.Letter) {
 	a.before = nil
 	a.bans.lost(a.loop)
 	if !a.served {
@@ -96,5 +96,5 @@
 
 // TellBan implements routing.Partner.
 func (a *ancestor) TellBan(id string, out bool, done func(known bool)) {
-	a.bans.tell(a.loop, a.post, id, out, done)
+	a.bans.tell(a.loop, a.channel, id, out, done)
 }
--- a/internal/takeover/heir.go
+++ b/internal/takeover/heir.go
@@ -12,24 +12,24 @@
 // heir is a process that asks for this one's place, as this one sees it.
 type heir struct {
 	*Takeover
-	post  *transport.Post
-	ready bool // it serves
-	limit transport.Timer
-	bans  bans
+	channel *transport.ControlChannel
+	ready   bool // it serves
+	limit   transport.Timer
+	bans    bans
 }
 
 // Took implements transport.Correspondent.
-func (h *heir) Took(p *transport.Post, in transport.Letter) {
+func (h *heir) Took(c *transport.ControlChannel, in transport.Letter) {
 	l := h.read(in)
 	if in.FD >= 0 { // nothing that it has is wanted here
 		unix.Close(in.FD)
 	}
-	h.post = p
+	h.channel = c
 	switch {
 	case l.Word == "hello" && l.Version != version:
-		send(p, letter{Word: "refused", Version: version, Why: "another version"}, -1)
+		send(c, letter{Word: "refused", Version: version, Why: "another version"}, -1)
 	case l.Word == "hello" && h.after != nil:
-		send(p, letter{Word: "later", Why: "one at a time"}, -1)
+		send(c, letter{Word: "later", Why: "one at a time"}, -1)
 	case l.Word == "hello":
 		h.handOver()
 	case h.after != h:
@@ -43,7 +43,7 @@
 		h.log.Info("handed over")
 		h.router.Succeed(h)
 	default:
-		h.bans.heed(h.Takeover, p, l)
+		h.bans.heed(h.Takeover, c, l)
 	}
 }
 
@@ -51,15 +51,15 @@
 func (h *heir) handOver() {
 	door, err := h.router.Door().Copy()
 	if err != nil {
-		send(h.post, letter{Word: "refused", Why: err.Error()}, -1)
+		send(h.channel, letter{Word: "refused", Why: err.Error()}, -1)
 		return
 	}
 	h.after = h
 	h.router.Yield(true)
 	h.shared()
 	h.limit.Fire = func() { // one that stands still must not keep the next from its turn
-		h.post.Close()
-		h.Lost(h.post, nil)
+		h.channel.Close()
+		h.Lost(h.channel, nil)
 	}
 	h.loop.Set(&h.limit, askMost)
 	open, most := h.loop.Sockets()
@@ -67,22 +67,22 @@
 	h.loop.Most(own)
 	l, past, banned := h.router.Known()
 	for part := range slices.Chunk(l.Members, idsMost) {
-		send(h.post, letter{Word: "list", List: &protocol.List{Revision: l.Revision, Complete: true, Members: part}}, -1)
+		send(h.channel, letter{Word: "list", List: &protocol.List{Revision: l.Revision, Complete: true, Members: part}}, -1)
 	}
 	for part := range slices.Chunk(past, idsMost) {
-		send(h.post, letter{Word: "past", Past: part}, -1)
+		send(h.channel, letter{Word: "past", Past: part}, -1)
 	}
 	for part := range slices.Chunk(banned, idsMost) {
-		send(h.post, letter{Word: "past", Banned: part}, -1)
+		send(h.channel, letter{Word: "past", Banned: part}, -1)
 	}
 	for _, part := range h.router.Learned(idsMost) {
-		send(h.post, letter{Word: "learned", Learned: &part}, -1)
+		send(h.channel, letter{Word: "learned", Learned: &part}, -1)
 	}
-	send(h.post, letter{Word: "door", Sockets: max(most-own-transport.SpareFiles, most/headroom)}, door)
+	send(h.channel, letter{Word: "door", Sockets: max(most-own-transport.SpareFiles, most/headroom)}, door)
 }
 
 // Lost implements transport.Correspondent: the new process is gone, and this one goes on as before.
-func (h *heir) Lost(_ *transport.Post, unsent []transport.Letter) {
+func (h *heir) Lost(_ *transport.ControlChannel, unsent []transport.Letter) {
 	if h.after != h {
 		return
 	}
@@ -106,15 +106,15 @@
 
 // TellBan implements routing.Partner.
 func (h *heir) TellBan(id string, out bool, done func(known bool)) {
-	h.bans.tell(h.loop, h.post, id, out, done)
+	h.bans.tell(h.loop, h.channel, id, out, done)
 }
 
 // Pass implements routing.Successor.
 func (h *heir) Pass(fd int, unread []byte, proven bool) {
-	send(h.post, letter{Word: "client", Unread: unread, Proven: proven}, fd)
+	send(h.channel, letter{Word: "client", Unread: unread, Proven: proven}, fd)
 	_, most := h.loop.Sockets()
 	h.loop.Most(most - 1)
 }
 
 // Waiting implements routing.Successor.
-func (h *heir) Waiting() bool { return h.post.Waiting() }
+func (h *heir) Waiting() bool { return h.channel.Waiting() }
--- a/internal/takeover/takeover.go
+++ b/internal/takeover/takeover.go
@@ -89,12 +89,12 @@
 // ask asks the running process, if there is one.
 func (t *Takeover) ask() bool {
 	a := &ancestor{Takeover: t}
-	post, err := t.loop.DialPost(t.path, a)
+	channel, err := t.loop.DialControl(t.path, a)
 	if err != nil {
 		return false
 	}
-	a.post, t.before = post, a
-	send(post, letter{Word: "hello", Version: version}, -1)
+	a.channel, t.before = channel, a
+	send(channel, letter{Word: "hello", Version: version}, -1)
 	return true
 }
 
@@ -102,7 +102,7 @@
 func (t *Takeover) alone(why string) error {
 	t.loop.Stop(&t.limit)
 	if t.before != nil {
-		t.before.post.Close()
+		t.before.channel.Close()
 		t.before = nil
 	}
 	t.log.Info("listening", "why", why)
@@ -159,12 +159,12 @@
 	return l
 }
 
-func send(p *transport.Post, l letter, fd int) {
+func send(c *transport.ControlChannel, l letter, fd int) {
 	text, err := json.Marshal(l)
 	if err != nil { // no field can fail
 		panic(err)
 	}
-	p.Send(text, fd)
+	c.Send(text, fd)
 }
 
 // bans are the words on bans that the other process has not answered yet.
@@ -180,7 +180,7 @@
 
 // tell has the other process ban a host. One that does not answer in time is not waited for: its time is nearly over, or
 // it stands still and sends nothing.
-func (b *bans) tell(loop *transport.Loop, p *transport.Post, id string, out bool, done func(known bool)) {
+func (b *bans) tell(loop *transport.Loop, c *transport.ControlChannel, id string, out bool, done func(known bool)) {
 	if b.open == nil {
 		b.open = map[int]*ban{}
 	}
@@ -189,7 +189,7 @@
 	x.limit.Fire = func() { b.answered(loop, n, false) }
 	loop.Set(&x.limit, tellMost)
 	b.open[n] = x
-	send(p, letter{Word: "ban", ID: id, Out: out, Number: n}, -1)
+	send(c, letter{Word: "ban", ID: id, Out: out, Number: n}, -1)
 }
 
 func (b *bans) answered(loop *transport.Loop, n int, known bool) {
@@ -208,11 +208,11 @@
 }
 
 // heed takes a letter on a ban, from either side.
-func (b *bans) heed(t *Takeover, p *transport.Post, l letter) {
+func (b *bans) heed(t *Takeover, c *transport.ControlChannel, l letter) {
 	switch l.Word {
 	case "ban":
 		err := t.router.TakeBan(l.ID, l.Out)
-		send(p, letter{Word: "banned", Number: l.Number, Known: err == nil}, -1)
+		send(c, letter{Word: "banned", Number: l.Number, Known: err == nil}, -1)
 	case "banned":
 		b.answered(t.loop, l.Number, l.Known)
 	}
--- a/internal/transport/control.go
+++ b/internal/transport/control.go
@@ -22,14 +22,14 @@
 	FD   int // below 0 for none
 }
 
-// Correspondent is told what becomes of a post.
+// Correspondent is told what becomes of a control channel.
 type Correspondent interface {
-	Took(p *Post, l Letter)        // a letter has come; its descriptor is the correspondent's now
-	Lost(p *Post, unsent []Letter) // the other process is gone; not called after Close
+	Took(c *ControlChannel, l Letter)        // a letter has come; its descriptor is the correspondent's now
+	Lost(c *ControlChannel, unsent []Letter) // the other process is gone; not called after Close
 }
 
-// Post carries letters between two processes, in order.
-type Post struct {
+// ControlChannel carries letters between two processes, in order.
+type ControlChannel struct {
 	loop  *Loop
 	owner Correspondent
 	fd    int
@@ -38,7 +38,7 @@
 	lost  bool
 }
 
-// ControlListener accepts posts at a path in the file system.
+// ControlListener accepts control channels at a path in the file system.
 type ControlListener struct {
 	loop   *Loop
 	fd     int
@@ -86,21 +86,21 @@
 	return c, l.look(fd, unix.EPOLLIN)
 }
 
-// Close ends the listener; posts that it has accepted stay.
+// Close ends the listener; channels that it has accepted stay.
 func (c *ControlListener) Close() {
 	c.loop.listeners = slices.DeleteFunc(c.loop.listeners, func(x *ControlListener) bool { return x == c })
 	unix.Close(c.fd)
 }
 
-// acceptOne accepts one post; the next round takes the next.
+// acceptOne accepts one channel; the next round takes the next.
 func (c *ControlListener) acceptOne() {
 	if fd, _, err := unix.Accept4(c.fd, unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC); err == nil {
-		c.loop.post(fd).owner = c.accept()
+		c.loop.newControlChannel(fd).owner = c.accept()
 	}
 }
 
-// DialPost opens a post to the process that listens at the path. It fails at once where there is none.
-func (l *Loop) DialPost(path string, owner Correspondent) (*Post, error) {
+// DialControl opens a control channel to the process that listens at the path. It fails at once where there is none.
+func (l *Loop) DialControl(path string, owner Correspondent) (*ControlChannel, error) {
 	fd, err := unixSocket()
 	if err != nil {
 		return nil, err
@@ -109,63 +109,63 @@
 		unix.Close(fd)
 		return nil, err
 	}
-	p := l.post(fd)
-	p.owner = owner
-	return p, nil
+	c := l.newControlChannel(fd)
+	c.owner = owner
+	return c, nil
 }
 
-func (l *Loop) post(fd int) *Post {
-	p := &Post{loop: l, fd: fd}
-	l.posts = append(l.posts, p)
+func (l *Loop) newControlChannel(fd int) *ControlChannel {
+	c := &ControlChannel{loop: l, fd: fd}
+	l.channels = append(l.channels, c)
 	if l.look(fd, unix.EPOLLIN) != nil {
-		p.lost = true
+		c.lost = true
 	}
-	return p
+	return c
 }
 
-// Send sends a letter when the round is carried out. Its descriptor is the post's from now on.
-func (p *Post) Send(text []byte, fd int) {
-	if p.fd < 0 {
+// Send sends a letter when the round is carried out. Its descriptor is the channel's from now on.
+func (c *ControlChannel) Send(text []byte, fd int) {
+	if c.fd < 0 {
 		if fd >= 0 {
 			unix.Close(fd)
 		}
 		return
 	}
-	p.queue = append(p.queue, Letter{text, fd})
+	c.queue = append(c.queue, Letter{text, fd})
 }
 
 // Waiting tells whether letters are still to be sent.
-func (p *Post) Waiting() bool { return len(p.queue) > 0 }
+func (c *ControlChannel) Waiting() bool { return len(c.queue) > 0 }
 
-// Close ends the post at once; what is not sent is thrown away.
-func (p *Post) Close() {
-	if p.fd < 0 {
+// Close ends the channel at once; what is not sent is thrown away.
+func (c *ControlChannel) Close() {
+	if c.fd < 0 {
 		return
 	}
-	p.loop.posts = slices.DeleteFunc(p.loop.posts, func(x *Post) bool { return x == p })
-	unix.Close(p.fd)
-	p.fd = -1
-	for _, l := range append(p.queue, p.inbox...) {
+	c.loop.channels = slices.DeleteFunc(c.loop.channels, func(x *ControlChannel) bool { return x == c })
+	unix.Close(c.fd)
+	c.fd = -1
+	for _, l := range append(c.queue, c.inbox...) {
 		if l.FD >= 0 {
 			unix.Close(l.FD)
 		}
 	}
-	p.queue, p.inbox = nil, nil
+	c.queue, c.inbox = nil, nil
 }
 
 // read takes the letters that have come.
-func (p *Post) read() {
+func (c *ControlChannel) read() {
 	text := make([]byte, letterMost)
 	var rights [64]byte
-	for len(p.inbox) < inboxMost {
-		n, m, flags, _, err := unix.Recvmsg(p.fd, text, rights[:], unix.MSG_CMSG_CLOEXEC)
+	for len(c.inbox) < inboxMost {
+		n, m, flags, _, err := unix.Recvmsg(c.fd, text, rights[:], unix.MSG_CMSG_CLOEXEC)
 		switch {
 		case err == unix.EINTR:
 			continue
 		case err == unix.EAGAIN:
 			return
 		case err != nil || n == 0:
-			p.lost = true
+			c.lost = true
 			return
 		}
 		l := Letter{append([]byte(nil), text[:n]...), -1}
@@ -178,7 +178,7 @@
 		if flags&unix.MSG_TRUNC != 0 {
 			l.Text = nil // not from one of us: nobody can read it
 		}
-		p.inbox = append(p.inbox, l)
+		c.inbox = append(c.inbox, l)
 	}
 }
 
@@ -197,49 +197,49 @@
 }
 
 // deliver hands on what has come.
-func (p *Post) deliver() {
-	inbox := p.inbox
-	p.inbox = nil
+func (c *ControlChannel) deliver() {
+	inbox := c.inbox
+	c.inbox = nil
 	for _, l := range inbox {
-		if p.fd < 0 { // closed by its owner meanwhile
+		if c.fd < 0 { // closed by its owner meanwhile
 			if l.FD >= 0 {
 				unix.Close(l.FD)
 			}
 			continue
 		}
-		p.owner.Took(p, l)
+		c.owner.Took(c, l)
 	}
-	if p.lost && p.fd >= 0 {
-		unsent := p.queue
-		p.queue = nil
-		p.Close()
-		p.owner.Lost(p, unsent)
+	if c.lost && c.fd >= 0 {
+		unsent := c.queue
+		c.queue = nil
+		c.Close()
+		c.owner.Lost(c, unsent)
 	}
 }
 
 // write sends what is in the queue, as far as the other side takes it.
-func (p *Post) write() {
-	for len(p.queue) > 0 && p.fd >= 0 {
-		l := p.queue[0]
+func (c *ControlChannel) write() {
+	for len(c.queue) > 0 && c.fd >= 0 {
+		l := c.queue[0]
 		var rights []byte
 		if l.FD >= 0 {
 			rights = unix.UnixRights(l.FD)
 		}
-		switch err := unix.Sendmsg(p.fd, l.Text, rights, nil, unix.MSG_NOSIGNAL); err {
+		switch err := unix.Sendmsg(c.fd, l.Text, rights, nil, unix.MSG_NOSIGNAL); err {
 		case nil:
 		case unix.EINTR:
 			continue
 		case unix.EAGAIN, unix.ETOOMANYREFS, unix.ENOBUFS:
-			p.loop.Set(&p.loop.resend, resendAfter)
+			c.loop.Set(&c.loop.resend, resendAfter)
 			return
 		default:
-			p.lost = true
-			p.loop.Again()
+			c.lost = true
+			c.loop.Again()
 			return
 		}
 		if l.FD >= 0 {
 			unix.Close(l.FD)
 		}
-		p.queue = p.queue[1:]
+		c.queue = c.queue[1:]
 	}
 }
--- a/internal/transport/loop.go
+++ b/internal/transport/loop.go
@@ -57,7 +57,7 @@
 	conns        []*Conn // by descriptor
 	doors        []*Door
 	listeners    []*ControlListener
-	posts        []*Post
+	channels     []*ControlChannel
 	resend       Timer // after letters had to wait
 	timers       agenda.Queue[*Timer]
 	began        time.Time
@@ -209,9 +209,9 @@
 			return
 		}
 	}
-	for _, p := range l.posts {
-		if p.fd == fd {
-			p.read()
+	for _, c := range l.channels {
+		if c.fd == fd {
+			c.read()
 			return
 		}
 	}
@@ -286,8 +286,8 @@
 	if l.Round != nil {
 		l.Round(l.now)
 	}
-	for _, p := range slices.Clone(l.posts) {
-		p.deliver()
+	for _, c := range slices.Clone(l.channels) {
+		c.deliver()
 	}
 	ready := l.ready
 	l.ready = nil
@@ -339,8 +339,8 @@
 		}
 	}
 	l.dirty = l.dirty[:0]
-	for _, p := range l.posts {
-		p.write()
+	for _, c := range l.channels {
+		c.write()
 	}
 }
 
