Rename: a letter on a control channel is a message

transport.Letter is Message and its Text is Data; the limits are named maxPathBytes, maxMessageBytes and maxInboxMessages. No behaviour changes; go test ./... passes.

--- a/internal/routing/upgrade.go
+++ b/internal/routing/upgrade.go
@@ -10,7 +10,7 @@
 	"larchthread/internal/transport"
 )
 
-const passMost = 48 << 10 // bytes of a command that is passed on half read: more would not fit a letter
+const passMost = 48 << 10 // bytes of a command that is passed on half read: more would not fit a message
 
 // Partner is the other process while two live.
 type Partner interface {
--- a/internal/takeover/ancestor.go
+++ b/internal/takeover/ancestor.go
@@ -21,7 +21,7 @@
 }
 
 // Took implements transport.Correspondent.
-func (a *ancestor) Took(c *transport.ControlChannel, in transport.Letter) {
+func (a *ancestor) Took(c *transport.ControlChannel, in transport.Message) {
 	l, fd := a.read(in), in.FD
 	switch {
 	case l.Word == "list" && l.List != nil:
@@ -83,7 +83,7 @@
 }
 
 // Lost implements transport.Correspondent: the running process has ended.
-func (a *ancestor) Lost(*transport.ControlChannel, []transport.Letter) {
+func (a *ancestor) Lost(*transport.ControlChannel, []transport.Message) {
 	a.before = nil
 	a.bans.lost(a.loop)
 	if !a.served {
--- a/internal/takeover/heir.go
+++ b/internal/takeover/heir.go
@@ -19,7 +19,7 @@
 }
 
 // Took implements transport.Correspondent.
-func (h *heir) Took(c *transport.ControlChannel, in transport.Letter) {
+func (h *heir) Took(c *transport.ControlChannel, in transport.Message) {
 	l := h.read(in)
 	if in.FD >= 0 { // nothing that it has is wanted here
 		unix.Close(in.FD)
@@ -82,7 +82,7 @@
 }
 
 // Lost implements transport.Correspondent: the new process is gone, and this one goes on as before.
-func (h *heir) Lost(_ *transport.ControlChannel, unsent []transport.Letter) {
+func (h *heir) Lost(_ *transport.ControlChannel, unsent []transport.Message) {
 	if h.after != h {
 		return
 	}
--- a/internal/takeover/takeover.go
+++ b/internal/takeover/takeover.go
@@ -152,8 +152,8 @@
 func (t *Takeover) welcome() transport.Correspondent { return &heir{Takeover: t} }
 
 // read reads a letter. One that can't be read says nothing.
-func (t *Takeover) read(in transport.Letter) (l letter) {
-	if err := json.Unmarshal(in.Text, &l); err != nil {
+func (t *Takeover) read(in transport.Message) (l letter) {
+	if err := json.Unmarshal(in.Data, &l); err != nil {
 		t.log.Warn("a letter that can't be read", "error", err)
 	}
 	return l
--- a/internal/transport/control.go
+++ b/internal/transport/control.go
@@ -11,30 +11,30 @@
 )
 
 const (
-	pathMost   = 107       // bytes of a Unix socket's path, as the kernel has it
-	letterMost = 128 << 10 // bytes of a letter: the kernel's usual buffer of a Unix socket takes it whole
-	inboxMost  = 64        // letters read in a round, so that sockets are heard in between
+	maxPathBytes     = 107       // bytes of a Unix socket's path, as the kernel has it
+	maxMessageBytes  = 128 << 10 // bytes of a message: the kernel's usual buffer of a Unix socket takes it whole
+	maxInboxMessages = 64        // messages read in a round, so that sockets are heard in between
 )
 
-// Letter is a message from one process to another on this machine, perhaps with a descriptor.
-type Letter struct {
-	Text []byte
+// Message is what one process sends another on this machine, perhaps with a descriptor.
+type Message struct {
+	Data []byte
 	FD   int // below 0 for none
 }
 
 // Correspondent is told what becomes of a control channel.
 type Correspondent interface {
-	Took(c *ControlChannel, l Letter)        // a letter has come; its descriptor is the correspondent's now
-	Lost(c *ControlChannel, unsent []Letter) // the other process is gone; not called after Close
+	Took(c *ControlChannel, m Message)        // a message has come; its descriptor is the correspondent's now
+	Lost(c *ControlChannel, unsent []Message) // the other process is gone; not called after Close
 }
 
-// ControlChannel carries letters between two processes, in order.
+// ControlChannel carries messages between two processes, in order.
 type ControlChannel struct {
 	loop  *Loop
 	owner Correspondent
 	fd    int
-	inbox []Letter
-	queue []Letter // to be sent
+	inbox []Message
+	queue []Message // to be sent
 	lost  bool
 }
 
@@ -48,7 +48,7 @@
 // atPath does something with a Unix socket's address, also where its path is too long for the kernel: the directory's
 // descriptor stands for it then.
 func atPath(path string, do func(unix.Sockaddr) error) error {
-	if len(path) > pathMost {
+	if len(path) > maxPathBytes {
 		dir, err := unix.Open(filepath.Dir(path), unix.O_PATH|unix.O_CLOEXEC, 0)
 		if err != nil {
 			return err
@@ -123,18 +123,18 @@
 	return c
 }
 
-// Send sends a letter when the round is carried out. Its descriptor is the channel's from now on.
-func (c *ControlChannel) Send(text []byte, fd int) {
+// Send sends a message when the round is carried out. Its descriptor is the channel's from now on.
+func (c *ControlChannel) Send(data []byte, fd int) {
 	if c.fd < 0 {
 		if fd >= 0 {
 			unix.Close(fd)
 		}
 		return
 	}
-	c.queue = append(c.queue, Letter{text, fd})
+	c.queue = append(c.queue, Message{data, fd})
 }
 
-// Waiting tells whether letters are still to be sent.
+// Waiting tells whether messages are still to be sent.
 func (c *ControlChannel) Waiting() bool { return len(c.queue) > 0 }
 
 // Close ends the channel at once; what is not sent is thrown away.
@@ -145,20 +145,20 @@
 	c.loop.channels = slices.DeleteFunc(c.loop.channels, func(x *ControlChannel) bool { return x == c })
 	unix.Close(c.fd)
 	c.fd = -1
-	for _, l := range append(c.queue, c.inbox...) {
-		if l.FD >= 0 {
-			unix.Close(l.FD)
+	for _, m := range append(c.queue, c.inbox...) {
+		if m.FD >= 0 {
+			unix.Close(m.FD)
 		}
 	}
 	c.queue, c.inbox = nil, nil
 }
 
-// read takes the letters that have come.
+// read takes the messages that have come.
 func (c *ControlChannel) read() {
-	text := make([]byte, letterMost)
+	data := make([]byte, maxMessageBytes)
 	var rights [64]byte
-	for len(c.inbox) < inboxMost {
-		n, m, flags, _, err := unix.Recvmsg(c.fd, text, rights[:], unix.MSG_CMSG_CLOEXEC)
+	for len(c.inbox) < maxInboxMessages {
+		n, rightsSize, flags, _, err := unix.Recvmsg(c.fd, data, rights[:], unix.MSG_CMSG_CLOEXEC)
 		switch {
 		case err == unix.EINTR:
 			continue
@@ -168,21 +168,21 @@
 			c.lost = true
 			return
 		}
-		l := Letter{append([]byte(nil), text[:n]...), -1}
-		for _, fd := range received(rights[:m]) {
-			if l.FD >= 0 { // there is never more than one
-				unix.Close(l.FD)
+		m := Message{append([]byte(nil), data[:n]...), -1}
+		for _, fd := range received(rights[:rightsSize]) {
+			if m.FD >= 0 { // there is never more than one
+				unix.Close(m.FD)
 			}
-			l.FD = fd
+			m.FD = fd
 		}
 		if flags&unix.MSG_TRUNC != 0 {
-			l.Text = nil // not from one of us: nobody can read it
+			m.Data = nil // not from one of us: nobody can read it
 		}
-		c.inbox = append(c.inbox, l)
+		c.inbox = append(c.inbox, m)
 	}
 }
 
-// received are the descriptors that came with a letter.
+// received are the descriptors that came with a message.
 func received(rights []byte) (fds []int) {
 	all, err := unix.ParseSocketControlMessage(rights)
 	if err != nil {
@@ -200,14 +200,14 @@
 func (c *ControlChannel) deliver() {
 	inbox := c.inbox
 	c.inbox = nil
-	for _, l := range inbox {
+	for _, m := range inbox {
 		if c.fd < 0 { // closed by its owner meanwhile
-			if l.FD >= 0 {
-				unix.Close(l.FD)
+			if m.FD >= 0 {
+				unix.Close(m.FD)
 			}
 			continue
 		}
-		c.owner.Took(c, l)
+		c.owner.Took(c, m)
 	}
 	if c.lost && c.fd >= 0 {
 		unsent := c.queue
@@ -220,12 +220,12 @@
 // write sends what is in the queue, as far as the other side takes it.
 func (c *ControlChannel) write() {
 	for len(c.queue) > 0 && c.fd >= 0 {
-		l := c.queue[0]
+		m := c.queue[0]
 		var rights []byte
-		if l.FD >= 0 {
-			rights = unix.UnixRights(l.FD)
+		if m.FD >= 0 {
+			rights = unix.UnixRights(m.FD)
 		}
-		switch err := unix.Sendmsg(c.fd, l.Text, rights, nil, unix.MSG_NOSIGNAL); err {
+		switch err := unix.Sendmsg(c.fd, m.Data, rights, nil, unix.MSG_NOSIGNAL); err {
 		case nil:
 		case unix.EINTR:
 			continue
@@ -237,8 +237,8 @@
 			c.loop.Again()
 			return
 		}
-		if l.FD >= 0 {
-			unix.Close(l.FD)
+		if m.FD >= 0 {
+			unix.Close(m.FD)
 		}
 		c.queue = c.queue[1:]
 	}
--- a/internal/transport/loop.go
+++ b/internal/transport/loop.go
@@ -32,7 +32,7 @@
 	backlog       = 4096   // connections that the kernel may accept for us between two rounds: its own upper end
 	halfCloseMost = 5000.0 // ms that a slow reader may take over the answers before our last word: over any TTL
 	halfCloseFor  = 200.0  // ms that the other side may take to end after our last word: many round trips
-	resendAfter   = 2.0    // ms until letters that the other process has no room for are tried again: it reads in each round
+	resendAfter   = 2.0    // ms until messages that the other process has no room for are tried again: it reads in each round
 	doorPause     = 5.0    // ms until it is tried again to accept, where no connection was idle: a busy one takes as long
 
 	SpareFiles    = 32    // descriptors of the runtime, the log, operators' calls and an upgrade: about 25, and room
@@ -58,7 +58,7 @@
 	doors        []*Door
 	listeners    []*ControlListener
 	channels     []*ControlChannel
-	resend       Timer // after letters had to wait
+	resend       Timer // after messages had to wait
 	timers       agenda.Queue[*Timer]
 	began        time.Time
 	wall         float64 // ms, Unix time then, as far as the machine knows it
