--- a/internal/takeover/ancestor.go
+++ b/internal/takeover/ancestor.go
@@ -20,8 +20,8 @@
 	bans    bans
 }
 
-// Took implements transport.Correspondent.
-func (a *ancestor) Took(c *transport.ControlChannel, in transport.Message) {
+// MessageReceived implements transport.PeerHandler.
+func (a *ancestor) MessageReceived(c *transport.ControlChannel, in transport.Message) {
 	l, fd := a.read(in), in.FD
 	switch {
 	case l.Word == "list" && l.List != nil:
@@ -82,8 +82,8 @@
 	a.loop.Set(&wait, askAgain)
 }
 
-// Lost implements transport.Correspondent: the running process has ended.
-func (a *ancestor) Lost(*transport.ControlChannel, []transport.Message) {
+// PeerLost implements transport.PeerHandler: the running process has ended.
+func (a *ancestor) PeerLost(*transport.ControlChannel, []transport.Message) {
 	a.before = nil
 	a.bans.lost(a.loop)
 	if !a.served {
--- a/internal/takeover/heir.go
+++ b/internal/takeover/heir.go
@@ -18,8 +18,8 @@
 	bans    bans
 }
 
-// Took implements transport.Correspondent.
-func (h *heir) Took(c *transport.ControlChannel, in transport.Message) {
+// MessageReceived implements transport.PeerHandler.
+func (h *heir) MessageReceived(c *transport.ControlChannel, in transport.Message) {
 	l := h.read(in)
 	if in.FD >= 0 { // nothing that it has is wanted here
 		unix.Close(in.FD)
@@ -59,7 +59,7 @@
 	h.shared()
 	h.limit.Fire = func() { // one that stands still must not keep the next from its turn
 		h.channel.Close()
-		h.Lost(h.channel, nil)
+		h.PeerLost(h.channel, nil)
 	}
 	h.loop.Set(&h.limit, askMost)
 	open, most := h.loop.Sockets()
@@ -81,8 +81,8 @@
 	send(h.channel, letter{Word: "door", Sockets: max(most-own-transport.SpareFiles, most/headroom)}, door)
 }
 
-// Lost implements transport.Correspondent: the new process is gone, and this one goes on as before.
-func (h *heir) Lost(_ *transport.ControlChannel, unsent []transport.Message) {
+// PeerLost implements transport.PeerHandler: the new process is gone, and this one goes on as before.
+func (h *heir) PeerLost(_ *transport.ControlChannel, unsent []transport.Message) {
 	if h.after != h {
 		return
 	}
--- a/internal/takeover/takeover.go
+++ b/internal/takeover/takeover.go
@@ -149,7 +149,7 @@
 }
 
 // welcome takes in a process that asks for this one's place.
-func (t *Takeover) welcome() transport.Correspondent { return &heir{Takeover: t} }
+func (t *Takeover) welcome() transport.PeerHandler { return &heir{Takeover: t} }
 
 // read reads a letter. One that can't be read says nothing.
 func (t *Takeover) read(in transport.Message) (l letter) {
--- a/internal/transport/control.go
+++ b/internal/transport/control.go
@@ -22,27 +22,27 @@
 	FD   int // below 0 for none
 }
 
-// Correspondent is told what becomes of a control channel.
-type Correspondent interface {
-	Took(c *ControlChannel, m Message)        // a message has come; its descriptor is the correspondent's now
-	Lost(c *ControlChannel, unsent []Message) // the other process is gone; not called after Close
+// PeerHandler is told what becomes of a control channel.
+type PeerHandler interface {
+	MessageReceived(c *ControlChannel, m Message) // a message has come; its descriptor is the handler's now
+	PeerLost(c *ControlChannel, unsent []Message) // the other process is gone; not called after Close
 }
 
 // ControlChannel carries messages between two processes, in order.
 type ControlChannel struct {
-	loop  *Loop
-	owner Correspondent
-	fd    int
-	inbox []Message
-	queue []Message // to be sent
-	lost  bool
+	loop    *Loop
+	handler PeerHandler
+	fd      int
+	inbox   []Message
+	queue   []Message // to be sent
+	lost    bool
 }
 
 // ControlListener accepts control channels at a path in the file system.
 type ControlListener struct {
 	loop   *Loop
 	fd     int
-	accept func() Correspondent
+	accept func() PeerHandler
 }
 
 // atPath does something with a Unix socket's address, also where its path is too long for the kernel: the directory's
@@ -64,7 +64,7 @@
 }
 
 // ListenControl listens for control connections at a path. It takes the path from whoever had it, in one step.
-func (l *Loop) ListenControl(path string, accept func() Correspondent) (*ControlListener, error) {
+func (l *Loop) ListenControl(path string, accept func() PeerHandler) (*ControlListener, error) {
 	fd, err := unixSocket()
 	if err != nil {
 		return nil, fmt.Errorf("socket: %w", err)
@@ -95,12 +95,12 @@
 // acceptOne accepts one channel; the next round takes the next.
 func (c *ControlListener) acceptOne() {
 	if fd, _, err := unix.Accept4(c.fd, unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC); err == nil {
-		c.loop.newControlChannel(fd).owner = c.accept()
+		c.loop.newControlChannel(fd).handler = c.accept()
 	}
 }
 
 // DialControl opens a control channel to the process that listens at the path. It fails at once where there is none.
-func (l *Loop) DialControl(path string, owner Correspondent) (*ControlChannel, error) {
+func (l *Loop) DialControl(path string, handler PeerHandler) (*ControlChannel, error) {
 	fd, err := unixSocket()
 	if err != nil {
 		return nil, err
@@ -110,7 +110,7 @@
 		return nil, err
 	}
 	c := l.newControlChannel(fd)
-	c.owner = owner
+	c.handler = handler
 	return c, nil
 }
 
@@ -201,19 +201,19 @@
 	inbox := c.inbox
 	c.inbox = nil
 	for _, m := range inbox {
-		if c.fd < 0 { // closed by its owner meanwhile
+		if c.fd < 0 { // closed by its handler meanwhile
 			if m.FD >= 0 {
 				unix.Close(m.FD)
 			}
 			continue
 		}
-		c.owner.Took(c, m)
+		c.handler.MessageReceived(c, m)
 	}
 	if c.lost && c.fd >= 0 {
 		unsent := c.queue
 		c.queue = nil
 		c.Close()
-		c.owner.Lost(c, unsent)
+		c.handler.PeerLost(c, unsent)
 	}
 }
 
