Rename: heir and ancestor are successor and predecessor

takeover's types, files, fields and tests' locals; welcome is acceptSuccessor. No behaviour changes.

--- a/cmd/larchthread/handover_failures_test.go
+++ b/cmd/larchthread/handover_failures_test.go
@@ -21,21 +21,21 @@
 	f.start()
 	defer f.stop()
 	box := f.box()
-	heir, err := net.Dial("unixpacket", box)
+	successor, err := net.Dial("unixpacket", box)
 	if err != nil {
 		fmt.Println(err)
 		return
 	}
-	io.WriteString(heir, `{"word":"hello","version":1}`)
+	io.WriteString(successor, `{"word":"hello","version":1}`)
 	letter := make([]byte, 1<<16)
-	heir.Read(letter) // it has begun
+	successor.Read(letter) // it has begun
 	c := f.client()
 	c.say(0, "mg slow v O1 Pc=read,d=590\r\n")
 	f.await("a: mg slow v O1 Pc=read,d=..", 1)
 	f.process.Process.Signal(syscall.SIGTERM)
 	c.say(2, "")
 	fmt.Println("the old one:", f.process.Wait())
-	heir.Close()
+	successor.Close()
 
 	os.Remove(box)
 	l, err := net.Listen("unixpacket", box)
@@ -71,26 +71,26 @@
 	box := f.box()
 	kept := f.client()
 	for last := 0; ; last++ {
-		heir, err := net.Dial("unixpacket", box)
+		successor, err := net.Dial("unixpacket", box)
 		if err != nil {
 			fmt.Println(err)
 			return
 		}
-		heir.SetDeadline(time.Now().Add(time.Second))
-		io.WriteString(heir, `{"word":"hello","version":1}`)
+		successor.SetDeadline(time.Now().Add(time.Second))
+		io.WriteString(successor, `{"word":"hello","version":1}`)
 		said, letter := "", make([]byte, 1<<16)
 		for range last {
-			n, _ := heir.Read(letter)
+			n, _ := successor.Read(letter)
 			said = string(letter[:n])
 		}
 		ready := strings.Contains(said, `"door"`)
 		if ready {
-			io.WriteString(heir, `{"word":"ready"}`)
+			io.WriteString(successor, `{"word":"ready"}`)
 			for !strings.Contains(f.log.String(), "handed over") {
 				time.Sleep(time.Millisecond)
 			}
 		}
-		heir.Close()
+		successor.Close()
 		for strings.Count(f.log.String(), "is gone") <= last {
 			time.Sleep(time.Millisecond)
 		}
--- /dev/null
+++ b/internal/takeover/successor.go
@@ -0,0 +1,120 @@
+package takeover
+
+import (
+	"slices"
+
+	"golang.org/x/sys/unix"
+
+	"larchthread/internal/protocol"
+	"larchthread/internal/transport"
+)
+
+// successor is a process that asks for this one's place, as this one sees it.
+type successor struct {
+	*Takeover
+	channel *transport.ControlChannel
+	ready   bool // it serves
+	limit   transport.Timer
+	bans    bans
+}
+
+// MessageReceived implements transport.PeerHandler.
+func (s *successor) MessageReceived(c *transport.ControlChannel, in transport.Message) {
+	l := s.read(in)
+	if in.FD >= 0 { // nothing that it has is wanted here
+		unix.Close(in.FD)
+	}
+	s.channel = c
+	switch {
+	case l.Word == "hello" && l.Version != version:
+		send(c, letter{Word: "refused", Version: version, Why: "another version"}, -1)
+	case l.Word == "hello" && s.successor != nil:
+		send(c, letter{Word: "later", Why: "one at a time"}, -1)
+	case l.Word == "hello":
+		s.handOver()
+	case s.successor != s: // its request has not been granted
+	case l.Word == "ready":
+		s.ready = true
+		s.loop.Stop(&s.limit)
+		if s.control != nil {
+			s.control.Close()
+			s.control = nil
+		}
+		s.log.Info("handed over")
+		s.router.Succeed(s)
+	default:
+		s.bans.heed(s.Takeover, c, l)
+	}
+}
+
+// handOver tells the new process all that it needs, the listening socket last.
+func (s *successor) handOver() {
+	listener, err := s.router.Door().Copy()
+	if err != nil {
+		send(s.channel, letter{Word: "refused", Why: err.Error()}, -1)
+		return
+	}
+	s.successor = s
+	s.router.Yield(true)
+	s.shared()
+	s.limit.Fire = func() { // one that stands still must not keep the next from its turn
+		s.channel.Close()
+		s.PeerLost(s.channel, nil)
+	}
+	s.loop.Set(&s.limit, askMost)
+	open, most := s.loop.Sockets()
+	own := max(most/2, min(open+most/headroom, most-most/headroom))
+	s.loop.Most(own)
+	l, past, banned := s.router.Known()
+	for part := range slices.Chunk(l.Members, idsMost) {
+		send(s.channel, letter{Word: "list", List: &protocol.List{Revision: l.Revision, Complete: true, Members: part}}, -1)
+	}
+	for part := range slices.Chunk(past, idsMost) {
+		send(s.channel, letter{Word: "past", Past: part}, -1)
+	}
+	for part := range slices.Chunk(banned, idsMost) {
+		send(s.channel, letter{Word: "past", Banned: part}, -1)
+	}
+	for _, part := range s.router.Learned(idsMost) {
+		send(s.channel, letter{Word: "learned", Learned: &part}, -1)
+	}
+	send(s.channel, letter{Word: "door", Sockets: max(most-own-transport.SpareFiles, most/headroom)}, listener)
+}
+
+// PeerLost implements transport.PeerHandler: the new process is gone, and this one goes on as before.
+func (s *successor) PeerLost(_ *transport.ControlChannel, unsent []transport.Message) {
+	if s.successor != s {
+		return
+	}
+	s.log.Warn("the process that was to take over is gone", "served", s.ready)
+	s.successor = nil
+	s.router.Yield(false)
+	s.loop.Stop(&s.limit)
+	s.bans.lost(s.loop)
+	if s.ready {
+		s.router.Succeed(nil)
+	}
+	s.settle()
+	for _, u := range unsent {
+		if l := s.read(u); u.FD >= 0 && l.Word == "client" {
+			s.router.Passed(u.FD, l.Unread, l.Proven)
+		} else if u.FD >= 0 {
+			unix.Close(u.FD)
+		}
+	}
+}
+
+// TellBan implements routing.Partner.
+func (s *successor) TellBan(id string, out bool, done func(known bool)) {
+	s.bans.tell(s.loop, s.channel, id, out, done)
+}
+
+// Pass implements routing.Successor.
+func (s *successor) Pass(fd int, unread []byte, proven bool) {
+	send(s.channel, letter{Word: "client", Unread: unread, Proven: proven}, fd)
+	_, most := s.loop.Sockets()
+	s.loop.Most(most - 1)
+}
+
+// Waiting implements routing.Successor.
+func (s *successor) Waiting() bool { return s.channel.Waiting() }
--- a/internal/takeover/takeover.go
+++ b/internal/takeover/takeover.go
@@ -53,11 +53,11 @@
 	share   func(processes int) // told how many processes share the memory
 	sockets int                 // that this process may open where it is alone
 
-	control *transport.ControlListener
-	before  *ancestor // the process whose place this one takes, until it is gone
-	after   *heir     // the process that takes this one's place, or nil
-	limit   transport.Timer
-	failed  error
+	control     *transport.ControlListener
+	predecessor *predecessor // the process whose place this one takes, until it is gone
+	successor   *successor   // the process that takes this one's place, or nil
+	limit       transport.Timer
+	failed      error
 }
 
 // Begin opens the router's door: by asking the process that runs at the address already for its own, or, where there is
@@ -88,12 +88,12 @@
 
 // ask asks the running process, if there is one.
 func (t *Takeover) ask() bool {
-	a := &ancestor{Takeover: t}
-	channel, err := t.loop.DialControl(t.path, a)
+	p := &predecessor{Takeover: t}
+	channel, err := t.loop.DialControl(t.path, p)
 	if err != nil {
 		return false
 	}
-	a.channel, t.before = channel, a
+	p.channel, t.predecessor = channel, p
 	send(channel, letter{Word: "hello", Version: version}, -1)
 	return true
 }
@@ -101,9 +101,9 @@
 // alone opens a door of its own, at an address that may be shared with a process that would not hand over.
 func (t *Takeover) alone(why string) error {
 	t.loop.Stop(&t.limit)
-	if t.before != nil {
-		t.before.channel.Close()
-		t.before = nil
+	if t.predecessor != nil {
+		t.predecessor.channel.Close()
+		t.predecessor = nil
 	}
 	t.log.Info("listening", "why", why)
 	if err := t.router.Listen(t.listen, true); err != nil {
@@ -125,7 +125,7 @@
 func (t *Takeover) settle() {
 	if t.control == nil {
 		var err error
-		if t.control, err = t.loop.ListenControl(t.path, t.welcome); err != nil {
+		if t.control, err = t.loop.ListenControl(t.path, t.acceptSuccessor); err != nil {
 			t.log.Warn("the next process will not find this one", "error", err)
 		}
 	}
@@ -135,11 +135,11 @@
 // shared tells the router who is beside it.
 func (t *Takeover) shared() {
 	switch {
-	case t.after != nil:
-		t.router.With(t.after)
+	case t.successor != nil:
+		t.router.With(t.successor)
 		t.share(2)
-	case t.before != nil:
-		t.router.With(t.before)
+	case t.predecessor != nil:
+		t.router.With(t.predecessor)
 		t.share(2)
 	default:
 		t.router.With(nil)
@@ -148,8 +148,8 @@
 	}
 }
 
-// welcome takes in a process that asks for this one's place.
-func (t *Takeover) welcome() transport.PeerHandler { return &heir{Takeover: t} }
+// acceptSuccessor takes in a process that asks for this one's place.
+func (t *Takeover) acceptSuccessor() transport.PeerHandler { return &successor{Takeover: t} }
 
 // read reads a letter. One that can't be read says nothing.
 func (t *Takeover) read(in transport.Message) (l letter) {
