Rename: a takeover's letter is a message, and its kinds are constants

A message's kind was a bare string in field Word; it is messageKind, with a constant and the fields that count for each. Message and bans have files of their own, so takeover.go holds Takeover alone. The names in JSON are as they were.

--- a/cmd/larchthread/fleet_test.go
+++ b/cmd/larchthread/fleet_test.go
@@ -192,8 +192,8 @@
 	fmt.Printf("never came: %q\n", note)
 }
 
-// box is where a process that takes over finds the running one.
-func (f *fleet) box() string {
+// controlPath is where a process that takes over finds the running one.
+func (f *fleet) controlPath() string {
 	return filepath.Join(f.tmp, "larchthread-"+strings.ReplaceAll(f.listen, ":", "-"))
 }
 
--- a/cmd/larchthread/handover_failures_test.go
+++ b/cmd/larchthread/handover_failures_test.go
@@ -20,15 +20,15 @@
 	f.Origin(fetch)
 	f.start()
 	defer f.stop()
-	box := f.box()
-	successor, err := net.Dial("unixpacket", box)
+	controlPath := f.controlPath()
+	successor, err := net.Dial("unixpacket", controlPath)
 	if err != nil {
 		fmt.Println(err)
 		return
 	}
 	io.WriteString(successor, `{"word":"hello","version":1}`)
-	letter := make([]byte, 1<<16)
-	successor.Read(letter) // it has begun
+	message := make([]byte, 1<<16)
+	successor.Read(message) // it has begun
 	c := f.client()
 	c.say(0, "mg slow v O1 Pc=read,d=590\r\n")
 	f.await("a: mg slow v O1 Pc=read,d=..", 1)
@@ -37,8 +37,8 @@
 	fmt.Println("the old one:", f.process.Wait())
 	successor.Close()
 
-	os.Remove(box)
-	l, err := net.Listen("unixpacket", box)
+	os.Remove(controlPath)
+	l, err := net.Listen("unixpacket", controlPath)
 	if err != nil {
 		fmt.Println(err)
 		return
@@ -48,7 +48,7 @@
 	f.write(f.watched)
 	f.process = f.run()
 	old, _ := l.Accept()
-	old.Read(letter)
+	old.Read(message)
 	f.process.Process.Signal(syscall.SIGTERM)
 	began := time.Now()
 	fmt.Println("the new one:", f.process.Wait(), "soon:", time.Since(began) < 2*time.Second)
@@ -59,7 +59,7 @@
 	// the new one: <nil> soon: true
 }
 
-// A process that is to take over and dies behind any of the letters, before its yes or after it, leaves the running one serving.
+// A process that is to take over and dies behind any of the messages, before its yes or after it, leaves the running one serving.
 func Example_successorDiesAnywhere() {
 	f := &fleet{admin: freeAddress(), tmp: filepath.Join(os.TempDir(), fmt.Sprint("anywhere", os.Getpid()))}
 	os.MkdirAll(f.tmp, 0o700)
@@ -68,20 +68,20 @@
 	f.Origin(fetch)
 	f.start()
 	defer f.stop()
-	box := f.box()
+	controlPath := f.controlPath()
 	kept := f.client()
 	for last := 0; ; last++ {
-		successor, err := net.Dial("unixpacket", box)
+		successor, err := net.Dial("unixpacket", controlPath)
 		if err != nil {
 			fmt.Println(err)
 			return
 		}
 		successor.SetDeadline(time.Now().Add(time.Second))
 		io.WriteString(successor, `{"word":"hello","version":1}`)
-		said, letter := "", make([]byte, 1<<16)
+		said, message := "", make([]byte, 1<<16)
 		for range last {
-			n, _ := successor.Read(letter)
-			said = string(letter[:n])
+			n, _ := successor.Read(message)
+			said = string(message[:n])
 		}
 		ready := strings.Contains(said, `"door"`)
 		if ready {
@@ -99,7 +99,7 @@
 		c := f.client()
 		c.say(0, fmt.Sprintf("mg k v Onew%d Pc=read,d=500\r\n", last))
 		if !c.take("value", "") {
-			fmt.Println("not served behind letter", last)
+			fmt.Println("not served behind message", last)
 		}
 		c.Close()
 		if ready {
--- a/cmd/larchthread/upgrade_test.go
+++ b/cmd/larchthread/upgrade_test.go
@@ -192,28 +192,28 @@
 	f.Origin(fetch)
 	f.start()
 	defer f.stop()
-	box := f.box()
-	newer, err := net.Dial("unixpacket", box)
+	controlPath := f.controlPath()
+	newer, err := net.Dial("unixpacket", controlPath)
 	if err != nil {
 		fmt.Println(err)
 		return
 	}
 	io.WriteString(newer, `{"word":"hello","version":2}`)
-	letter := make([]byte, 1<<16)
-	n, _ := newer.Read(letter)
-	fmt.Println(string(letter[:n]))
+	message := make([]byte, 1<<16)
+	n, _ := newer.Read(message)
+	fmt.Println(string(message[:n]))
 	newer.Close()
 	for _, last := range []string{`{"word":"refused","version":2,"why":"another version"}`, `{"word":"list","list":{"revision":9,"members":[]}}`,
 		`{"word":"door"}`, `nonsense`} {
-		os.Remove(box)
-		l, err := net.Listen("unixpacket", box)
+		os.Remove(controlPath)
+		l, err := net.Listen("unixpacket", controlPath)
 		if err != nil {
 			fmt.Println(err)
 			return
 		}
 		go func() {
 			c, _ := l.Accept()
-			c.Read(letter)
+			c.Read(message)
 			io.WriteString(c, last)
 			c.Close()
 		}()
--- a/internal/takeover/predecessor.go
+++ b/internal/takeover/predecessor.go
@@ -22,33 +22,33 @@
 
 // MessageReceived implements transport.PeerHandler.
 func (p *predecessor) MessageReceived(c *transport.ControlChannel, in transport.Message) {
-	l, fd := p.read(in), in.FD
+	m, fd := p.read(in), in.FD
 	switch {
-	case l.Word == "list" && l.List != nil:
-		p.list.Revision, p.list.Complete = l.List.Revision, true
-		p.list.Members = append(p.list.Members, l.List.Members...)
-	case l.Word == "past":
-		p.past = append(p.past, l.Past...)
-		p.banned = append(p.banned, l.Banned...)
-	case l.Word == "learned" && l.Learned != nil:
-		p.learned = append(p.learned, *l.Learned)
-	case l.Word == "door" && fd >= 0 && !p.served:
-		p.inherit(fd, l.Sockets)
+	case m.Kind == kindList && m.List != nil:
+		p.list.Revision, p.list.Complete = m.List.Revision, true
+		p.list.Members = append(p.list.Members, m.List.Members...)
+	case m.Kind == kindPast:
+		p.past = append(p.past, m.Past...)
+		p.banned = append(p.banned, m.Banned...)
+	case m.Kind == kindLearned && m.Learned != nil:
+		p.learned = append(p.learned, *m.Learned)
+	case m.Kind == kindListener && fd >= 0 && !p.served:
+		p.inherit(fd, m.Sockets)
 		return
-	case l.Word == "client" && fd >= 0 && p.served:
-		p.router.Passed(fd, l.Unread, l.Proven)
+	case m.Kind == kindClient && fd >= 0 && p.served:
+		p.router.Passed(fd, m.Unread, m.Proven)
 		_, most := p.loop.Sockets()
 		p.loop.Most(most + 1)
 		return
-	case l.Word == "later":
-		p.log.Info("the running process is handing over to another", "why", l.Why)
+	case m.Kind == kindLater:
+		p.log.Info("the running process is handing over to another", "why", m.Why)
 		c.Close()
 		p.again()
-	case l.Word == "refused":
-		p.log.Warn("the running process refuses", "why", l.Why)
-		p.giveUp("refused: " + l.Why)
+	case m.Kind == kindRefused:
+		p.log.Warn("the running process refuses", "why", m.Why)
+		p.giveUp("refused: " + m.Why)
 	default:
-		p.bans.heed(p.Takeover, c, l)
+		p.bans.heed(p.Takeover, c, m)
 	}
 	if fd >= 0 {
 		unix.Close(fd)
@@ -66,7 +66,7 @@
 	}
 	p.served = true
 	p.settle()
-	send(p.channel, letter{Word: "ready"}, -1)
+	send(p.channel, message{Kind: kindReady}, -1)
 	p.log.Info("took over", "hosts", len(p.list.Members), "banned", len(p.banned), "sockets", sockets)
 }
 
--- a/internal/takeover/successor.go
+++ b/internal/takeover/successor.go
@@ -20,20 +20,20 @@
 
 // MessageReceived implements transport.PeerHandler.
 func (s *successor) MessageReceived(c *transport.ControlChannel, in transport.Message) {
-	l := s.read(in)
+	m := s.read(in)
 	if in.FD >= 0 { // nothing that it has is wanted here
 		unix.Close(in.FD)
 	}
 	s.channel = c
 	switch {
-	case l.Word == "hello" && l.Version != version:
-		send(c, letter{Word: "refused", Version: version, Why: "another version"}, -1)
-	case l.Word == "hello" && s.successor != nil:
-		send(c, letter{Word: "later", Why: "one at a time"}, -1)
-	case l.Word == "hello":
+	case m.Kind == kindHello && m.Version != version:
+		send(c, message{Kind: kindRefused, Version: version, Why: "another version"}, -1)
+	case m.Kind == kindHello && s.successor != nil:
+		send(c, message{Kind: kindLater, Why: "one at a time"}, -1)
+	case m.Kind == kindHello:
 		s.handOver()
 	case s.successor != s: // its request has not been granted
-	case l.Word == "ready":
+	case m.Kind == kindReady:
 		s.ready = true
 		s.loop.Stop(&s.limit)
 		if s.control != nil {
@@ -43,7 +43,7 @@
 		s.log.Info("handed over")
 		s.router.Succeed(s)
 	default:
-		s.bans.heed(s.Takeover, c, l)
+		s.bans.heed(s.Takeover, c, m)
 	}
 }
 
@@ -51,7 +51,7 @@
 func (s *successor) handOver() {
 	listener, err := s.router.Door().Copy()
 	if err != nil {
-		send(s.channel, letter{Word: "refused", Why: err.Error()}, -1)
+		send(s.channel, message{Kind: kindRefused, Why: err.Error()}, -1)
 		return
 	}
 	s.successor = s
@@ -67,18 +67,18 @@
 	s.loop.Most(own)
 	l, past, banned := s.router.Known()
 	for part := range slices.Chunk(l.Members, idsMost) {
-		send(s.channel, letter{Word: "list", List: &protocol.List{Revision: l.Revision, Complete: true, Members: part}}, -1)
+		send(s.channel, message{Kind: kindList, List: &protocol.List{Revision: l.Revision, Complete: true, Members: part}}, -1)
 	}
 	for part := range slices.Chunk(past, idsMost) {
-		send(s.channel, letter{Word: "past", Past: part}, -1)
+		send(s.channel, message{Kind: kindPast, Past: part}, -1)
 	}
 	for part := range slices.Chunk(banned, idsMost) {
-		send(s.channel, letter{Word: "past", Banned: part}, -1)
+		send(s.channel, message{Kind: kindPast, Banned: part}, -1)
 	}
 	for _, part := range s.router.Learned(idsMost) {
-		send(s.channel, letter{Word: "learned", Learned: &part}, -1)
+		send(s.channel, message{Kind: kindLearned, Learned: &part}, -1)
 	}
-	send(s.channel, letter{Word: "door", Sockets: max(most-own-transport.SpareFiles, most/headroom)}, listener)
+	send(s.channel, message{Kind: kindListener, Sockets: max(most-own-transport.SpareFiles, most/headroom)}, listener)
 }
 
 // PeerLost implements transport.PeerHandler: the new process is gone, and this one goes on as before.
@@ -96,8 +96,8 @@
 	}
 	s.settle()
 	for _, u := range unsent {
-		if l := s.read(u); u.FD >= 0 && l.Word == "client" {
-			s.router.Passed(u.FD, l.Unread, l.Proven)
+		if m := s.read(u); u.FD >= 0 && m.Kind == kindClient {
+			s.router.Passed(u.FD, m.Unread, m.Proven)
 		} else if u.FD >= 0 {
 			unix.Close(u.FD)
 		}
@@ -111,7 +111,7 @@
 
 // Pass implements routing.Successor.
 func (s *successor) Pass(fd int, unread []byte, proven bool) {
-	send(s.channel, letter{Word: "client", Unread: unread, Proven: proven}, fd)
+	send(s.channel, message{Kind: kindClient, Unread: unread, Proven: proven}, fd)
 	_, most := s.loop.Sockets()
 	s.loop.Most(most - 1)
 }
--- a/internal/takeover/takeover.go
+++ b/internal/takeover/takeover.go
@@ -3,46 +3,23 @@
 package takeover
 
 import (
-	"encoding/json"
 	"log/slog"
 	"net/netip"
 	"os"
 	"path/filepath"
 	"strings"
 
-	"larchthread/balance"
-	"larchthread/internal/protocol"
 	"larchthread/internal/routing"
 	"larchthread/internal/transport"
 )
 
 const (
-	version  = 1      // of what the letters say; another is refused
 	askMost  = 3000.0 // ms for the running process to hand over: half of what operators wait for the yes
 	askAgain = 100.0  // ms until a process that is busy with another successor is asked again
-	tellMost = 700.0  // ms for the other process to heed a ban: the caller waits 1 s
-	idsMost  = 500    // ids or hosts in a letter: some tens of KB
+	idsMost  = 500    // ids or hosts in a message: some tens of KB
 	headroom = 8      // one in so many sockets that the old process may open beyond those it has
 )
 
-// letter is what one process tells the other. What a build does not know in it is passed over.
-type letter struct {
-	Word    string           `json:"word"`
-	Version int              `json:"version,omitempty"`
-	Why     string           `json:"why,omitempty"`     // of a refusal
-	List    *protocol.List   `json:"list,omitempty"`    // part of the list, in discovery's form
-	Past    []string         `json:"past,omitempty"`    // ids of hosts there were
-	Banned  []string         `json:"banned,omitempty"`  // ids of hosts that are banned
-	Learned *balance.Learned `json:"learned,omitempty"` // part of what the balancer has learned
-	Sockets int              `json:"sockets,omitempty"` // that the new process may open
-	Unread  []byte           `json:"unread,omitempty"`  // of a passed connection
-	Proven  bool             `json:"proven,omitempty"`  // an op has come on it
-	ID      string           `json:"id,omitempty"`      // of a host to be banned
-	Out     bool             `json:"out,omitempty"`     // it is to be banned, not put back
-	Number  int              `json:"number,omitempty"`  // of a word on a ban, and of the answer to it
-	Known   bool             `json:"known,omitempty"`   // the host is known there
-}
-
 // Takeover is one process's side of upgrades.
 type Takeover struct {
 	loop    *transport.Loop
@@ -94,7 +71,7 @@
 		return false
 	}
 	p.channel, t.predecessor = channel, p
-	send(channel, letter{Word: "hello", Version: version}, -1)
+	send(channel, message{Kind: kindHello, Version: version}, -1)
 	return true
 }
 
@@ -150,70 +127,3 @@
 
 // acceptSuccessor takes in a process that asks for this one's place.
 func (t *Takeover) acceptSuccessor() transport.PeerHandler { return &successor{Takeover: t} }
-
-// read reads a letter. One that can't be read says nothing.
-func (t *Takeover) read(in transport.Message) (l letter) {
-	if err := json.Unmarshal(in.Data, &l); err != nil {
-		t.log.Warn("a letter that can't be read", "error", err)
-	}
-	return l
-}
-
-func send(c *transport.ControlChannel, l letter, fd int) {
-	text, err := json.Marshal(l)
-	if err != nil { // no field can fail
-		panic(err)
-	}
-	c.Send(text, fd)
-}
-
-// bans are the words on bans that the other process has not answered yet.
-type bans struct {
-	number int
-	open   map[int]*ban
-}
-
-type ban struct {
-	limit transport.Timer
-	done  func(known bool)
-}
-
-// tell has the other process ban a host. One that does not answer in time is not waited for: its time is nearly over, or
-// it stands still and sends nothing.
-func (b *bans) tell(loop *transport.Loop, c *transport.ControlChannel, id string, out bool, done func(known bool)) {
-	if b.open == nil {
-		b.open = map[int]*ban{}
-	}
-	b.number++
-	n, x := b.number, &ban{done: done}
-	x.limit.Fire = func() { b.answered(loop, n, false) }
-	loop.Set(&x.limit, tellMost)
-	b.open[n] = x
-	send(c, letter{Word: "ban", ID: id, Out: out, Number: n}, -1)
-}
-
-func (b *bans) answered(loop *transport.Loop, n int, known bool) {
-	if x := b.open[n]; x != nil {
-		delete(b.open, n)
-		loop.Stop(&x.limit)
-		x.done(known)
-	}
-}
-
-// lost takes word that nobody will answer.
-func (b *bans) lost(loop *transport.Loop) {
-	for n := range b.number + 1 {
-		b.answered(loop, n, false)
-	}
-}
-
-// heed takes a letter on a ban, from either side.
-func (b *bans) heed(t *Takeover, c *transport.ControlChannel, l letter) {
-	switch l.Word {
-	case "ban":
-		err := t.router.TakeBan(l.ID, l.Out)
-		send(c, letter{Word: "banned", Number: l.Number, Known: err == nil}, -1)
-	case "banned":
-		b.answered(t.loop, l.Number, l.Known)
-	}
-}
