Rename: folder is directory, the operators' desk is a server

ExampleFolder is ExampleDirectoryStore, for go vet ties an example's name to what it shows; its assertions are as they were.

--- a/cmd/larchthread/fleet_test.go
+++ b/cmd/larchthread/fleet_test.go
@@ -28,7 +28,7 @@
 	process *exec.Cmd
 	watched string   // discovery's address
 	args    []string // of the program's command line
-	tmp     string   // folder where two processes find each other; empty for the usual one
+	tmp     string   // directory where two processes find each other; empty for the usual one
 	listen  string
 	admin   string // operators' address, where there is one
 	path    string // of the configuration
--- a/cmd/larchthread/trial_test.go
+++ b/cmd/larchthread/trial_test.go
@@ -107,7 +107,7 @@
 		t.Fatal(err)
 	}
 	g := exec.Command(os.Args[0], "trial", plan, "--quiet")
-	g.Env = append(os.Environ(), "LARCHTHREAD_SERVE=1", "TMPDIR="+t.TempDir()) // it leaves its folder
+	g.Env = append(os.Environ(), "LARCHTHREAD_SERVE=1", "TMPDIR="+t.TempDir()) // it leaves its directory
 	if err := g.Start(); err != nil {
 		t.Fatal(err)
 	}
--- a/cmd/larchthread/upgrade_test.go
+++ b/cmd/larchthread/upgrade_test.go
@@ -102,7 +102,7 @@
 	// value
 }
 
-// Upgrades amid other troubles: a folder whose path is longer than a socket's may be, a socket left behind by a process that
+// Upgrades amid other troubles: a directory whose path is longer than a socket's may be, a socket left behind by a process that
 // was killed, an old process killed before it was told to go, a new configuration for both, and two successors at once.
 // Each ends in one balancer that serves.
 func Example_upgradeAmidTroubles() {
--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -19,8 +19,8 @@
 	callMost = 5000.0 // ms for a call to come: a slow line, and the end of those that say nothing
 )
 
-// desk answers calls for one balancer.
-type desk struct {
+// server answers calls for one balancer.
+type server struct {
 	loop   *transport.Loop
 	log    *slog.Logger
 	router *routing.Router
@@ -28,25 +28,25 @@
 
 // Serve opens the operators' address.
 func Serve(loop *transport.Loop, log *slog.Logger, at netip.AddrPort, router *routing.Router) error {
-	d := &desk{loop, log, router}
-	_, err := loop.Listen("operator", at, reserve, d.accept)
+	s := &server{loop, log, router}
+	_, err := loop.Listen("operator", at, reserve, s.accept)
 	return err
 }
 
 // caller is a connection of an operator.
 type caller struct {
-	desk  *desk
-	conn  *transport.Conn
-	calls protocol.Calls
-	limit transport.Timer
-	ended bool // answered, or gone
+	server *server
+	conn   *transport.Conn
+	calls  protocol.Calls
+	limit  transport.Timer
+	ended  bool // answered, or gone
 }
 
-func (d *desk) accept(conn *transport.Conn) {
-	c := &caller{desk: d, conn: conn}
+func (s *server) accept(conn *transport.Conn) {
+	c := &caller{server: s, conn: conn}
 	conn.Owner = c
 	c.limit.Fire = func() { c.answer(http.StatusRequestTimeout, "the call did not come") }
-	d.loop.Set(&c.limit, callMost)
+	s.loop.Set(&c.limit, callMost)
 }
 
 // Received implements transport.Owner.
@@ -57,14 +57,14 @@
 		c.answer(fault.Status, fault.Text)
 	case call != nil:
 		conn.Pause(true) // what comes behind the call is nobody's
-		c.desk.serve(call, c.answer)
+		c.server.serve(call, c.answer)
 	}
 }
 
 // Ended implements transport.Owner. A caller may close its side once it has asked.
 func (c *caller) Ended(_ *transport.Conn, why transport.Reason) {
 	c.ended = true
-	c.desk.loop.Stop(&c.limit)
+	c.server.loop.Stop(&c.limit)
 }
 
 // answer answers the call and ends the connection.
@@ -82,7 +82,7 @@
 	"/maintenance/enter": http.MethodPost, "/maintenance/exit": http.MethodPost}
 
 // serve answers a call.
-func (d *desk) serve(call *protocol.Call, answer func(status int, text string)) {
+func (s *server) serve(call *protocol.Call, answer func(status int, text string)) {
 	switch method := methods[call.Path]; method {
 	case "":
 		answer(http.StatusNotFound, "no such call")
@@ -94,26 +94,26 @@
 	}
 	switch call.Path {
 	case "/status":
-		if err := d.router.Serving(); err != nil {
+		if err := s.router.Serving(); err != nil {
 			answer(http.StatusServiceUnavailable, err.Error())
 			return
 		}
 		answer(http.StatusOK, "serving")
 	case "/status/metrics":
-		answer(http.StatusOK, d.metrics())
+		answer(http.StatusOK, s.metrics())
 	default:
-		d.maintain(strings.TrimSpace(call.Body), call.Path == "/maintenance/enter", answer)
+		s.maintain(strings.TrimSpace(call.Body), call.Path == "/maintenance/enter", answer)
 	}
 }
 
 // maintain takes a cache host out of use, or puts it back.
-func (d *desk) maintain(id string, out bool, answer func(status int, text string)) {
+func (s *server) maintain(id string, out bool, answer func(status int, text string)) {
 	if id == "" {
 		answer(http.StatusBadRequest, "the body is to hold the id of a cache host")
 		return
 	}
-	d.router.Ban(id, out, func(err error) {
-		d.log.Info("maintenance", "host", id, "out", out, "error", err)
+	s.router.Ban(id, out, func(err error) {
+		s.log.Info("maintenance", "host", id, "out", out, "error", err)
 		switch err {
 		case nil:
 			answer(http.StatusOK, "done")
@@ -128,9 +128,9 @@
 }
 
 // metrics writes the figures, a line each.
-func (d *desk) metrics() string {
+func (s *server) metrics() string {
 	var b strings.Builder
-	f := d.router.Figures()
+	f := s.router.Figures()
 	for _, c := range f.Categories {
 		fmt.Fprintf(&b, "edge_relay.passed.%s:%d|c\nedge_relay.dropped.%s:%d|c\nedge_relay.bad_gateway.%s:%d|c\n",
 			c.Name, c.Acked, c.Name, c.Nacked, c.Name, c.DeadLettered)
--- a/internal/change/change_test.go
+++ b/internal/change/change_test.go
@@ -189,26 +189,26 @@
 	//   then staged <nil>
 }
 
-// In a folder the record is whole or the one before, also where a death left a half-written one beside it.
-func ExampleFolder() {
+// In a directory the record is whole or the one before, also where a death left a half-written one beside it.
+func ExampleDirectoryStore() {
 	dir, err := os.MkdirTemp("", "change")
 	if err != nil {
 		fmt.Println(err)
 		return
 	}
 	defer os.RemoveAll(dir)
-	c := begin(Folder(dir))
+	c := begin(DirectoryStore(dir))
 	_, err = c.Propose(next)
 	show(c, err)
 	show(c, c.Apply(0))
 	os.WriteFile(filepath.Join(dir, recordName+".new"), []byte(`{"num`), 0o600)
-	c = begin(Folder(dir))
+	c = begin(DirectoryStore(dir))
 	show(c, nil)
 	os.WriteFile(filepath.Join(dir, recordName), []byte("torn"), 0o600)
-	_, err = Open(Folder(dir), old)
+	_, err = Open(DirectoryStore(dir), old)
 	fmt.Println(err)
-	_, err = Open(Folder(filepath.Join(dir, "none")), old)
-	c = begin(Folder(filepath.Join(dir, "none")))
+	_, err = Open(DirectoryStore(filepath.Join(dir, "none")), old)
+	c = begin(DirectoryStore(filepath.Join(dir, "none")))
 	_, proposed := c.Propose(next)
 	fmt.Println(err, proposed != nil, c.Status().State == None)
 	// Output:
--- a/internal/inventory/inventory_test.go
+++ b/internal/inventory/inventory_test.go
@@ -212,7 +212,7 @@
 	}
 }
 
-// A file of the deployment's is read from a folder as it stands there.
+// A file of the deployment's is read from a directory as it stands there.
 func ExampleLoad() {
 	path := filepath.Join(os.TempDir(), fmt.Sprint("fleet-", os.Getpid(), ".csv"))
 	defer os.Remove(path)
--- a/internal/machine/machine.go
+++ b/internal/machine/machine.go
@@ -21,7 +21,7 @@
 	Read(path string) ([]byte, error)
 	Create(path string) (File, error) // empty, in place of one that is there
 	Rename(from, to string) error     // in place of one that is there
-	SyncFolder(path string) error     // returns once the disk has the names in it
+	SyncDirectory(path string) error  // returns once the disk has the names in it
 }
 
 // disk is the system's own files.
@@ -35,7 +35,7 @@
 
 func (disk) Rename(from, to string) error { return os.Rename(from, to) }
 
-func (disk) SyncFolder(path string) error {
+func (disk) SyncDirectory(path string) error {
 	dir, err := os.Open(path)
 	if err != nil {
 		return err
@@ -45,7 +45,7 @@
 
 // Save puts a text in place of a file, such that a process or machine that ends amid it leaves the old text or the new one:
 // it is written beside, brought to the disk, and renamed over.
-func Save(f Files, folder, path string, text []byte) error {
+func Save(f Files, directory, path string, text []byte) error {
 	beside := path + ".new"
 	file, err := f.Create(beside)
 	if err != nil {
@@ -61,7 +61,7 @@
 	if err := f.Rename(beside, path); err != nil {
 		return err
 	}
-	return f.SyncFolder(folder)
+	return f.SyncDirectory(directory)
 }
 
 // Wall is the wall clock, for what is compared with times of other machines.
--- a/internal/params/own.go
+++ b/internal/params/own.go
@@ -26,7 +26,7 @@
 	Look      time.Duration // between two looks at it
 }
 
-// ReadOwn reads an operators' own file. A path in it is taken from the file's folder. An error names every fault,
+// ReadOwn reads an operators' own file. A path in it is taken from the file's directory. An error names every fault,
 // each with its key.
 func ReadOwn(path string) (o Own, err error) {
 	text, err := os.ReadFile(path)
--- a/internal/params/params_test.go
+++ b/internal/params/params_test.go
@@ -131,7 +131,7 @@
 	// admin: "here", want an address with a port
 }
 
-// The operators' own file: paths are taken from its folder, and what is unknown or out of bounds is named.
+// The operators' own file: paths are taken from its directory, and what is unknown or out of bounds is named.
 func ExampleReadOwn() {
 	dir, err := os.MkdirTemp("", "own")
 	if err != nil {
--- a/internal/trial/process.go
+++ b/internal/trial/process.go
@@ -35,7 +35,7 @@
 	logLines   = 2000                  // of a process that are kept
 	startMost  = 10 * time.Second      // until a process answers
 	startLook  = 10 * time.Millisecond // between two looks whether it does
-	faultsName = "faults"              // socket in its folder, of a program built with the tag
+	faultsName = "faults"              // socket in its directory, of a program built with the tag
 	termMost   = 4 * time.Second       // from SIGTERM to SIGKILL
 )
 
@@ -56,7 +56,7 @@
 	Frozen bool // it stood still, and went on; else it ended
 }
 
-// Process is a real process of the program. Its folder is its disk and holds its start file.
+// Process is a real process of the program. Its directory is its disk and holds its start file.
 type Process struct {
 	Name   string
 	Dir    string
