--- a/cmd/larchthread/fleet_test.go
+++ b/cmd/larchthread/fleet_test.go
@@ -28,7 +28,7 @@
 	process *exec.Cmd
 	watched string   // discovery's address
 	args    []string // of the program's command line
-	tmp     string   // folder where two processes find each other; empty for the usual one
+	tmp     string   // directory where two processes find each other; empty for the usual one
 	listen  string
 	admin   string // operators' address, where there is one
 	path    string // of the configuration
@@ -192,8 +192,8 @@
 	fmt.Printf("never came: %q\n", note)
 }
 
-// box is where a process that takes over finds the running one.
-func (f *fleet) box() string {
+// controlPath is where a process that takes over finds the running one.
+func (f *fleet) controlPath() string {
 	return filepath.Join(f.tmp, "larchthread-"+strings.ReplaceAll(f.listen, ":", "-"))
 }
 
@@ -363,3 +363,25 @@
 	}
 	return kb / 1024
 }
+
+// sent counts the pushes of an op that hosts have heard.
+func (f *fleet) sent(id string) int {
+	return strings.Count(strings.Join(f.Notes(), "\n"), " O"+id+" ")
+}
+
+// setting is the usual settings with a part of them in place of another.
+func setting(old, now string) string {
+	if !strings.Contains(settings, old) {
+		panic(old)
+	}
+	return strings.Replace(settings, old, now, 1)
+}
+
+// stopped runs do while the program stands still, so that all that do brings about reaches it in one round.
+func (f *fleet) stopped(do func()) {
+	f.process.Process.Signal(syscall.SIGSTOP)
+	time.Sleep(30 * time.Millisecond) // until it has stopped
+	do()
+	time.Sleep(30 * time.Millisecond) // until the kernel has all of it
+	f.process.Process.Signal(syscall.SIGCONT)
+}
--- a/internal/takeover/takeover.go
+++ b/internal/takeover/takeover.go
@@ -3,7 +3,6 @@
 package takeover
 
 import (
-	"encoding/json"
 	"log/slog"
 	"net/netip"
 	"os"
@@ -15,10 +14,8 @@
 )
 
 const (
-	version  = 1      // of what the letters say; another is refused
 	askMost  = 3000.0 // ms for the running process to hand over: half of what operators wait for the yes
 	askAgain = 100.0  // ms until a process that is busy with another successor is asked again
-	tellMost = 700.0  // ms for the other process to heed a ban: the caller waits 1 s
 	headroom = 8      // one in so many sockets that the old process may open beyond those it has
 )
 
@@ -32,11 +29,11 @@
 	share   func(processes int) // told how many processes share the memory
 	sockets int                 // that this process may open where it is alone
 
-	box    *transport.PostBox
-	before *ancestor // the process whose place this one takes, until it is gone
-	after  *heir     // the process that takes this one's place, or nil
-	limit  transport.Timer
-	failed error
+	control     *transport.ControlListener
+	predecessor *predecessor // the process whose place this one takes, until it is gone
+	successor   *successor   // the process that takes this one's place, or nil
+	limit       transport.Timer
+	failed      error
 }
 
 // Begin opens the router's door: by asking the process that runs at the address already for its own, or, where there is
@@ -59,7 +56,7 @@
 	if t == nil {
 		return nil
 	}
-	if t.box != nil {
+	if t.control != nil {
 		os.Remove(t.path)
 	}
 	return t.failed
@@ -67,22 +64,22 @@
 
 // ask asks the running process, if there is one.
 func (t *Takeover) ask() bool {
-	a := &ancestor{Takeover: t}
-	post, err := t.loop.DialPost(t.path, a)
+	p := &predecessor{Takeover: t}
+	channel, err := t.loop.DialControl(t.path, p)
 	if err != nil {
 		return false
 	}
-	a.post, t.before = post, a
-	send(post, letter{Word: "hello", Version: version}, -1)
+	p.channel, t.predecessor = channel, p
+	send(channel, message{Kind: kindHello, Version: version}, -1)
 	return true
 }
 
 // alone opens a door of its own, at an address that may be shared with a process that would not hand over.
 func (t *Takeover) alone(why string) error {
 	t.loop.Stop(&t.limit)
-	if t.before != nil {
-		t.before.post.Close()
-		t.before = nil
+	if t.predecessor != nil {
+		t.predecessor.channel.Close()
+		t.predecessor = nil
 	}
 	t.log.Info("listening", "why", why)
 	if err := t.router.Listen(t.listen, true); err != nil {
@@ -102,9 +99,9 @@
 
 // settle lets the next process find this one, and shares out what two have together.
 func (t *Takeover) settle() {
-	if t.box == nil {
+	if t.control == nil {
 		var err error
-		if t.box, err = t.loop.OpenPostBox(t.path, t.welcome); err != nil {
+		if t.control, err = t.loop.ListenControl(t.path, t.acceptSuccessor); err != nil {
 			t.log.Warn("the next process will not find this one", "error", err)
 		}
 	}
@@ -114,11 +111,11 @@
 // shared tells the router who is beside it.
 func (t *Takeover) shared() {
 	switch {
-	case t.after != nil:
-		t.router.With(t.after)
+	case t.successor != nil:
+		t.router.With(t.successor)
 		t.share(2)
-	case t.before != nil:
-		t.router.With(t.before)
+	case t.predecessor != nil:
+		t.router.With(t.predecessor)
 		t.share(2)
 	default:
 		t.router.With(nil)
@@ -127,64 +124,5 @@
 	}
 }
 
-// welcome takes in a process that asks for this one's place.
-func (t *Takeover) welcome() transport.Correspondent { return &heir{Takeover: t} }
-
-// read reads a letter. One that can't be read says nothing.
-func (t *Takeover) read(in transport.Letter) (l letter) {
-	if err := json.Unmarshal(in.Text, &l); err != nil {
-		t.log.Warn("a letter that can't be read", "error", err)
-	}
-	return l
-}
-
-// bans are the words on bans that the other process has not answered yet.
-type bans struct {
-	number int
-	open   map[int]*ban
-}
-
-type ban struct {
-	limit transport.Timer
-	done  func(known bool)
-}
-
-// tell has the other process ban a host. One that does not answer in time is not waited for: its time is nearly over, or
-// it stands still and sends nothing.
-func (b *bans) tell(loop *transport.Loop, p *transport.Post, id string, out bool, done func(known bool)) {
-	if b.open == nil {
-		b.open = map[int]*ban{}
-	}
-	b.number++
-	n, x := b.number, &ban{done: done}
-	x.limit.Fire = func() { b.answered(loop, n, false) }
-	loop.Set(&x.limit, tellMost)
-	b.open[n] = x
-	send(p, letter{Word: "ban", ID: id, Out: out, Number: n}, -1)
-}
-
-func (b *bans) answered(loop *transport.Loop, n int, known bool) {
-	if x := b.open[n]; x != nil {
-		delete(b.open, n)
-		loop.Stop(&x.limit)
-		x.done(known)
-	}
-}
-
-// lost takes word that nobody will answer.
-func (b *bans) lost(loop *transport.Loop) {
-	for n := range b.number + 1 {
-		b.answered(loop, n, false)
-	}
-}
-
-// heed takes a letter on a ban, from either side.
-func (b *bans) heed(t *Takeover, p *transport.Post, l letter) {
-	switch l.Word {
-	case "ban":
-		err := t.router.TakeBan(l.ID, l.Out)
-		send(p, letter{Word: "banned", Number: l.Number, Known: err == nil}, -1)
-	case "banned":
-		b.answered(t.loop, l.Number, l.Known)
-	}
-}
+// acceptSuccessor takes in a process that asks for this one's place.
+func (t *Takeover) acceptSuccessor() transport.PeerHandler { return &successor{Takeover: t} }
--- a/internal/takeover/takeover_test.go
+++ b/internal/takeover/takeover_test.go
@@ -151,7 +151,7 @@
 }
 
 // A successor has all that the running process knew, however many hosts, bans and categories there are, and however long
-// their names: no letter may grow past what a socket takes.
+// their names: no message may grow past what a socket takes.
 func TestHandOverOfManyHosts(t *testing.T) {
 	for _, c := range []struct {
 		name              string
--- a/internal/transport/loop.go
+++ b/internal/transport/loop.go
@@ -33,7 +33,7 @@
 	backlog       = 4096   // connections that the kernel may accept for us between two rounds: its own upper end
 	halfCloseMost = 5000.0 // ms that a slow reader may take over the answers before our last word: over any TTL
 	halfCloseFor  = 200.0  // ms that the other side may take to end after our last word: many round trips
-	resendAfter   = 2.0    // ms until letters that the other process has no room for are tried again: it reads in each round
+	resendAfter   = 2.0    // ms until messages that the other process has no room for are tried again: it reads in each round
 	doorPause     = 5.0    // ms until it is tried again to accept, where no connection was idle: a busy one takes as long
 
 	SpareFiles    = 32    // descriptors of the runtime, the log, operators' calls and an upgrade: about 25, and room
@@ -57,9 +57,9 @@
 	open         int
 	conns        []*Conn // by descriptor
 	doors        []*Door
-	boxes        []*PostBox
-	posts        []*Post
-	resend       Timer // after letters had to wait
+	listeners    []*ControlListener
+	channels     []*ControlChannel
+	resend       Timer // after messages had to wait
 	timers       agenda.Queue[*Timer]
 	began        time.Time
 	wall         float64 // ms, Unix time then, as far as the machine knows it
@@ -218,15 +218,15 @@
 			return
 		}
 	}
-	for _, b := range l.boxes {
-		if b.fd == fd {
-			b.welcome()
+	for _, c := range l.listeners {
+		if c.fd == fd {
+			c.acceptOne()
 			return
 		}
 	}
-	for _, p := range l.posts {
-		if p.fd == fd {
-			p.read()
+	for _, c := range l.channels {
+		if c.fd == fd {
+			c.read()
 			return
 		}
 	}
@@ -259,8 +259,8 @@
 	if l.Round != nil {
 		l.Round(l.now)
 	}
-	for _, p := range slices.Clone(l.posts) {
-		p.deliver()
+	for _, c := range slices.Clone(l.channels) {
+		c.deliver()
 	}
 	ready := l.ready
 	l.ready = nil
@@ -312,8 +312,8 @@
 		}
 	}
 	l.dirty = l.dirty[:0]
-	for _, p := range l.posts {
-		p.write()
+	for _, c := range l.channels {
+		c.write()
 	}
 }
 
