--- a/cmd/larchthread/main.go
+++ b/cmd/larchthread/main.go
@@ -28,12 +28,12 @@
 // serve runs the balancer that the start file describes, until it is told to stop. own is the path of the operators' own file,
 // empty where there is none.
 func serve(path, own string) error {
-	// Before anything else: once the door is open, or even before, a signal must not end what has been taken.
+	// Before anything else: once it listens, or even before, a signal must not end what has been taken.
 	stop, anew := make(chan os.Signal, 1), make(chan os.Signal, 1)
 	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
 	signal.Notify(anew, syscall.SIGHUP)
 	signal.Ignore(syscall.SIGPIPE) // a log that nobody reads any more must not end the program
-	told, err := params.ReadFile(path)
+	startFile, err := params.ReadFile(path)
 	if err != nil {
 		return err
 	}
@@ -44,18 +44,18 @@
 		}
 	}
 	share := func(processes int) {
-		debug.SetMemoryLimit(int64(told.MemoryMB * heapShare * (1 << 20) / float64(processes)))
+		debug.SetMemoryLimit(int64(startFile.MemoryMB * heapShare * (1 << 20) / float64(processes)))
 	}
 	share(1)
 	debug.SetGCPercent(heapGrow)
 	sink := newSink(os.Stderr)
 	defer sink.close()
-	log := slog.New(slog.NewTextHandler(sink, nil)).With("name", told.Name)
-	loop, err := transport.NewLoop(told.Sockets, int(told.MemoryMB*(1<<20)), log)
+	log := slog.New(slog.NewTextHandler(sink, nil)).With("name", startFile.Name)
+	loop, err := transport.NewLoop(startFile.Sockets, int(startFile.MemoryMB*(1<<20)), log)
 	if err != nil {
 		return err
 	}
-	router, err := routing.New(loop, log, told, mine.Inventory != "")
+	router, err := routing.New(loop, log, startFile, mine.Inventory != "")
 	if err != nil {
 		return err
 	}
@@ -64,7 +64,7 @@
 			return err
 		}
 	}
-	upgrade, err := open(told, loop, log, router, share)
+	upgrade, err := open(startFile, loop, log, router, share)
 	if err != nil {
 		return err
 	}
@@ -74,15 +74,15 @@
 	}()
 	go func() {
 		for range anew {
-			told, err := params.ReadFile(path)
+			startFile, err := params.ReadFile(path)
 			if err != nil {
 				log.Error("configuration kept as it was", "error", err)
 				continue
 			}
-			router.Reload(told)
+			router.Reload(startFile)
 		}
 	}()
-	log.Info("serving", "listen", told.Listen.String(), "sockets", told.Sockets, "memory_mb", told.MemoryMB)
+	log.Info("serving", "listen", startFile.Listen.String(), "sockets", startFile.Sockets, "memory_mb", startFile.MemoryMB)
 	if err := loop.Run(); err != nil {
 		return err
 	}
@@ -91,15 +91,15 @@
 
 // open opens the doors. Without an operators' address there are no upgrades, and the clients' address is this process's
 // alone.
-func open(told *params.Told, loop *transport.Loop, log *slog.Logger, router *routing.Router, share func(int)) (
+func open(startFile *params.StartFile, loop *transport.Loop, log *slog.Logger, router *routing.Router, share func(int)) (
 	*takeover.Takeover, error) {
-	if !told.Admin.IsValid() {
-		return nil, router.Listen(told.Listen, false)
+	if !startFile.Admin.IsValid() {
+		return nil, router.Listen(startFile.Listen, false)
 	}
-	if err := admin.Serve(loop, log, told.Admin, router); err != nil {
+	if err := admin.Serve(loop, log, startFile.Admin, router); err != nil {
 		return nil, fmt.Errorf("admin: %w", err)
 	}
-	return takeover.Begin(loop, log, router, told.Listen, os.TempDir(), share)
+	return takeover.Begin(loop, log, router, startFile.Listen, os.TempDir(), share)
 }
 
 // byHand takes the list of hosts from the file that describes the fleet, now and whenever it changes. A file that can't be used
--- a/cmd/larchthread/operators_test.go
+++ b/cmd/larchthread/operators_test.go
@@ -4,8 +4,13 @@
 	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"regexp"
 	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
 
 	"larchthread/internal/standin"
 )
@@ -96,3 +101,32 @@
 	// value
 	//   a: mg hot v O5 Pc=read,d=..
 }
+
+// Many more operators' calls at once than the reserve has connections are all answered: those beyond it wait in the kernel's queue.
+func TestManyOperatorCalls(t *testing.T) {
+	const calls = 200
+	f := &fleet{admin: freeAddress()}
+	f.Host("a", hit)
+	f.start()
+	defer f.stop()
+	caller := &http.Client{Timeout: 10 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	var answered atomic.Int32
+	var all sync.WaitGroup
+	for range calls {
+		all.Go(func() {
+			answer, err := caller.Get("http://" + f.admin + "/status")
+			if err != nil {
+				t.Log(err)
+				return
+			}
+			answer.Body.Close()
+			if answer.StatusCode == http.StatusOK {
+				answered.Add(1)
+			}
+		})
+	}
+	all.Wait()
+	if n := answered.Load(); n != calls {
+		t.Errorf("%d of %d calls answered", n, calls)
+	}
+}
--- a/cmd/larchthread/speed_test.go
+++ b/cmd/larchthread/speed_test.go
@@ -108,11 +108,11 @@
 		}
 		return &unix.SockaddrInet4{Port: a.Port, Addr: [4]byte(a.IP.To4())}
 	}
-	door, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_NONBLOCK, 0)
+	listener, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_NONBLOCK, 0)
 	if err != nil {
 		return err
 	}
-	if err := errors.Join(unix.Bind(door, address(listen)), unix.Listen(door, 1024)); err != nil {
+	if err := errors.Join(unix.Bind(listener, address(listen)), unix.Listen(listener, 1024)); err != nil {
 		return err
 	}
 	poll, err := unix.EpollCreate1(0)
@@ -123,7 +123,7 @@
 		unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_NODELAY, 1)
 		unix.EpollCtl(poll, unix.EPOLL_CTL_ADD, fd, &unix.EpollEvent{Events: unix.EPOLLIN, Fd: int32(fd)})
 	}
-	watch(door)
+	watch(listener)
 	other := map[int]int{}
 	events, bytes := make([]unix.EpollEvent, 512), make([]byte, 64<<10)
 	for {
@@ -133,8 +133,8 @@
 		}
 		for _, e := range events[:max(n, 0)] {
 			from := int(e.Fd)
-			if from == door {
-				c, _, err := unix.Accept4(door, unix.SOCK_NONBLOCK)
+			if from == listener {
+				c, _, err := unix.Accept4(listener, unix.SOCK_NONBLOCK)
 				if err != nil {
 					continue
 				}
--- a/cmd/larchthread/time_left_test.go
+++ b/cmd/larchthread/time_left_test.go
@@ -169,7 +169,7 @@
 // stored has a host keep what is written to it.
 func stored([]string) string { return "HD O{id} creceipt\r\n" }
 
-// stallingListener is the door of a server that leaves each connection's bytes unread for a while once it has read the first.
+// stallingListener is the listener of a server that leaves each connection's bytes unread for a while once it has read the first.
 // Little fits in between, so a long value's last byte is not written until the server reads on.
 type stallingListener struct {
 	net.Listener
--- a/internal/params/many_test.go
+++ b/internal/params/many_test.go
@@ -32,11 +32,11 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		told, err := readTold(text)
+		startFile, err := readStartFile(text)
 		if err != nil {
 			t.Fatalf("%.400s", err)
 		}
-		s, byName, tenants := told.Params.Begin(told.Seed)
+		s, byName, tenants := startFile.Params.Begin(startFile.Seed)
 		if s.Group != group || len(s.Categories) != n || len(byName) != n || len(s.Tenants) != n || len(tenants) != n || s.Zone != n-1 {
 			t.Errorf("group %d, %d and %d categories, %d and %d tenants, zone %d", s.Group, len(s.Categories), len(byName),
 				len(s.Tenants), len(tenants), s.Zone)
@@ -48,7 +48,7 @@
 			}
 		}
 		var l protocol.List
-		if err := json.Unmarshal(told.Known, &l); err != nil || len(l.Members) != listed || len(l.Bad) > 0 {
+		if err := json.Unmarshal(startFile.Known, &l); err != nil || len(l.Members) != listed || len(l.Bad) > 0 {
 			t.Errorf("%d hosts known, %d lines left out, %v", len(l.Members), len(l.Bad), err)
 		}
 	}
--- a/internal/params/params.go
+++ b/internal/params/params.go
@@ -192,7 +192,7 @@
 	return k != nil && *k >= 0 && *k < len(p.Models) && p.Models[*k] == shape
 }
 
-// Begin gives the module its start, with tables from names to rows for the door.
+// Begin gives the module its start, with tables from names to rows for the front.
 func (p Params) Begin(seed uint64) (balance.Start, map[string]*balance.Category, map[string]*balance.Tenant) {
 	s := balance.Start{
 		Seed: seed, Group: p.GroupSize, Quantum: p.Quantum / 1000,
--- a/internal/params/params_test.go
+++ b/internal/params/params_test.go
@@ -110,7 +110,7 @@
 	read := func(admin, environment string) {
 		os.Setenv("RELAY_ADMIN", environment)
 		defer os.Unsetenv("RELAY_ADMIN")
-		t, err := readTold([]byte(`{"listen":"127.0.0.1:1","discovery":"127.0.0.1:2","seed":"7",` + admin +
+		t, err := readStartFile([]byte(`{"listen":"127.0.0.1:1","discovery":"127.0.0.1:2","seed":"7",` + admin +
 			`"limits":{"memory_mb":1,"sockets":99},"settings":` + usual + `}`))
 		if err != nil {
 			fmt.Println(err)
--- a/internal/params/start_file.go
+++ b/internal/params/start_file.go
@@ -11,8 +11,8 @@
 	"strconv"
 )
 
-// Told is what a real balancer is told at its start.
-type Told struct {
+// StartFile is what a real balancer finds in its file at its start.
+type StartFile struct {
 	Name      string
 	Listen    netip.AddrPort
 	Discovery netip.AddrPort
@@ -25,19 +25,19 @@
 }
 
 // ReadFile reads the file that a real balancer finds its start in. An error names every fault, each with its field.
-func ReadFile(path string) (*Told, error) {
+func ReadFile(path string) (*StartFile, error) {
 	raw, err := os.ReadFile(path)
 	if err != nil {
 		return nil, fmt.Errorf("start file: %w", err)
 	}
-	t, err := readTold(raw)
+	t, err := readStartFile(raw)
 	if err != nil {
 		return nil, each("start file "+path, err)
 	}
 	return t, nil
 }
 
-func readTold(raw []byte) (*Told, error) {
+func readStartFile(raw []byte) (*StartFile, error) {
 	var form struct {
 		Name      string          `json:"name"`
 		Listen    string          `json:"listen"`
@@ -57,7 +57,7 @@
 		}
 		return nil, err
 	}
-	t := &Told{Name: form.Name, MemoryMB: form.Limits.MemoryMB, Known: form.Known}
+	t := &StartFile{Name: form.Name, MemoryMB: form.Limits.MemoryMB, Known: form.Known}
 	var f faults
 	address := func(key, text string) netip.AddrPort {
 		a, err := netip.ParseAddrPort(text)
--- a/internal/routing/ban.go
+++ b/internal/routing/ban.go
@@ -10,15 +10,15 @@
 // ErrNeverListed is the error of a ban on an id that was never listed here.
 var ErrNeverListed = errors.New("no cache host was ever listed under that id")
 
-// ErrShut is the error of what has to wait until the door is open.
-var ErrShut = errors.New("the door is not open yet")
+// ErrShut is the error of what has to wait until it listens.
+var ErrShut = errors.New("not listening yet")
 
 var errOrigin = errors.New("the origin is no cache host: without it nothing could be written or fetched")
 
 // Ban takes a cache host out of use by hand, or puts it back; done hears the outcome. From then on nothing new is sent to
 // it, whatever lists say, by this process or the other of an upgrade.
 func (r *Router) Ban(id string, out bool, done func(error)) {
-	if r.door == nil { // the process before is not bound yet by what this one is told
+	if r.listener == nil { // the process before is not bound yet by what this one is told
 		done(ErrShut)
 		return
 	}
--- a/internal/routing/link_test.go
+++ b/internal/routing/link_test.go
@@ -56,13 +56,13 @@
 	}
 	tell(true, protocol.InService, "a", "b", "c")
 	tell(false, protocol.Terminated, "a")
-	door, err := loop.Listen("host", netip.MustParseAddrPort("127.0.0.1:0"), 0, func(*transport.Conn) {})
+	listener, err := loop.Listen("host", netip.MustParseAddrPort("127.0.0.1:0"), 0, func(*transport.Conn) {})
 	pair, err2 := unix.Socketpair(unix.AF_UNIX, unix.SOCK_STREAM, 0)
 	if err != nil || err2 != nil {
 		fmt.Println(err, err2)
 		return
 	}
-	r.hosts["b"].pushes = []*push{{state: writing, link: &link{conn: door.Passed(pair[0], nil)}}}
+	r.hosts["b"].pushes = []*push{{state: writing, link: &link{conn: listener.AdoptConn(pair[0], nil)}}}
 	tell(true, protocol.InService, "d")
 	for _, h := range r.hosts {
 		h.gone = min(h.gone, 1) // long ago
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -61,7 +61,7 @@
 	connect    float64 // ms
 	memory     int     // bytes that buffers may take where this process is alone
 	budget     int     // bytes that they may take now
-	door       *transport.Door
+	listener   *transport.Listener
 	partner    Partner   // the other process of an upgrade, or nil
 	successor  Successor // the one that takes over, once it serves, or nil
 	hosts      map[string]*host
@@ -78,7 +78,7 @@
 	tallies    map[*balance.Category]*Tally
 	calledOff  []*push // of which the balancer has still to hear
 	shutdown   shutdown
-	told       atomic.Pointer[params.Told]      // read anew, still to be heeded
+	startFile  atomic.Pointer[params.StartFile] // read anew, still to be heeded
 	inventory  atomic.Pointer[[]inventory.Host] // a list by hand, still to be heeded
 	byFile     *[]inventory.Host                // the list by hand that is in force
 	byHand     bool                             // the list comes by hand, not from discovery
@@ -96,31 +96,31 @@
 	silent  bool    // the last push to it had to be given up, and none was answered since that began
 }
 
-// New makes the front of a balancer that has been told so much, and starts the balancer. Its door is still shut. A
+// New makes the front of a balancer that has been told so much, and starts the balancer. It does not listen yet. A
 // list by hand comes by TakeInventory, and discovery is not asked.
-func New(loop *transport.Loop, log *slog.Logger, told *params.Told, byHand bool) (*Router, error) {
-	r := &Router{byHand: byHand, loop: loop, log: log, params: told.Params, memory: int(told.MemoryMB * memoryShare * (1 << 20)),
-		ops: map[string]*op{}, tallies: map[*balance.Category]*Tally{}, hosts: map[string]*host{}, connect: told.Params.Limits.Connect / 1000,
-		restMost: told.Sockets / restShare}
+func New(loop *transport.Loop, log *slog.Logger, startFile *params.StartFile, byHand bool) (*Router, error) {
+	r := &Router{byHand: byHand, loop: loop, log: log, params: startFile.Params, memory: int(startFile.MemoryMB * memoryShare * (1 << 20)),
+		ops: map[string]*op{}, tallies: map[*balance.Category]*Tally{}, hosts: map[string]*host{}, connect: startFile.Params.Limits.Connect / 1000,
+		restMost: startFile.Sockets / restShare}
 	r.budget = r.memory
 	loop.Pool.Most = r.budget
 	if r.connect <= 0 {
 		r.connect = connectFor
 	}
-	r.watch = watch{router: r, address: told.Discovery}
+	r.watch = watch{router: r, address: startFile.Discovery}
 	r.watch.limit.Fire = r.watch.overdue
 	r.wake.Fire = func() { r.balancer.Woke() }
 	r.shutdown.timer.Fire = r.sweep
 	var known protocol.List
-	if len(told.Known) > 0 && string(told.Known) != "null" {
-		if err := json.Unmarshal(told.Known, &known); err != nil {
+	if len(startFile.Known) > 0 && string(startFile.Known) != "null" {
+		if err := json.Unmarshal(startFile.Known, &known); err != nil {
 			return nil, fmt.Errorf("known: %w", err)
 		}
 	}
 	var begin balance.Start
-	begin, r.categories, _ = told.Params.Begin(told.Seed)
+	begin, r.categories, _ = startFile.Params.Begin(startFile.Seed)
 	begin.OnRequest = !byHand // also where lists are pushed: only to those who watch
-	for _, c := range told.Params.Categories {
+	for _, c := range startFile.Params.Categories {
 		t := &Tally{Name: c.Name}
 		r.figures.Categories = append(r.figures.Categories, t)
 		r.tallies[r.categories[c.Name]] = t
@@ -202,7 +202,7 @@
 
 // Serving tells why no op can be served now, if so.
 func (r *Router) Serving() error {
-	if r.door == nil {
+	if r.listener == nil {
 		return ErrShut
 	}
 	if !r.Lists() {
--- a/internal/routing/upgrade.go
+++ b/internal/routing/upgrade.go
@@ -24,20 +24,20 @@
 	Waiting() bool                           // some of that is still on its way
 }
 
-// Listen opens the door at an address; a shared one may have doors of several processes.
+// Listen listens at an address; a shared one may have listeners of several processes.
 func (r *Router) Listen(at netip.AddrPort, shared bool) (err error) {
-	r.door, err = r.loop.ListenAt("client", at, shared, 0, r.accept)
+	r.listener, err = r.loop.ListenAt("client", at, shared, 0, r.accept)
 	return err
 }
 
-// Inherit opens the door at a socket that another process has listened on.
+// Inherit listens on a socket that another process has listened on.
 func (r *Router) Inherit(fd int) (err error) {
-	r.door, err = r.loop.Door("client", fd, 0, r.accept)
+	r.listener, err = r.loop.AdoptListener("client", fd, 0, r.accept)
 	return err
 }
 
-// Door is the clients' door; nil while it is not open.
-func (r *Router) Door() *transport.Door { return r.door }
+// Listener is the clients' listener; nil while there is none.
+func (r *Router) Listener() *transport.Listener { return r.listener }
 
 // With tells of the other process that lives beside this one, nil where there is none; both together have the memory of
 // one.
@@ -49,11 +49,11 @@
 	r.loop.Pool.Most = r.budget
 }
 
-// Succeed tells of the process that takes over, nil where it is lost. This one leaves the door to it, and from the word to
+// Succeed tells of the process that takes over, nil where it is lost. This one leaves new connections to it, and from the word to
 // stop on passes its clients on.
 func (r *Router) Succeed(s Successor) {
 	r.successor = s
-	r.door.Rest(s != nil)
+	r.listener.Suspend(s != nil)
 	r.loop.Again()
 }
 
@@ -105,7 +105,7 @@
 
 // Passed takes a client's connection that another process has passed on.
 func (r *Router) Passed(fd int, unread []byte, proven bool) {
-	c := r.door.Passed(fd, unread).Owner.(*client)
+	c := r.listener.AdoptConn(fd, unread).Owner.(*client)
 	c.proven = proven
 	c.attend(false)
 }
--- a/internal/simwire/serve.go
+++ b/internal/simwire/serve.go
@@ -17,7 +17,7 @@
 
 // Serve answers batches from in on out until in ends. An error names the line and field at fault.
 func Serve(in io.Reader, out io.Writer) error {
-	s := server{doors: map[int]*door{}, lists: map[int][]element{}}
+	s := server{balancers: map[int]*simulatedBalancer{}, lists: map[int][]element{}}
 	r, w := bufio.NewReaderSize(in, 1<<20), bufio.NewWriterSize(out, 1<<20)
 	enc := json.NewEncoder(w)
 	for n := 1; ; n++ {
@@ -46,14 +46,14 @@
 
 // server hosts the instances of one process.
 type server struct {
-	now     float64 // ms
-	doors   map[int]*door
-	lists   map[int][]element
-	actions []action
+	now       float64 // ms
+	balancers map[int]*simulatedBalancer
+	lists     map[int][]element
+	actions   []action
 }
 
-// door is one instance: its balancer, and the only place where its ids are known. It is the balancer's port.
-type door struct {
+// simulatedBalancer is one instance: its balancer, and the only place where its ids are known. It is the balancer's port.
+type simulatedBalancer struct {
 	*server
 	i          int
 	balancer   *balance.Balancer
@@ -104,18 +104,18 @@
 func (s *server) take(e event) error {
 	switch {
 	case e.Knock != nil:
-		return s.at("KNOCK", e.Knock.I, func(d *door) error { return d.knock(e.Knock) })
+		return s.at("KNOCK", e.Knock.I, func(d *simulatedBalancer) error { return d.knock(e.Knock) })
 	case e.AttemptEnd != nil:
-		return s.at("ATTEMPT_END", e.AttemptEnd.I, func(d *door) error { return d.attemptEnd(e.AttemptEnd) })
+		return s.at("ATTEMPT_END", e.AttemptEnd.I, func(d *simulatedBalancer) error { return d.attemptEnd(e.AttemptEnd) })
 	case e.Headers != nil:
-		return s.at("HEADERS", e.Headers.I, func(d *door) error {
+		return s.at("HEADERS", e.Headers.I, func(d *simulatedBalancer) error {
 			if p := d.push(e.Headers); p != nil {
 				d.balancer.Streaming(p)
 			}
 			return nil
 		})
 	case e.ClientLeft != nil: // it may name an op that has ended a moment ago
-		return s.at("CLIENT_LEFT", e.ClientLeft.I, func(d *door) error {
+		return s.at("CLIENT_LEFT", e.ClientLeft.I, func(d *simulatedBalancer) error {
 			if op := d.ops[e.ClientLeft.Corr]; op != nil {
 				d.balancer.Left(op)
 				d.forget(e.ClientLeft.Corr, op)
@@ -123,29 +123,29 @@
 			return nil
 		})
 	case e.Alarm != nil:
-		return s.at("ALARM", e.Alarm.I, func(d *door) error { d.balancer.Woke(); return nil })
+		return s.at("ALARM", e.Alarm.I, func(d *simulatedBalancer) error { d.balancer.Woke(); return nil })
 	case e.DefineList != nil:
 		return s.define(e.DefineList)
 	case e.Announce != nil:
-		return s.at("ANNOUNCE", e.Announce.I, func(d *door) error { return d.announce(e.Announce) })
+		return s.at("ANNOUNCE", e.Announce.I, func(d *simulatedBalancer) error { return d.announce(e.Announce) })
 	case e.Configure != nil:
 		return s.configure(e.Configure)
 	case e.Shutdown != nil:
-		return s.at("SHUTDOWN", e.Shutdown.I, func(d *door) error { delete(s.doors, d.i); return nil })
+		return s.at("SHUTDOWN", e.Shutdown.I, func(d *simulatedBalancer) error { delete(s.balancers, d.i); return nil })
 	case e.Check != nil:
-		return s.at("CHECK_RESULT", e.Check.I, func(*door) error { return nil })
+		return s.at("CHECK_RESULT", e.Check.I, func(*simulatedBalancer) error { return nil })
 	case e.Heard != nil:
-		return s.at("HEARD", e.Heard.I, func(*door) error { return nil })
+		return s.at("HEARD", e.Heard.I, func(*simulatedBalancer) error { return nil })
 	}
 	return errUnknown
 }
 
 // at finds an event's instance, tells it the time, and makes the call.
-func (s *server) at(name string, i *int, call func(*door) error) error {
+func (s *server) at(name string, i *int, call func(*simulatedBalancer) error) error {
 	if i == nil {
 		return fmt.Errorf("%s.i: missing", name)
 	}
-	d := s.doors[*i]
+	d := s.balancers[*i]
 	if d == nil {
 		return fmt.Errorf("%s.i: unknown instance %d", name, *i)
 	}
@@ -167,11 +167,11 @@
 	if err != nil {
 		return fmt.Errorf("CONFIGURE.%w", err)
 	}
-	d := &door{server: s, i: *e.I, params: p, hosts: map[uint32]*balance.Host{}, looked: s.now,
+	d := &simulatedBalancer{server: s, i: *e.I, params: p, hosts: map[uint32]*balance.Host{}, looked: s.now,
 		ids: map[*balance.Host]uint32{}, ops: map[string]*balance.Op{}, pushes: map[*balance.Op][]*balance.Push{}}
 	begin, categories, tenants := p.Begin(e.Seed)
 	d.categories, d.tenants = categories, tenants
-	s.doors[*e.I] = d
+	s.balancers[*e.I] = d
 	d.balancer = balance.New(begin, d, s.now)
 	return nil
 }
@@ -196,7 +196,7 @@
 var conditions = map[string]balance.Status{"SERVING": balance.Ready, "DRAINING": balance.Draining,
 	"DELETED": balance.Gone}
 
-func (d *door) announce(e *announce) error {
+func (d *simulatedBalancer) announce(e *announce) error {
 	whole := e.Scope == "Complete" || e.Scope == "Persisted"
 	switch {
 	case e.Scope == "Error":
@@ -230,7 +230,7 @@
 	return nil
 }
 
-func (d *door) knock(e *knock) error {
+func (d *simulatedBalancer) knock(e *knock) error {
 	category := d.categories[e.QoS]
 	switch {
 	case e.Corr == "":
@@ -256,7 +256,7 @@
 	return nil
 }
 
-func (d *door) attemptEnd(e *attemptEnd) error {
+func (d *simulatedBalancer) attemptEnd(e *attemptEnd) error {
 	op := d.ops[e.Corr]
 	switch {
 	case op == nil:
@@ -278,7 +278,7 @@
 }
 
 // report reads a row of a host's load. One that is not as the start has it costs nothing but itself.
-func (d *door) report(row json.RawMessage) *balance.Report {
+func (d *simulatedBalancer) report(row json.RawMessage) *balance.Report {
 	var values []*float64
 	if len(row) == 0 || json.Unmarshal(row, &values) != nil || len(values) != len(d.params.Load.Fields) {
 		return nil
@@ -293,7 +293,7 @@
 }
 
 // push is the one of a round, or nil.
-func (d *door) push(e *headers) *balance.Push {
+func (d *simulatedBalancer) push(e *headers) *balance.Push {
 	if all := d.pushes[d.ops[e.Corr]]; e.Round >= 0 && e.Round < len(all) {
 		return all[e.Round]
 	}
@@ -301,41 +301,41 @@
 }
 
 // forget drops an op of which nothing more can be heard.
-func (d *door) forget(corr string, op *balance.Op) {
+func (d *simulatedBalancer) forget(corr string, op *balance.Op) {
 	if op.Over() {
 		delete(d.ops, corr)
 		delete(d.pushes, op)
 	}
 }
 
-func (d *door) act(a action) { d.actions = append(d.actions, a) }
+func (d *simulatedBalancer) act(a action) { d.actions = append(d.actions, a) }
 
 // Push implements balance.Port, as do the methods below.
-func (d *door) Push(p *balance.Push, limit float64) {
+func (d *simulatedBalancer) Push(p *balance.Push, limit float64) {
 	p.Ref = len(d.pushes[p.Op])
 	d.pushes[p.Op] = append(d.pushes[p.Op], p)
 	d.act(action{Send: &send{d.i, p.Op.Ref.(string), d.ids[p.Host], max(1, us(limit))}})
 }
 
-func (d *door) Cancel(p *balance.Push) {
+func (d *simulatedBalancer) Cancel(p *balance.Push) {
 	d.act(action{Undo: &undo{d.i, p.Op.Ref.(string), p.Ref.(int)}})
 }
 
-func (d *door) Nack(op *balance.Op, backoff float64) {
+func (d *simulatedBalancer) Nack(op *balance.Op, backoff float64) {
 	d.act(action{Reject: &reject{d.i, op.Ref.(string), us(backoff)}})
 	d.forget(op.Ref.(string), op)
 }
 
-func (d *door) DeadLetter(op *balance.Op) {
+func (d *simulatedBalancer) DeadLetter(op *balance.Op) {
 	d.act(action{Error: &ended{d.i, op.Ref.(string)}})
 	d.forget(op.Ref.(string), op)
 }
 
-func (d *door) Wake(ms float64) { d.act(action{After: &after{I: d.i, From: us(ms)}}) }
+func (d *simulatedBalancer) Wake(ms float64) { d.act(action{After: &after{I: d.i, From: us(ms)}}) }
 
-func (d *door) Watch() { d.act(action{Watch: &watch{d.i, true}}) }
+func (d *simulatedBalancer) Watch() { d.act(action{Watch: &watch{d.i, true}}) }
 
-func (d *door) HangUp(h *balance.Host) { d.act(action{HangUp: &hangUp{d.i, d.ids[h]}}) }
+func (d *simulatedBalancer) HangUp(h *balance.Host) { d.act(action{HangUp: &hangUp{d.i, d.ids[h]}}) }
 
 // us turns milliseconds into the wire's whole microseconds.
 func us(ms float64) int64 { return int64(math.Round(ms * 1000)) }
--- a/internal/simwire/serve_test.go
+++ b/internal/simwire/serve_test.go
@@ -69,7 +69,7 @@
 		`{"CONFIGURE":{"i":1,"prng":7}}`,
 		`{"CONFIGURE":{"i":1,"prng":7,"params":{"categories":[{"name":"a"}],"groupSize":0}}}`,
 	} {
-		s := server{doors: map[int]*door{}, lists: map[int][]element{}}
+		s := server{balancers: map[int]*simulatedBalancer{}, lists: map[int][]element{}}
 		if err := s.answer([]byte(`{"simTimeUs":0,"input":[` + up + `]}`)); err != nil {
 			fmt.Println("start:", err)
 		}
--- a/internal/takeover/predecessor.go
+++ b/internal/takeover/predecessor.go
@@ -75,7 +75,7 @@
 	p.predecessor = nil
 	var wait transport.Timer
 	wait.Fire = func() {
-		if p.router.Door() == nil && p.predecessor == nil && !p.ask() {
+		if p.router.Listener() == nil && p.predecessor == nil && !p.ask() {
 			p.giveUp("nobody runs here any more")
 		}
 	}
--- a/internal/takeover/successor.go
+++ b/internal/takeover/successor.go
@@ -47,7 +47,7 @@
 
 // handOver tells the new process all that it needs, the listening socket last.
 func (s *successor) handOver() {
-	listener, err := s.router.Door().Copy()
+	listener, err := s.router.Listener().Copy()
 	if err != nil {
 		send(s.channel, message{Kind: kindRefused, Why: err.Error()}, -1)
 		return
--- a/internal/takeover/takeover.go
+++ b/internal/takeover/takeover.go
@@ -36,7 +36,7 @@
 	failed      error
 }
 
-// Begin opens the router's door: by asking the process that runs at the address already for its own, or, where there is
+// Begin has the router listen: by asking the process that runs at the address already for its own, or, where there is
 // none, by listening. dir is where the two find each other.
 func Begin(loop *transport.Loop, log *slog.Logger, router *routing.Router, listen netip.AddrPort, dir string,
 	share func(processes int)) (*Takeover, error) {
@@ -51,7 +51,7 @@
 	return t, nil
 }
 
-// End cleans up behind the loop. It returns why the door could not be opened, if the loop ended for that.
+// End cleans up behind the loop. It returns why it could not listen, if the loop ended for that.
 func (t *Takeover) End() error {
 	if t == nil {
 		return nil
@@ -74,7 +74,7 @@
 	return true
 }
 
-// alone opens a door of its own, at an address that may be shared with a process that would not hand over.
+// alone opens a listener of its own, at an address that may be shared with a process that would not hand over.
 func (t *Takeover) alone(why string) error {
 	t.loop.Stop(&t.limit)
 	if t.predecessor != nil {
@@ -89,7 +89,7 @@
 	return nil
 }
 
-// giveUp is alone for a process whose loop runs: without a door it ends.
+// giveUp is alone for a process whose loop runs: without a listener it ends.
 func (t *Takeover) giveUp(why string) {
 	if err := t.alone(why); err != nil {
 		t.failed = err
--- a/internal/takeover/takeover_test.go
+++ b/internal/takeover/takeover_test.go
@@ -52,22 +52,22 @@
 }
 
 // newProcess makes a balancer that is not serving yet.
-func newProcess(t *testing.T, told *params.Told) *process {
+func newProcess(t *testing.T, startFile *params.StartFile) *process {
 	p := &process{log: &logText{}, done: make(chan error, 1)}
 	log := slog.New(slog.NewTextHandler(p.log, nil))
 	var err error
-	if p.loop, err = transport.NewLoop(told.Sockets, int(told.MemoryMB)<<20, log); err != nil {
+	if p.loop, err = transport.NewLoop(startFile.Sockets, int(startFile.MemoryMB)<<20, log); err != nil {
 		t.Fatal(err)
 	}
-	if p.router, err = routing.New(p.loop, log, told, true); err != nil {
+	if p.router, err = routing.New(p.loop, log, startFile, true); err != nil {
 		t.Fatal(err)
 	}
 	return p
 }
 
-// run opens the door and serves.
-func (p *process) run(t *testing.T, told *params.Told, dir string) {
-	if _, err := Begin(p.loop, p.loop.Log, p.router, told.Listen, dir, func(int) {}); err != nil {
+// run listens and serves.
+func (p *process) run(t *testing.T, startFile *params.StartFile, dir string) {
+	if _, err := Begin(p.loop, p.loop.Log, p.router, startFile.Listen, dir, func(int) {}); err != nil {
 		t.Fatal(err)
 	}
 	go func() { p.done <- p.loop.Run() }()
@@ -98,7 +98,7 @@
 }
 
 // toldWith is what a balancer with so many categories is told.
-func toldWith(t *testing.T, categories int) *params.Told {
+func toldWith(t *testing.T, categories int) *params.StartFile {
 	free, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -113,11 +113,11 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	told := &params.Told{Listen: free.Addr().(*net.TCPAddr).AddrPort(), MemoryMB: 192, Sockets: 1024}
-	if told.Params, err = params.Read(text); err != nil {
+	startFile := &params.StartFile{Listen: free.Addr().(*net.TCPAddr).AddrPort(), MemoryMB: 192, Sockets: 1024}
+	if startFile.Params, err = params.Read(text); err != nil {
 		t.Fatal(err)
 	}
-	return told
+	return startFile
 }
 
 // fleetState is what a process knows of a fleet: the list, the bans and what was learned.
@@ -128,11 +128,11 @@
 }
 
 // stateOf makes the state of a fleet in which every second host is banned, and something was learned of each host and category.
-func stateOf(told *params.Told, hosts int, suffix string) fleetState {
+func stateOf(startFile *params.StartFile, hosts int, suffix string) fleetState {
 	s := fleetState{list: &protocol.List{Revision: 7, Complete: true}}
 	s.learned = balance.Learned{Rate: 0.123456789, Usual: 1.23456789,
 		Fleet: balance.Gauge{Limit: 1234.56789, Pain: 0.123456789, Lat: 12.3456789, Dev: 1.23456789}, Hosts: map[string]balance.Record{}}
-	for i, c := range told.Params.Categories {
+	for i, c := range startFile.Params.Categories {
 		s.learned.Rows = append(s.learned.Rows, balance.Row{Target: c.Target / 1000, Lat: 10 + float64(i)/7, Dev: 1 + float64(i)/7})
 	}
 	for i := range hosts {
@@ -163,14 +163,14 @@
 		{"4,096 categories", 4, 4096, ""},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			dir, told := t.TempDir(), toldWith(t, c.categories)
-			state := stateOf(told, c.hosts, c.suffix)
-			running, next := newProcess(t, told), newProcess(t, told)
+			dir, startFile := t.TempDir(), toldWith(t, c.categories)
+			state := stateOf(startFile, c.hosts, c.suffix)
+			running, next := newProcess(t, startFile), newProcess(t, startFile)
 			running.router.Adopt(state.list, nil, state.banned, []balance.Learned{state.learned})
-			running.run(t, told, dir)
+			running.run(t, startFile, dir)
 			running.await(t, "listening")
 			began := time.Now()
-			next.run(t, told, dir)
+			next.run(t, startFile, dir)
 			running.await(t, "handed over")
 			t.Logf("handed over in %v", time.Since(began).Round(time.Millisecond))
 			running.stop(t)
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -43,31 +43,31 @@
 	Began   float64    // ms
 	Arrived float64    // ms, the earliest time at which the last byte of a command in In can have come
 
-	loop   *Loop
-	door   *Door  // through which it came, or nil
-	kind   string // who is at the other side, for the log
-	peer   netip.AddrPort
-	fd     int
-	status status
-	events uint32  // what epoll looks for now
-	why    Reason  // of an end that the owner has not been told yet
-	news   bool    // in the loop's list of connections with news
-	fresh  bool    // bytes have come that the owner has not seen
-	marked bool    // in the loop's list of connections to write to
-	paused bool    // nothing is read for now
-	unread float64 // ms, the earliest time at which what stands unread at the socket can have come; 0 where not known
-	first  float64 // ms, since when it can be this process that has it wait; 0 where not known
-	heard  float64 // the same of what stands in In
-	last   Timer   // until a half-closed connection is closed
-	took   uint64  // bytes read
-	gave   uint64  // bytes written
+	loop     *Loop
+	listener *Listener // through which it came, or nil
+	kind     string    // who is at the other side, for the log
+	peer     netip.AddrPort
+	fd       int
+	status   status
+	events   uint32  // what epoll looks for now
+	why      Reason  // of an end that the owner has not been told yet
+	news     bool    // in the loop's list of connections with news
+	fresh    bool    // bytes have come that the owner has not seen
+	marked   bool    // in the loop's list of connections to write to
+	paused   bool    // nothing is read for now
+	unread   float64 // ms, the earliest time at which what stands unread at the socket can have come; 0 where not known
+	first    float64 // ms, since when it can be this process that has it wait; 0 where not known
+	heard    float64 // the same of what stands in In
+	last     Timer   // until a half-closed connection is closed
+	took     uint64  // bytes read
+	gave     uint64  // bytes written
 }
 
 // Peer is the address of the other side.
 func (c *Conn) Peer() netip.AddrPort { return c.peer }
 
-// reserved tells whether the connection has its descriptor out of its door's reserve.
-func (c *Conn) reserved() bool { return c.door != nil && c.door.reserve > 0 }
+// reserved tells whether the connection has its descriptor out of its listener's reserve.
+func (c *Conn) reserved() bool { return c.listener != nil && c.listener.reserve > 0 }
 
 // Up tells whether the connection is open.
 func (c *Conn) Up() bool { return c.status == up }
@@ -98,8 +98,8 @@
 	if c.fd >= 0 && !c.reserved() {
 		c.loop.open--
 	}
-	if c.door != nil {
-		c.door.left(c)
+	if c.listener != nil {
+		c.listener.remove(c)
 	}
 	c.log(why)
 }
@@ -163,13 +163,13 @@
 	c.news = true
 }
 
-// puts tells whether the other side puts work to this one: what it asks may wait, what answers may not.
-func (c *Conn) puts() bool { return c.door != nil && !c.reserved() }
+// fromClient tells whether the other side puts work to this one: what it asks may wait, what answers may not.
+func (c *Conn) fromClient() bool { return c.listener != nil && !c.reserved() }
 
 // tell hands what has come to the owner. What a client has asked before it left is nobody's any more.
 func (c *Conn) tell() {
 	c.news = false
-	if c.fresh && c.status != closed && !(c.puts() && c.why != "") {
+	if c.fresh && c.status != closed && !(c.fromClient() && c.why != "") {
 		c.fresh = false
 		c.Owner.Received(c)
 	}
@@ -190,7 +190,7 @@
 // wants is what epoll is to look for. A client's end is looked for whether anything is read or not: what it has asked is not
 // to be sent on for nobody.
 func (c *Conn) wants() (want uint32) {
-	if c.puts() && c.status == up {
+	if c.fromClient() && c.status == up {
 		want |= unix.EPOLLRDHUP
 	}
 	if !c.paused && c.status != connecting {
@@ -221,7 +221,7 @@
 		c.interest()
 		c.Flush()
 	}
-	if events&unix.EPOLLRDHUP != 0 && c.puts() && c.status == up {
+	if events&unix.EPOLLRDHUP != 0 && c.fromClient() && c.status == up {
 		c.broke(PeerClosed)
 		return
 	}
--- a/internal/transport/control.go
+++ b/internal/transport/control.go
@@ -84,13 +84,13 @@
 		return nil, fmt.Errorf("listen on %s: %w", path, err)
 	}
 	c := &ControlListener{loop: l, fd: fd, accept: accept}
-	l.listeners = append(l.listeners, c)
+	l.controls = append(l.controls, c)
 	return c, l.look(fd, unix.EPOLLIN)
 }
 
 // Close ends the listener; channels that it has accepted stay.
 func (c *ControlListener) Close() {
-	c.loop.listeners = slices.DeleteFunc(c.loop.listeners, func(x *ControlListener) bool { return x == c })
+	c.loop.controls = slices.DeleteFunc(c.loop.controls, func(x *ControlListener) bool { return x == c })
 	unix.Close(c.fd)
 }
 
--- a/internal/transport/loop.go
+++ b/internal/transport/loop.go
@@ -34,9 +34,10 @@
 	halfCloseMost = 5000.0 // ms that a slow reader may take over the answers before our last word: over any TTL
 	halfCloseFor  = 200.0  // ms that the other side may take to end after our last word: many round trips
 	resendAfter   = 2.0    // ms until messages that the other process has no room for are tried again: it reads in each round
-	doorPause     = 5.0    // ms until it is tried again to accept, where no connection was idle: a busy one takes as long
+	acceptPause   = 5.0    // ms until it is tried again to accept, where no connection was idle: a busy one takes as long
 
 	SpareFiles    = 32    // descriptors of the runtime, the log, operators' calls and an upgrade: about 25, and room
+	silentGrace   = 10.0  // ms that a caller of a listener's reserve has to begin its call: a few rounds, or a thousand silent ones would keep others out
 	unprovenFor   = 100.0 // ms that a new client has for its first command before it makes room: many round trips
 	unprovenShare = 4     // one in so many sockets may be a new client's without one: usual ones hold a third in all
 
@@ -56,8 +57,8 @@
 	kernel       int // bytes of the kernel's buffer for one direction of a connection
 	open         int
 	conns        []*Conn // by descriptor
-	doors        []*Door
-	listeners    []*ControlListener
+	listeners    []*Listener
+	controls     []*ControlListener
 	channels     []*ControlChannel
 	resend       Timer // after messages had to wait
 	timers       agenda.Queue[*Timer]
@@ -212,13 +213,13 @@
 
 // gather takes what is ready at one descriptor.
 func (l *Loop) gather(fd int, events uint32) {
-	for _, d := range l.doors {
-		if d.fd == fd {
-			d.welcome()
+	for _, listener := range l.listeners {
+		if listener.fd == fd {
+			listener.acceptQueued()
 			return
 		}
 	}
-	for _, c := range l.listeners {
+	for _, c := range l.controls {
 		if c.fd == fd {
 			c.acceptOne()
 			return
@@ -266,7 +267,7 @@
 	l.ready = nil
 	asking := ready[:0]
 	for _, c := range ready {
-		if c.puts() && c.why == "" {
+		if c.fromClient() && c.why == "" {
 			asking = append(asking, c)
 		} else {
 			c.tell()
@@ -288,7 +289,7 @@
 // Waits is for how long what has not been handed over may have waited, at the most.
 func (l *Loop) Waits() float64 {
 	for _, c := range l.ready {
-		if c.puts() && c.fresh {
+		if c.fromClient() && c.fresh {
 			return l.now - c.heard
 		}
 	}
@@ -323,8 +324,8 @@
 		l.conns[c.fd] = nil
 		unix.Close(c.fd)
 		c.fd = -1
-		for _, d := range l.doors {
-			d.watch(true)
+		for _, listener := range l.listeners {
+			listener.watch(true)
 		}
 	}
 }
--- a/internal/transport/receive.go
+++ b/internal/transport/receive.go
@@ -35,7 +35,7 @@
 // already, behind what it asked.
 func (c *Conn) arrived() {
 	c.read()
-	if !c.puts() || !c.fresh || c.why != "" {
+	if !c.fromClient() || !c.fresh || c.why != "" {
 		return
 	}
 	if n, err := c.peek(); n == 0 && err == nil {
@@ -67,7 +67,7 @@
 	c.paused = on
 	c.first = 0 // this process has it wait for the other side's sake
 	switch {
-	case !c.puts(): // nobody asks when an answer came
+	case !c.fromClient(): // nobody asks when an answer came
 	case on:
 		c.unreadSince(c.loop.least())
 	case c.nothingUnread():
@@ -89,10 +89,10 @@
 	if c.first == 0 {
 		c.first = c.loop.Heard()
 	}
-	if c.news && c.fresh && c.puts() { // what is read has still to be heard: one read then takes more
+	if c.news && c.fresh && c.fromClient() { // what is read has still to be heard: one read then takes more
 		return
 	}
-	if c.puts() && c.status == up && c.loop.Pool.Full() { // a round that read from all would go over the memory before anything is let go of
+	if c.fromClient() && c.status == up && c.loop.Pool.Full() { // a round that read from all would go over the memory before anything is let go of
 		return
 	}
 	if !c.fresh {
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -33,7 +33,7 @@
 
 func (e *echo) Ended(c *Conn, why Reason) { e.note("ended %s", why) }
 
-// serve runs a loop with an echo at its door until the returned function is called, which gives what was noted and
+// serve runs a loop with an echo at its listener until the returned function is called, which gives what was noted and
 // the reasons in the log. The loop does what it is given in its first round.
 func serve(first func(l *Loop, at netip.AddrPort)) (netip.AddrPort, func() string) {
 	var log bytes.Buffer
@@ -154,13 +154,13 @@
 
 // Noise behind an answer is seen before a connection is used again, also where it has not been gathered yet.
 func ExampleConn_Quiet() {
-	door, _ := net.Listen("tcp", "127.0.0.1:0")
-	defer door.Close()
+	listener, _ := net.Listen("tcp", "127.0.0.1:0")
+	defer listener.Close()
 	r := &reader{make(chan net.Conn, 1), make(chan bool, 2)}
 	_, stop := serve(func(l *Loop, _ netip.AddrPort) {
-		l.Dial("host", door.Addr().(*net.TCPAddr).AddrPort(), r)
+		l.Dial("host", listener.Addr().(*net.TCPAddr).AddrPort(), r)
 	})
-	other, _ := door.Accept()
+	other, _ := listener.Accept()
 	r.other <- other
 	other.Write([]byte("answer"))
 	fmt.Println(<-r.quiet, <-r.quiet)
--- a/internal/trial/check.go
+++ b/internal/trial/check.go
@@ -18,16 +18,16 @@
 	Runs      []standin.Run
 	Told      []standin.Told
 	Bans      []Ban
-	Balancers []Witness     // by number
-	Slack     time.Duration // by which links and the ground may have made anything later
+	Balancers []BalancerRecord // by number
+	Slack     time.Duration    // by which links and the ground may have made anything later
 }
 
-// Witness is what is known of a balancer's process.
-type Witness struct {
-	Name   string
-	Source string // what hosts see it as
-	Away   []Away
-	Crash  string
+// BalancerRecord is what is known of a balancer's process.
+type BalancerRecord struct {
+	Name     string
+	Source   string // what hosts see it as
+	Absences []Absence
+	Crash    string
 }
 
 // Break is a rule that was broken.
@@ -77,8 +77,8 @@
 }
 
 // away tells whether a balancer was not serving at some time of a span.
-func (w Witness) away(from, to time.Duration) bool {
-	return slices.ContainsFunc(w.Away, func(a Away) bool { return a.From <= to && (a.To == 0 || a.To >= from) })
+func (w BalancerRecord) away(from, to time.Duration) bool {
+	return slices.ContainsFunc(w.Absences, func(a Absence) bool { return a.From <= to && (a.To == 0 || a.To >= from) })
 }
 
 // answers: a balancer that ends takes its open ops with it, and one that stands still answers late.
@@ -226,7 +226,7 @@
 				continue
 			}
 			to := b.To
-			for _, a := range w.Away { // a ban does not outlive its process
+			for _, a := range w.Absences { // a ban does not outlive its process
 				if !a.Frozen && a.From > b.From && (to == 0 || a.From < to) {
 					to = a.From
 				}
@@ -264,8 +264,8 @@
 	for _, w := range r.Balancers {
 		if w.Crash != "" {
 			at := time.Duration(0)
-			if n := len(w.Away); n > 0 {
-				at = w.Away[n-1].From
+			if n := len(w.Absences); n > 0 {
+				at = w.Absences[n-1].From
 			}
 			all = append(all, Break{At: at, Text: fmt.Sprintf("%s ended by itself: %s", w.Name, w.Crash)})
 		}
--- a/internal/trial/check_test.go
+++ b/internal/trial/check_test.go
@@ -14,10 +14,10 @@
 func kept() *Record {
 	return &Record{
 		Slack: 10 * ms,
-		Balancers: []Witness{
+		Balancers: []BalancerRecord{
 			{Name: "b1", Source: "s1"},
-			{Name: "b2", Source: "s2", Away: []Away{{Span{5000 * ms, 8000 * ms}, false}}},
-			{Name: "b3", Source: "s3", Away: []Away{{Span{5000 * ms, 6000 * ms}, true}}},
+			{Name: "b2", Source: "s2", Absences: []Absence{{Span{5000 * ms, 8000 * ms}, false}}},
+			{Name: "b3", Source: "s3", Absences: []Absence{{Span{5000 * ms, 6000 * ms}, true}}},
 		},
 		Calls: []Call{
 			{ID: "r1", Key: "k", Category: "read", Sent: 100 * ms, Done: 110 * ms, Answer: Acked, Text: "k unwritten"},
--- a/internal/trial/faults.go
+++ b/internal/trial/faults.go
@@ -149,8 +149,8 @@
 	bad(!k.instant && x.For <= 0, "%s: for: missing", x.What)
 	bad(k.instant && x.For > 0, "%s: for: it has no end", x.What)
 	bad(x.At+x.For > p.Load.For, "%s: ends at %v, after the load, which lasts %v", x.What, (x.At + x.For).d(), p.Load.For.d())
-	bad(x.Way != "" && (k.where != links || !slices.Contains([]string{"out", "back", "both"}, x.Way)),
-		"%s: way: %.20q, want out, back or both, and that of links", x.What, x.Way)
+	bad(x.Direction != "" && (k.where != links || !slices.Contains([]string{"out", "back", "both"}, x.Direction)),
+		"%s: way: %.20q, want out, back or both, and that of links", x.What, x.Direction)
 	bad(x.With != "" && x.What != "upgrade", "%s: with: it takes none", x.What)
 	bad(k.by == none && x.By != "", "%s: by: %.20q, it takes none", x.What, x.By)
 	if k.by != none {
@@ -185,7 +185,7 @@
 		text += " " + string(x.By)
 	}
 	if len(x.From) > 0 {
-		text += " " + strings.Join(x.From, ",") + " to " + strings.Join(x.To, ",") + " " + cmp.Or(x.Way, "both")
+		text += " " + strings.Join(x.From, ",") + " to " + strings.Join(x.To, ",") + " " + cmp.Or(x.Direction, "both")
 	} else if len(x.Of) > 0 {
 		text += " " + strings.Join(x.Of, ",")
 	}
@@ -269,7 +269,7 @@
 		case links:
 			x.From = pick(p.Fleet.balancers(), 2)
 			x.To = pick(append(p.Fleet.hosts(), standin.OriginID, discovery), 3)
-			x.Way = []string{"out", "back", "both"}[rng.IntN(3)]
+			x.Direction = []string{"out", "back", "both"}[rng.IntN(3)]
 		}
 		p.Faults = append(p.Faults, x)
 	}
--- a/internal/trial/inject.go
+++ b/internal/trial/inject.go
@@ -254,7 +254,7 @@
 		l.Single(!end)
 		return
 	}
-	var f Flaw
+	var f Impairment
 	if by, _ := x.By.number(); !end {
 		switch x.What {
 		case "hole":
@@ -268,10 +268,10 @@
 			f.Sever = int(by)
 		}
 	}
-	if x.Way != "back" {
+	if x.Direction != "back" {
 		l.Set(Out, f)
 	}
-	if x.Way != "out" {
+	if x.Direction != "out" {
 		l.Set(Back, f)
 	}
 }
--- a/internal/trial/link.go
+++ b/internal/trial/link.go
@@ -16,16 +16,16 @@
 	pieces    = 64       // that it holds for each direction of a connection; then the sender has to wait
 )
 
-// Way is a direction of a link.
-type Way int
+// Direction is a direction of a link.
+type Direction int
 
 const (
-	Out  Way = iota // from the balancer
-	Back            // to it
+	Out  Direction = iota // from the balancer
+	Back                  // to it
 )
 
-// Flaw is what is wrong with a direction of a link. The zero Flaw is nothing.
-type Flaw struct {
+// Impairment is what is wrong with a direction of a link. The zero Impairment is nothing.
+type Impairment struct {
 	Hole   bool          // bytes are taken and never passed on; connections are reset once it is over
 	Delay  time.Duration // each byte is so late
 	Jitter time.Duration // and at most so much later still, in their order
@@ -43,18 +43,18 @@
 	address  string
 	listener net.Listener
 
-	mu     sync.Mutex
-	rng    *rand.Rand
-	cut    bool
-	single bool // one connection at a time: further ones are refused
-	flaws  [2]Flaw
-	change chan struct{} // closed with each change
-	joints map[*joint]bool
-	ended  bool
+	mu          sync.Mutex
+	rng         *rand.Rand
+	cut         bool
+	single      bool // one connection at a time: further ones are refused
+	impairments [2]Impairment
+	change      chan struct{} // closed with each change
+	connections map[*proxiedConn]bool
+	ended       bool
 }
 
-// joint is a connection and the one that goes on behind the link.
-type joint struct {
+// proxiedConn is a connection and the one that goes on behind the link.
+type proxiedConn struct {
 	near, far net.Conn
 	tainted   bool // bytes were lost on it
 	left      [2]int
@@ -66,7 +66,7 @@
 		return nil, fmt.Errorf("link %s to %s: %w", balancer, part, err)
 	}
 	l := &Link{Balancer: balancer, Part: part, target: target, source: source, address: listener.Addr().String(),
-		listener: listener, rng: rand.New(rand.NewPCG(seed, 3)), change: make(chan struct{}), joints: map[*joint]bool{}}
+		listener: listener, rng: rand.New(rand.NewPCG(seed, 3)), change: make(chan struct{}), connections: map[*proxiedConn]bool{}}
 	go l.accept()
 	return l, nil
 }
@@ -79,7 +79,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.cut = on; on {
-		for j := range l.joints {
+		for j := range l.connections {
 			j.reset()
 		}
 	}
@@ -94,12 +94,12 @@
 }
 
 // Set changes what is wrong with a direction. The end of a hole resets what has lost bytes in it.
-func (l *Link) Set(w Way, f Flaw) {
+func (l *Link) Set(w Direction, f Impairment) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	was := l.flaws[w]
-	l.flaws[w] = f
-	for j := range l.joints {
+	was := l.impairments[w]
+	l.impairments[w] = f
+	for j := range l.connections {
 		j.left[w] = f.Sever
 		if was.Hole && !f.Hole && j.tainted {
 			j.reset()
@@ -118,13 +118,13 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.ended = true
-	for j := range l.joints {
+	for j := range l.connections {
 		j.reset()
 	}
 	l.changed()
 }
 
-func (j *joint) reset() {
+func (j *proxiedConn) reset() {
 	standin.Reset(j.near)
 	standin.Reset(j.far)
 }
@@ -142,11 +142,11 @@
 // join goes on behind the link. A connection that can't is reset, as if it had been refused. In a hole none comes up: what
 // asked for one is reset once that is over, with all that it has sent.
 func (l *Link) join(c net.Conn) {
-	j := &joint{near: c, far: c}
+	j := &proxiedConn{near: c, far: c}
 	for waited := false; ; waited = true {
 		l.mu.Lock()
-		refused := l.cut || l.ended || l.single && len(l.joints) > 0
-		hole, change := l.flaws[Out].Hole || l.flaws[Back].Hole, l.change
+		refused := l.cut || l.ended || l.single && len(l.connections) > 0
+		hole, change := l.impairments[Out].Hole || l.impairments[Back].Hole, l.change
 		l.mu.Unlock()
 		if refused || waited && !hole {
 			j.reset()
@@ -171,9 +171,9 @@
 		return
 	}
 	for w := range j.left {
-		j.left[w] = l.flaws[w].Sever
+		j.left[w] = l.impairments[w].Sever
 	}
-	l.joints[j] = true
+	l.connections[j] = true
 	l.mu.Unlock()
 	var both sync.WaitGroup
 	both.Add(2)
@@ -181,7 +181,7 @@
 	go l.pass(j, Back, c, far, &both)
 	both.Wait()
 	l.mu.Lock()
-	delete(l.joints, j)
+	delete(l.connections, j)
 	l.mu.Unlock()
 	c.Close()
 	far.Close()
@@ -194,7 +194,7 @@
 }
 
 // pass carries one direction to its end.
-func (l *Link) pass(j *joint, w Way, to, from net.Conn, both *sync.WaitGroup) {
+func (l *Link) pass(j *proxiedConn, w Direction, to, from net.Conn, both *sync.WaitGroup) {
 	defer both.Done()
 	way := make(chan piece, pieces)
 	done := make(chan struct{})
@@ -207,7 +207,7 @@
 		n, err := from.Read(buf)
 		if n > 0 {
 			l.mu.Lock()
-			f := l.flaws[w]
+			f := l.impairments[w]
 			late := f.Delay
 			if f.Jitter > 0 {
 				late += time.Duration(l.rng.Int64N(int64(f.Jitter)))
@@ -241,14 +241,14 @@
 }
 
 // deliver writes pieces as they fall due.
-func (l *Link) deliver(j *joint, w Way, to net.Conn, way <-chan piece) {
+func (l *Link) deliver(j *proxiedConn, w Direction, to net.Conn, way <-chan piece) {
 	for p := range way {
 		if wait := time.Until(p.due); wait > 0 {
 			time.Sleep(wait)
 		}
 		l.mu.Lock()
-		rate, severed := l.flaws[w].Rate, false
-		if hole := l.flaws[w].Hole; hole { // what was on its way is lost with it
+		rate, severed := l.impairments[w].Rate, false
+		if hole := l.impairments[w].Hole; hole { // what was on its way is lost with it
 			j.tainted = true
 			l.mu.Unlock()
 			continue
--- a/internal/trial/link_test.go
+++ b/internal/trial/link_test.go
@@ -84,7 +84,7 @@
 // A cut resets what there is, also while bytes of an answer are held, and refuses what is new until it is over.
 func TestCutAmidAnAnswer(t *testing.T) {
 	l, dial := behind(t, 1000)
-	l.Set(Back, Flaw{Delay: time.Hour})
+	l.Set(Back, Impairment{Delay: time.Hour})
 	c := dial()
 	go func() {
 		time.Sleep(50 * time.Millisecond)
@@ -96,7 +96,7 @@
 	if !refuses(l) {
 		t.Fatal("taken while it is cut")
 	}
-	l.Set(Back, Flaw{})
+	l.Set(Back, Impairment{})
 	l.Cut(false)
 	if n, _, err := ask(dial(), 1000); err != nil {
 		t.Fatal("after it:", n, err)
@@ -105,14 +105,14 @@
 
 // In a hole of one direction nothing arrives; at its end what lost bytes is reset, and new connections are made.
 func TestHole(t *testing.T) {
-	for _, w := range []Way{Out, Back} {
+	for _, w := range []Direction{Out, Back} {
 		l, dial := behind(t, 10)
 		c := dial()
 		ask(c, 10)
-		l.Set(w, Flaw{Hole: true})
+		l.Set(w, Impairment{Hole: true})
 		go func() {
 			time.Sleep(100 * time.Millisecond)
-			l.Set(w, Flaw{})
+			l.Set(w, Impairment{})
 		}()
 		if n, took, err := ask(c, 10); n > 0 || !isReset(err) || took < 100*time.Millisecond {
 			t.Fatalf("way %d: %d bytes after %v, %v", w, n, took, err)
@@ -120,11 +120,11 @@
 		if n, _, err := ask(dial(), 10); err != nil {
 			t.Fatalf("way %d after it: %d %v", w, n, err)
 		}
-		l.Set(w, Flaw{Hole: true})
+		l.Set(w, Impairment{Hole: true})
 		asked := dial()
 		go func() {
 			time.Sleep(50 * time.Millisecond)
-			l.Set(w, Flaw{})
+			l.Set(w, Impairment{})
 		}()
 		if n, _, err := ask(asked, 10); n > 0 || !isReset(err) {
 			t.Fatalf("way %d, asked for in the hole: %d bytes, %v", w, n, err)
@@ -134,16 +134,16 @@
 
 func TestDelayRateAndSever(t *testing.T) {
 	l, dial := behind(t, 1000)
-	l.Set(Out, Flaw{Delay: 60 * time.Millisecond, Jitter: 10 * time.Millisecond})
+	l.Set(Out, Impairment{Delay: 60 * time.Millisecond, Jitter: 10 * time.Millisecond})
 	if n, took, err := ask(dial(), 1000); err != nil || took < 60*time.Millisecond {
 		t.Fatal("delay:", n, took, err)
 	}
-	l.Set(Out, Flaw{})
-	l.Set(Back, Flaw{Rate: 10000})
+	l.Set(Out, Impairment{})
+	l.Set(Back, Impairment{Rate: 10000})
 	if n, took, err := ask(dial(), 1000); err != nil || took < 100*time.Millisecond {
 		t.Fatal("rate:", n, took, err)
 	}
-	l.Set(Back, Flaw{Sever: 700})
+	l.Set(Back, Impairment{Sever: 700})
 	if n, _, err := ask(dial(), 1000); n != 700 || !isReset(err) {
 		t.Fatal("sever:", n, err)
 	}
--- a/internal/trial/plan.go
+++ b/internal/trial/plan.go
@@ -63,15 +63,15 @@
 
 // Fault is something that goes wrong for a while. What it may be stands in the table of kinds.
 type Fault struct {
-	At   For      `yaml:"at"`
-	For  For      `yaml:"for,omitempty"`
-	What string   `yaml:"what"`
-	Of   []string `yaml:"of,omitempty,flow"`   // parts; or
-	From []string `yaml:"from,omitempty,flow"` // links: of these balancers
-	To   []string `yaml:"to,omitempty,flow"`   // to these parts
-	Way  string   `yaml:"way,omitempty"`       // of links: out, back, or both where it is left out
-	By   By       `yaml:"by,omitempty"`        // how much, as the kind has it
-	With string   `yaml:"with,omitempty"`      // of an upgrade: the path of another build
+	At        For      `yaml:"at"`
+	For       For      `yaml:"for,omitempty"`
+	What      string   `yaml:"what"`
+	Of        []string `yaml:"of,omitempty,flow"`   // parts; or
+	From      []string `yaml:"from,omitempty,flow"` // links: of these balancers
+	To        []string `yaml:"to,omitempty,flow"`   // to these parts
+	Direction string   `yaml:"way,omitempty"`       // of links: out, back, or both where it is left out
+	By        By       `yaml:"by,omitempty"`        // how much, as the kind has it
+	With      string   `yaml:"with,omitempty"`      // of an upgrade: the path of another build
 
 	line int // in the plan's text
 }
--- a/internal/trial/process.go
+++ b/internal/trial/process.go
@@ -50,8 +50,8 @@
 	From, To time.Duration // To is 0 while it lasts
 }
 
-// Away is a while in which a process did not serve.
-type Away struct {
+// Absence is a while in which a process did not serve.
+type Absence struct {
 	Span
 	Frozen bool // it stood still, and went on; else it ended
 }
@@ -71,7 +71,7 @@
 	cmd   *exec.Cmd
 	over  chan struct{} // closed when cmd has ended
 	lines []Line
-	away  []Away
+	away  []Absence
 	wall  string // by how much its clock is off when it starts
 	crash string // its last word, where it ended by itself
 }
@@ -117,7 +117,7 @@
 	case to == serving && len(p.away) > 0 && p.away[len(p.away)-1].To == 0:
 		p.away[len(p.away)-1].To = now
 	case was == serving && to != serving:
-		p.away = append(p.away, Away{Span{From: now}, to == frozen})
+		p.away = append(p.away, Absence{Span{From: now}, to == frozen})
 	case was == frozen && to != serving:
 		p.away[len(p.away)-1].Frozen = false
 	}
@@ -130,11 +130,11 @@
 	return p.state.String()
 }
 
-// Away are the spans in which the process did not serve, since it first did.
-func (p *Process) Away() []Away {
+// Absences are the spans in which the process did not serve, since it first did.
+func (p *Process) Absences() []Absence {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return append([]Away(nil), p.away...)
+	return append([]Absence(nil), p.away...)
 }
 
 // Crash is the last word of a process that ended without being told to, empty where none did.
--- a/internal/trial/process_test.go
+++ b/internal/trial/process_test.go
@@ -82,7 +82,7 @@
 	if _, err := os.Stat(filepath.Join(p.Dir, "kept")); err == nil {
 		t.Error("the disk was not emptied")
 	}
-	if away := p.Away(); len(away) != 2 || !away[0].Frozen || away[1].Frozen || away[1].To == 0 {
+	if away := p.Absences(); len(away) != 2 || !away[0].Frozen || away[1].Frozen || away[1].To == 0 {
 		t.Errorf("away: %v", away)
 	}
 }
--- a/internal/trial/result.go
+++ b/internal/trial/result.go
@@ -101,7 +101,7 @@
 	r := &Result{Plan: g.plan.String(), Name: g.plan.Name, Struck: g.struck, Pushes: map[string]int{}, Record: rec,
 		Logs: map[string][]Line{}}
 	for i, p := range g.processes {
-		rec.Balancers = append(rec.Balancers, Witness{p.Name, g.at.source(i), p.Away(), p.Crash()})
+		rec.Balancers = append(rec.Balancers, BalancerRecord{p.Name, g.at.source(i), p.Absences(), p.Crash()})
 		r.Logs[p.Name] = p.Log()
 	}
 	for _, err := range g.broken {
