A client's bytes count from when they come, not from a look that found none

Cause: Listener.AdoptConn looks at the connection that was passed on by Conn.read, which noted the time of that look as the earliest at which unread bytes can have come (unread, first), and returned without reading, since the part that came with the connection had still to be heard. Nothing stood unread. The note stayed, and the rest of the command, hundreds of ms later, counted from it: the process took itself for so far behind that it turned commands away, and an attempt told its server less time than the client had left. The same held for a connection accepted while buffers had no room.

Change: a read that has to wait notes a time only if something stands unread at the socket.

Without it: TestArrivedBehindAdoptedPart "sent long after the hand-over, counts from 300 ms before"; TestArrivedBehindFullMemory "counts from 600 ms before"; TestTimeLeftOfCommandPassedOnInPieces 'answer "SERVER_ERROR busy 132", want "HD O1"'.

--- a/cmd/larchthread/fleet_test.go
+++ b/cmd/larchthread/fleet_test.go
@@ -17,6 +17,7 @@
 	"sync"
 	"sync/atomic"
 	"syscall"
+	"testing"
 	"time"
 
 	"larchthread/internal/standin"
@@ -175,6 +176,17 @@
 	fmt.Println("the old one ends:", old.Wait())
 }
 
+// upgradeInTest does the same, and fails where the running one ends badly.
+func (f *fleet) upgradeInTest(t *testing.T) {
+	t.Helper()
+	old := f.process
+	f.process = f.beside()
+	old.Process.Signal(syscall.SIGTERM)
+	if err := old.Wait(); err != nil {
+		t.Errorf("the old one ends: %v", err)
+	}
+}
+
 // await waits until a note has come so many times.
 func (f *fleet) await(note string, times int) {
 	for range 500 {
--- /dev/null
+++ b/cmd/larchthread/passed_on_test.go
@@ -0,0 +1,37 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"larchthread/internal/standin"
+)
+
+// restBeforeLastByte is for how long a connection that was passed on stands amid a command.
+const restBeforeLastByte = 700 * time.Millisecond
+
+// A command whose last byte comes long after its connection was passed on in an upgrade has all of its time from that byte on.
+func TestTimeLeftOfCommandPassedOnInPieces(t *testing.T) {
+	f := &fleet{sets: patient(), admin: freeAddress(), tmp: filepath.Join(os.TempDir(), fmt.Sprint("pieces", os.Getpid()))}
+	os.MkdirAll(f.tmp, 0o700)
+	t.Cleanup(func() { os.RemoveAll(f.tmp) })
+	f.Host("a", hit)
+	f.Origin(fetch)
+	startFleet(t, f)
+	c := f.client()
+	io.WriteString(c, "ms k 4 O1 Pc=put,d=1000\r\nab")
+	time.Sleep(quietAfter)
+	f.upgradeInTest(t)
+	time.Sleep(restBeforeLastByte)
+	if _, err := io.WriteString(c, "cd\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	r := request{id: "1", timeLeft: time.Second, sent: time.Now()}
+	c.wantAnswer(t, "HD O1")
+	f.checkServers(t, r, standin.OriginID)
+	f.checkTimeLeft(t, r)
+}
--- a/internal/transport/arrival_test.go
+++ b/internal/transport/arrival_test.go
@@ -6,6 +6,8 @@
 	"net/netip"
 	"testing"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 const (
@@ -171,6 +173,79 @@
 	}
 }
 
+// What comes on a connection that another process has passed on amid a command counts from when it comes, not from the hand-over.
+func TestArrivedBehindAdoptedPart(t *testing.T) {
+	r := &recorder{came: make(chan arrival, 3)}
+	client, descriptor := connectionElsewhere(t)
+	adopted := false
+	r.during = func(c *Conn) {
+		if !adopted {
+			adopted = true
+			c.listener.AdoptConn(descriptor, []byte("part of a command"))
+		}
+	}
+	loop, address := record(t, r, 256)
+	send(t, loop, dialTest(t, address))
+	<-r.came
+	<-r.came // the part that was passed on
+	time.Sleep(waitFor)
+	sent := send(t, loop, client)
+	if rest := <-r.came; rest.earliest < sent-clockSlip {
+		t.Errorf("sent long after the hand-over, counts from %.0f ms before", sent-rest.earliest)
+	}
+}
+
+// connectionElsewhere is a connection of a client that no loop has accepted, and the descriptor of the accepted side.
+func connectionElsewhere(t *testing.T) (client net.Conn, descriptor int) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	client = dialTest(t, netip.MustParseAddrPort(listener.Addr().String()))
+	accepted, err := listener.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer accepted.Close()
+	file, err := accepted.(*net.TCPConn).File()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer file.Close()
+	descriptor, err = unix.Dup(int(file.Fd()))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return client, descriptor
+}
+
+// What comes on a connection that was accepted while there was no memory to read from it counts from when it comes.
+func TestArrivedBehindFullMemory(t *testing.T) {
+	r := &recorder{came: make(chan arrival, 2)}
+	var room Timer
+	r.during = func(c *Conn) {
+		c.loop.Pool.Most = 1
+		held := c.loop.Pool.get()
+		room.Fire = func() {
+			c.loop.Pool.put(held)
+			c.loop.Pool.Most = 0
+		}
+		c.loop.Set(&room, float64(waitFor.Milliseconds()))
+		r.during = nil
+	}
+	loop, address := record(t, r, 256)
+	send(t, loop, dialTest(t, address))
+	<-r.came
+	late := dialTest(t, address)
+	time.Sleep(2 * waitFor)
+	sent := send(t, loop, late)
+	if got := <-r.came; got.earliest < sent-clockSlip {
+		t.Errorf("sent long after there was memory again, counts from %.0f ms before", sent-got.earliest)
+	}
+}
+
 // A wait that takes far longer than it may tells that the process stood still, as where its share of the cores is used up. A
 // wait without an end tells nothing.
 func TestOverslept(t *testing.T) {
--- a/internal/transport/receive.go
+++ b/internal/transport/receive.go
@@ -85,14 +85,15 @@
 
 // read takes what has come.
 func (c *Conn) read() {
+	waits := c.readWaits()
+	if waits && c.unread == 0 && c.nothingUnread() { // what will come must not count from this look
+		return
+	}
 	c.unreadSince(c.loop.least())
 	if c.first == 0 {
 		c.first = c.loop.Heard()
 	}
-	if c.news && c.fresh && c.fromClient() { // what is read has still to be heard: one read then takes more
-		return
-	}
-	if c.fromClient() && c.status == up && c.loop.Pool.Full() { // a round that read from all would go over the memory before anything is let go of
+	if waits {
 		return
 	}
 	if !c.fresh {
@@ -127,6 +128,18 @@
 	}
 }
 
+// readWaits tells whether what a client has sent has to wait at its socket: for what was read before it, since one read then
+// takes more, or for memory, since a round that read from all would go over it before anything is let go of.
+func (c *Conn) readWaits() bool {
+	switch {
+	case !c.fromClient():
+		return false
+	case c.news && c.fresh:
+		return true
+	}
+	return c.status == up && c.loop.Pool.Full()
+}
+
 // Later has the owner look in the next round at what stands in In.
 func (l *Loop) Later(c *Conn) {
 	if !c.fresh {
