--- a/internal/takeover/successor.go
+++ b/internal/takeover/successor.go
@@ -64,12 +64,12 @@
 	own := max(most/2, min(open+most/headroom, most-most/headroom))
 	s.loop.Most(own)
 	l, past, banned := s.router.Known()
-	sendParts(s.channel, l.Members, func(part []protocol.Listed) message {
+	sendList(s.channel, l.Members, func(part []protocol.Listed) message {
 		return message{Kind: kindList, List: &protocol.List{Revision: l.Revision, Complete: true, Members: part}}
 	})
-	sendParts(s.channel, past, func(part []string) message { return message{Kind: kindPast, Past: part} })
-	sendParts(s.channel, banned, func(part []string) message { return message{Kind: kindPast, Banned: part} })
-	sendLearned(s.channel, s.router.Learned(), maxItems)
+	sendList(s.channel, past, func(part []string) message { return message{Kind: kindPast, Past: part} })
+	sendList(s.channel, banned, func(part []string) message { return message{Kind: kindPast, Banned: part} })
+	sendLearned(s.channel, s.router.Learned())
 	send(s.channel, message{Kind: kindListener, Sockets: max(most-own-transport.SpareFiles, most/headroom)}, listener)
 }
 
