--- a/internal/routing/ban.go
+++ b/internal/routing/ban.go
@@ -43,12 +43,12 @@
 		return err
 	}
 	r.balancer.Ban(&h.Host, out)
-	h.silent = false
 	if out {
-		h.leave()
-	} else {
-		h.hangUp(transport.Unlisted)
+		h.takeOut()
+		return nil
 	}
+	h.silent = false
+	h.hangUp(transport.Unlisted)
 	return nil
 }
 
@@ -66,12 +66,16 @@
 	}
 	r.balancer.BanAll(hosts)
 	for _, b := range hosts {
-		h := b.Ref.(*host)
-		h.silent = false
-		h.leave()
+		b.Ref.(*host).takeOut()
 	}
 }
 
+// takeOut ends what the router keeps for a host that has just been banned.
+func (h *host) takeOut() {
+	h.silent = false
+	h.leave()
+}
+
 // bannable finds the host that a call names, also one that is known no more: it may come back under its id.
 func (r *Router) bannable(id string) (*host, error) {
 	h := r.hosts[id]
