--- a/cmd/larchthread/handover_failures_test.go
+++ b/cmd/larchthread/handover_failures_test.go
@@ -2,10 +2,6 @@
 
 import (
 	"fmt"
-	"io"
-	"net"
-	"os"
-	"path/filepath"
 	"strings"
 	"syscall"
 	"time"
@@ -13,22 +9,14 @@
 
 // A process that is told to stop while it hands over, or while it is handed over to, ends in good order, and serves until then.
 func Example_stopAmidHandOver() {
-	f := &fleet{admin: freeAddress(), tmp: filepath.Join(os.TempDir(), fmt.Sprint("amid", os.Getpid()))}
-	os.MkdirAll(f.tmp, 0o700)
-	defer os.RemoveAll(f.tmp)
+	f, remove := newHandOverFleet("amid")
+	defer remove()
 	f.Host("a", slowly(100*time.Millisecond))
 	f.Origin(fetch)
 	f.start()
 	defer f.stop()
-	controlPath := f.controlPath()
-	successor, err := net.Dial("unixpacket", controlPath)
-	if err != nil {
-		fmt.Println(err)
-		return
-	}
-	io.WriteString(successor, `{"word":"hello","version":1}`)
-	message := make([]byte, 1<<16)
-	successor.Read(message) // it has begun
+	successor := f.dialControl(1)
+	successor.receive() // it has begun
 	c := f.client()
 	c.say(0, "mg slow v O1 Pc=read,d=590\r\n")
 	f.await("a: mg slow v O1 Pc=read,d=..", 1)
@@ -37,18 +25,13 @@
 	fmt.Println("the old one:", f.process.Wait())
 	successor.Close()
 
-	os.Remove(controlPath)
-	l, err := net.Listen("unixpacket", controlPath)
-	if err != nil {
-		fmt.Println(err)
-		return
-	}
+	l := f.listenControl()
 	defer l.Close()
 	f.admin = freeAddress()
 	f.write(f.watched)
 	f.process = f.run()
 	old, _ := l.Accept()
-	old.Read(message)
+	controlChannel{old}.receive()
 	f.process.Process.Signal(syscall.SIGTERM)
 	began := time.Now()
 	fmt.Println("the new one:", f.process.Wait(), "soon:", time.Since(began) < 2*time.Second)
@@ -61,31 +44,23 @@
 
 // A process that is to take over and dies behind any of the messages, before its yes or after it, leaves the running one serving.
 func Example_successorDiesAnywhere() {
-	f := &fleet{admin: freeAddress(), tmp: filepath.Join(os.TempDir(), fmt.Sprint("anywhere", os.Getpid()))}
-	os.MkdirAll(f.tmp, 0o700)
-	defer os.RemoveAll(f.tmp)
+	f, remove := newHandOverFleet("anywhere")
+	defer remove()
 	f.Host("a", hit)
 	f.Origin(fetch)
 	f.start()
 	defer f.stop()
-	controlPath := f.controlPath()
 	kept := f.client()
 	for last := 0; ; last++ {
-		successor, err := net.Dial("unixpacket", controlPath)
-		if err != nil {
-			fmt.Println(err)
-			return
-		}
+		successor := f.dialControl(1)
 		successor.SetDeadline(time.Now().Add(time.Second))
-		io.WriteString(successor, `{"word":"hello","version":1}`)
-		said, message := "", make([]byte, 1<<16)
+		said := ""
 		for range last {
-			n, _ := successor.Read(message)
-			said = string(message[:n])
+			said = successor.receive()
 		}
 		ready := strings.Contains(said, `"door"`)
 		if ready {
-			io.WriteString(successor, `{"word":"ready"}`)
+			successor.send(`{"word":"ready"}`)
 			for !strings.Contains(f.log.String(), "handed over") {
 				time.Sleep(time.Millisecond)
 			}
--- a/cmd/larchthread/upgrade_test.go
+++ b/cmd/larchthread/upgrade_test.go
@@ -2,8 +2,6 @@
 
 import (
 	"fmt"
-	"io"
-	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -185,37 +183,24 @@
 // A process of another version refuses, or is refused, without harm: the two share the address. One that hangs up in the middle
 // of handing over, or talks nonsense, is given up as well.
 func Example_upgradeAcrossVersions() {
-	f := &fleet{admin: freeAddress(), tmp: filepath.Join(os.TempDir(), fmt.Sprint("across", os.Getpid()))}
-	os.MkdirAll(f.tmp, 0o700)
-	defer os.RemoveAll(f.tmp)
+	f, remove := newHandOverFleet("across")
+	defer remove()
 	f.Host("a", hit)
 	f.Origin(fetch)
 	f.start()
 	defer f.stop()
-	controlPath := f.controlPath()
-	newer, err := net.Dial("unixpacket", controlPath)
-	if err != nil {
-		fmt.Println(err)
-		return
-	}
-	io.WriteString(newer, `{"word":"hello","version":2}`)
-	message := make([]byte, 1<<16)
-	n, _ := newer.Read(message)
-	fmt.Println(string(message[:n]))
+	newer := f.dialControl(2)
+	fmt.Println(newer.receive())
 	newer.Close()
 	for _, last := range []string{`{"word":"refused","version":2,"why":"another version"}`, `{"word":"list","list":{"revision":9,"members":[]}}`,
 		`{"word":"door"}`, `nonsense`} {
-		os.Remove(controlPath)
-		l, err := net.Listen("unixpacket", controlPath)
-		if err != nil {
-			fmt.Println(err)
-			return
-		}
+		l := f.listenControl()
 		go func() {
 			c, _ := l.Accept()
-			c.Read(message)
-			io.WriteString(c, last)
-			c.Close()
+			old := controlChannel{c}
+			old.receive()
+			old.send(last)
+			old.Close()
 		}()
 		old := f.process
 		f.process = f.beside()
