trial: trial cluster and inject in place of ground and strike

Names of the field. In JSON and in plans names stay; words of the table and the report that people read follow the code. go test ./internal/trial and -run 'Trial|Dozen|NoRoom' of the program: passed.

--- a/cmd/larchthread/spoilt_test.go
+++ b/cmd/larchthread/spoilt_test.go
@@ -8,7 +8,7 @@
 	"larchthread/internal/trial"
 )
 
-// In a build with the tag the ground spoils files and clocks of a running process; one that starts meanwhile starts with its
+// In a build with the tag the trial spoils files and clocks of a running process; one that starts meanwhile starts with its
 // clock off.
 func TestSpoilt(t *testing.T) {
 	p, err := trial.Read([]byte(`
--- a/cmd/larchthread/trial.go
+++ b/cmd/larchthread/trial.go
@@ -47,9 +47,9 @@
 
 func trialCommand() *cobra.Command {
 	t := &trials{}
-	c := &cobra.Command{Use: "trial [PLAN.yaml...]", Short: "Start a fleet here, strike it by a plan, and check the rules (docs/trial.md)",
-		Long: "Start balancers beside simulated cache hosts on loopback, send them ops, strike them by a plan, and check the rules from\n" +
-			"what clients and hosts saw. The exit code is 1 where a rule was broken.\n\nFaults that a plan may name, and what they strike:\n\n" +
+	c := &cobra.Command{Use: "trial [PLAN.yaml...]", Short: "Start a fleet here, inject the faults of a plan, and check the rules (docs/trial.md)",
+		Long: "Start balancers beside simulated cache hosts on loopback, send them ops, inject the faults of a plan, and check the rules from\n" +
+			"what clients and hosts saw. The exit code is 1 where a rule was broken.\n\nFaults that a plan may name, and what they apply to:\n\n" +
 			trial.Kinds(),
 		Example: "  larchthread trial plan.yaml --report report.html\n  larchthread trial --draw 20 --seed 1 --shrink",
 		RunE: func(c *cobra.Command, files []string) error {
@@ -127,8 +127,8 @@
 		}
 	}
 	run := func(ctx context.Context, p trial.Plan) (*trial.Result, error) {
-		g := &trial.Ground{Program: program, Args: []string{"serve"}, Env: t.ofServer, Say: say}
-		return g.Run(ctx, p)
+		cluster := &trial.Cluster{Program: program, Args: []string{"serve"}, Env: t.ofServer, Say: say}
+		return cluster.Run(ctx, p)
 	}
 	failed := 0
 	for i, p := range plans {
--- a/cmd/larchthread/trial_test.go
+++ b/cmd/larchthread/trial_test.go
@@ -20,8 +20,8 @@
 // tryPlan plays a plan on processes of this binary.
 func tryPlan(t *testing.T, p trial.Plan) *trial.Result {
 	t.Helper()
-	g := &trial.Ground{Program: os.Args[0], Args: []string{"serve"}, Env: []string{"LARCHTHREAD_SERVE=1"}}
-	r, err := g.Run(context.Background(), p)
+	cluster := &trial.Cluster{Program: os.Args[0], Args: []string{"serve"}, Env: []string{"LARCHTHREAD_SERVE=1"}}
+	r, err := cluster.Run(context.Background(), p)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -100,8 +100,8 @@
 	all.Wait()
 }
 
-// The ground itself is killed: nothing that it started lives on.
-func TestGroundKilled(t *testing.T) {
+// The trial itself is killed: nothing that it started lives on.
+func TestTrialKilled(t *testing.T) {
 	plan := filepath.Join(t.TempDir(), "plan.yaml")
 	if err := os.WriteFile(plan, []byte("load: {for: 30s, rate: 20}"), 0o600); err != nil {
 		t.Fatal(err)
@@ -208,7 +208,7 @@
 	}
 }
 
-// Where no more sockets are to be had the ground says so.
+// Where no more sockets are to be had the trial says so.
 func TestNoRoom(t *testing.T) {
 	var old syscall.Rlimit
 	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &old); err != nil {
@@ -221,8 +221,8 @@
 	}
 	p := trial.Usual()
 	p.Fleet.Hosts = 100
-	g := &trial.Ground{Program: os.Args[0], Args: []string{"serve"}, Env: []string{"LARCHTHREAD_SERVE=1"}}
-	_, err := g.Run(context.Background(), p)
+	cluster := &trial.Cluster{Program: os.Args[0], Args: []string{"serve"}, Env: []string{"LARCHTHREAD_SERVE=1"}}
+	_, err := cluster.Run(context.Background(), p)
 	syscall.Setrlimit(syscall.RLIMIT_NOFILE, &old)
 	if err == nil || !strings.Contains(err.Error(), "too many open files") {
 		t.Fatal(err)
--- a/internal/trial/address.go
+++ b/internal/trial/address.go
@@ -7,9 +7,9 @@
 
 const (
 	perNet        = 80 // balancers in one net: each has three addresses of the 250 that are of use
-	furtherNets   = 15 // nets of a ground beyond its first, for plans with many balancers
+	furtherNets   = 15 // nets of a cluster beyond its first, for plans with many balancers
 	mostBalancers = perNet * (1 + furtherNets)
-	groundsMost   = 1 << 10 // grounds with further nets of their own: all that a quarter of loopback has room for
+	maxClusters   = 1 << 10 // clusters with further nets of their own: all that a quarter of loopback has room for
 
 	// Last numbers of addresses. Balancers of one net have theirs in a row.
 	hostsAt  = 3
@@ -18,7 +18,7 @@
 	sourceAt = linksAt + perNet
 )
 
-// addresses are a ground's own part of loopback, by the process that it runs in.
+// addresses are a cluster's own part of loopback, by the process that it runs in.
 type addresses struct{ pid int }
 
 func ownAddresses() addresses { return addresses{os.Getpid()} }
@@ -41,11 +41,11 @@
 	return a.address(balancer/perNet, sourceAt+balancer%perNet)
 }
 
-// address is an address in a net of this ground. First nets and further ones lie in parts of loopback of their own.
+// address is an address in a net of this cluster. First nets and further ones lie in parts of loopback of their own.
 func (a addresses) address(net, last int) string {
 	if net == 0 {
 		return fmt.Sprintf("127.%d.%d.%d", 64+a.pid>>8&127, a.pid&255, last)
 	}
-	further := a.pid%groundsMost*(furtherNets+1) + net
+	further := a.pid%maxClusters*(furtherNets+1) + net
 	return fmt.Sprintf("127.%d.%d.%d", 192+further>>8, further&255, last)
 }
--- a/internal/trial/check.go
+++ b/internal/trial/check.go
@@ -19,7 +19,7 @@
 	Told      []standin.Told
 	Bans      []Ban
 	Balancers []BalancerRecord // by number
-	Slack     time.Duration    // by which links and the ground may have made anything later
+	Slack     time.Duration    // by which links and the cluster may have made anything later
 }
 
 // BalancerRecord is what is known of a balancer's process.
--- a/internal/trial/ground.go
+++ b/internal/trial/cluster.go
@@ -1,11 +1,11 @@
-// Package trial is a ground on which several processes of the program are tried, with faults between them. A plan says what
+// Package trial starts a cluster of several processes of the program and injects faults into it. A plan says what
 // is started, what clients send, and what goes wrong when; Run plays it:
 //
 //	plan.go, faults.go   what a plan may hold, read, checked, drawn, printed
-//	ground.go            plays a plan from its start to its result
-//	address.go           the part of loopback that a ground has to itself
+//	cluster.go           plays a plan from its start to its result
+//	address.go           the part of loopback that a cluster has to itself
 //	start.go             starts the fleet: stand-ins, links, start files, balancers
-//	inject.go            brings about the plan's faults, each at its time
+//	inject.go            injects the plan's faults, each at its time
 //	process.go           a real process, its directory as its disk, its log as it comes
 //	link.go              the way from one balancer to one part, which can fail by itself
 //	load.go              clients that send at a rate whatever comes back
@@ -42,8 +42,8 @@
 // categories are what ops there are, and how they may be repeated.
 var categories = map[string]string{"read": "retryable", "put": "dedup", "once": "fragile"}
 
-// Ground is what Run plays on.
-type Ground struct {
+// Cluster is the processes, links and stand-ins of a trial, on which Run plays a plan.
+type Cluster struct {
 	Program string   // path of the program under trial
 	Args    []string // of a balancer
 	Env     []string // further environment of a balancer
@@ -58,11 +58,11 @@
 	listens   []string
 	links     map[[2]string]*Link
 
-	mu     sync.Mutex
-	admins []string
-	struck []string
-	bans   []Ban
-	broken []error // what the ground itself could not do
+	mu       sync.Mutex
+	admins   []string
+	injected []string
+	bans     []Ban
+	broken   []error // what the cluster itself could not do
 }
 
 // Ban is a host taken out by hand at a balancer. It binds from that balancer's yes to the call that ends it.
@@ -71,52 +71,52 @@
 	Span
 }
 
-// Run plays a plan, and returns what came of it. An error is the ground's own: the plan can't be played here, or was broken
+// Run plays a plan, and returns what came of it. An error is the cluster's own: the plan can't be played here, or was broken
 // off. What the plan breaks stands in the result.
-func (g *Ground) Run(ctx context.Context, p Plan) (*Result, error) {
+func (c *Cluster) Run(ctx context.Context, p Plan) (*Result, error) {
 	if err := p.check([]int{0, 0}); err != nil {
 		return nil, err
 	}
-	if g.Say == nil {
-		g.Say = func(string, ...any) {}
+	if c.Say == nil {
+		c.Say = func(string, ...any) {}
 	}
-	*g = Ground{Program: g.Program, Args: g.Args, Env: g.Env, Say: g.Say, plan: p}
-	defer g.end()
-	if err := g.start(); err != nil {
+	*c = Cluster{Program: c.Program, Args: c.Args, Env: c.Env, Say: c.Say, plan: p}
+	defer c.end()
+	if err := c.start(); err != nil {
 		return nil, err
 	}
 	time.Sleep(settle)
-	began := g.fleet.Now()
-	l := newLoad(p, g.listens, g.fleet.Now)
+	began := c.fleet.Now()
+	l := newLoad(p, c.listens, c.fleet.Now)
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
 	var both sync.WaitGroup
 	both.Add(1)
 	go func() {
 		defer both.Done()
-		g.strikeAll(ctx, began)
+		c.injectAll(ctx, began)
 	}()
-	err := l.run(ctx, began, func(at time.Duration, sent int) { g.Say("%4.0f s  %d ops\n", at.Seconds(), sent) })
+	err := l.run(ctx, began, func(at time.Duration, sent int) { c.Say("%4.0f s  %d ops\n", at.Seconds(), sent) })
 	both.Wait()
 	if err != nil {
 		return nil, err
 	}
-	return g.result(began, l), nil
+	return c.result(began, l), nil
 }
 
 // end ends all that start began.
-func (g *Ground) end() {
-	for _, p := range g.processes {
+func (c *Cluster) end() {
+	for _, p := range c.processes {
 		p.Kill()
 	}
-	for _, l := range g.links {
+	for _, l := range c.links {
 		l.close()
 	}
-	if g.fleet != nil {
-		g.fleet.Close()
+	if c.fleet != nil {
+		c.fleet.Close()
 	}
-	if g.shell != nil {
-		g.shell.close()
+	if c.shell != nil {
+		c.shell.close()
 	}
-	os.RemoveAll(g.dir)
+	os.RemoveAll(c.dir)
 }
--- a/internal/trial/faults.go
+++ b/internal/trial/faults.go
@@ -27,7 +27,7 @@
 	word        // one of those in spoils
 )
 
-// where a kind of fault strikes.
+// where a kind of fault is injected.
 type where int
 
 const (
@@ -96,7 +96,7 @@
 	return [...]string{"balancers", "hosts", "hosts, origin", discovery, "links"}[w]
 }
 
-// targets are the parts that a fault strikes; for links the balancers and the parts.
+// targets are the parts that a fault is injected into; for links the balancers and the parts.
 func (x Fault) targets(f Fleet) (of, to []string, err error) {
 	k := kinds[x.What]
 	switch k.where {
@@ -144,8 +144,8 @@
 	}
 	_, _, err := x.targets(p.Fleet)
 	bad(err != nil, "%s: %v", x.What, err)
-	bad(k.where != links && len(x.From)+len(x.To) > 0, "%s: strikes %v, which of names; from and to are for links", x.What, k.where)
-	bad(k.where == links && len(x.Of) > 0, "%s: strikes links, which from and to name", x.What)
+	bad(k.where != links && len(x.From)+len(x.To) > 0, "%s: applies to %v, which of names; from and to are for links", x.What, k.where)
+	bad(k.where == links && len(x.Of) > 0, "%s: applies to links, which from and to name", x.What)
 	bad(!k.instant && x.For <= 0, "%s: for: missing", x.What)
 	bad(k.instant && x.For > 0, "%s: for: it has no end", x.What)
 	bad(x.At+x.For > p.Load.For, "%s: ends at %v, after the load, which lasts %v", x.What, (x.At + x.For).d(), p.Load.For.d())
--- a/internal/trial/inject.go
+++ b/internal/trial/inject.go
@@ -21,7 +21,7 @@
 }
 
 // moments are all beginnings and ends in their order: by time, of one time ends first, then as the plan has them. So two
-// faults of one instant strike in the same order each time.
+// faults of one instant are injected in the same order each time.
 func (p Plan) moments() (all []moment) {
 	for _, x := range p.ordered() {
 		all = append(all, moment{x.At.d(), x, false})
@@ -43,14 +43,14 @@
 	return 1
 }
 
-// strikeAll strikes by the plan. Each fault is struck in its turn, and what takes its time goes on beside the next.
-func (g *Ground) strikeAll(ctx context.Context, began time.Duration) {
+// injectAll injects the plan's faults. Each has its turn, and what takes its time goes on beside the next.
+func (c *Cluster) injectAll(ctx context.Context, began time.Duration) {
 	var slow sync.WaitGroup
 	defer slow.Wait()
-	lanes := map[string]chan struct{}{} // what strikes one process waits for what struck it before
-	for _, m := range g.plan.moments() {
+	lanes := map[string]chan struct{}{} // a fault of a process waits for the one before it
+	for _, m := range c.plan.moments() {
 		select {
-		case <-time.After(began + m.at - g.fleet.Now()):
+		case <-time.After(began + m.at - c.fleet.Now()):
 		case <-ctx.Done():
 			return
 		}
@@ -58,13 +58,13 @@
 		if m.end {
 			text = fmt.Sprintf("%6.2fs end of %s", m.at.Seconds(), strings.TrimSpace(text))
 		}
-		g.mu.Lock()
-		g.struck = append(g.struck, text)
-		g.mu.Unlock()
-		g.Say("%s\n", text)
+		c.mu.Lock()
+		c.injected = append(c.injected, text)
+		c.mu.Unlock()
+		c.Say("%s\n", text)
 		k := kinds[m.fault.What]
 		if k.where != balancers && m.fault.What != "ban" {
-			g.failed(g.strike(m.fault, m.end, began))
+			c.failed(c.inject(m.fault, m.end, began))
 			continue
 		}
 		lane := strings.Join(m.fault.Of, ",")
@@ -77,43 +77,43 @@
 			if before != nil {
 				<-before
 			}
-			g.failed(g.strike(m.fault, m.end, began))
+			c.failed(c.inject(m.fault, m.end, began))
 		}()
 	}
 }
 
-func (g *Ground) failed(err error) {
+func (c *Cluster) failed(err error) {
 	if err != nil {
-		g.mu.Lock()
-		defer g.mu.Unlock()
-		g.broken = append(g.broken, err)
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.broken = append(c.broken, err)
 	}
 }
 
-// strike begins a fault, or ends it.
-func (g *Ground) strike(x Fault, end bool, began time.Duration) error {
-	of, to, err := x.targets(g.plan.Fleet)
+// inject begins a fault, or ends it.
+func (c *Cluster) inject(x Fault, end bool, began time.Duration) error {
+	of, to, err := x.targets(c.plan.Fleet)
 	if err != nil {
 		return err
 	}
 	switch kinds[x.What].where {
 	case balancers:
-		return each(of, func(name string) error { return g.strikeProcess(x, name, end) })
+		return each(of, func(name string) error { return c.injectProcessFault(x, name, end) })
 	case hosts, servers:
-		return each(of, func(name string) error { return g.strikeServer(x, name, end) })
+		return each(of, func(name string) error { return c.injectServerFault(x, name, end) })
 	case lists:
 		if x.What == "silent" {
-			g.fleet.Discovery.Silent(!end)
+			c.fleet.Discovery.Silent(!end)
 			return nil
 		}
 		late := time.Duration(0)
 		if ms, err := x.By.number(); !end && err == nil {
 			late = time.Duration(ms * float64(time.Millisecond))
 		}
-		g.fleet.Discovery.Late(late)
+		c.fleet.Discovery.Late(late)
 	case links:
 		return each(of, func(b string) error {
-			return each(to, func(part string) error { g.strikeLink(x, g.links[[2]string{b, part}], end); return nil })
+			return each(to, func(part string) error { c.injectLinkFault(x, c.links[[2]string{b, part}], end); return nil })
 		})
 	}
 	return nil
@@ -128,9 +128,9 @@
 	return errors.Join(all...)
 }
 
-func (g *Ground) strikeProcess(x Fault, name string, end bool) error {
+func (c *Cluster) injectProcessFault(x Fault, name string, end bool) error {
 	i := place(name)
-	p := g.processes[i]
+	p := c.processes[i]
 	switch {
 	case x.What == "disk" && end:
 		return p.spoil("disk well")
@@ -143,7 +143,7 @@
 	case x.What == "freeze" && end:
 		return p.Thaw()
 	case end:
-		return g.launch(i, func() error { return g.rewrite(i) })
+		return c.launch(i, func() error { return c.rewrite(i) })
 	case x.What == "kill":
 		return p.Kill()
 	case x.What == "term":
@@ -153,14 +153,14 @@
 	case x.What == "freeze":
 		return p.Freeze()
 	}
-	program := g.Program // upgrade
+	program := c.Program // upgrade
 	if x.With != "" {
 		program = x.With
 	}
-	return p.replace(func() error { return g.rewrite(i) }, program, g.Args...)
+	return p.replace(func() error { return c.rewrite(i) }, program, c.Args...)
 }
 
-func (g *Ground) strikeServer(x Fault, name string, end bool) error {
+func (c *Cluster) injectServerFault(x Fault, name string, end bool) error {
 	var mode standin.Mode
 	if by, _ := x.By.number(); !end { // a plan's figures are checked before it is played
 		switch x.What {
@@ -177,18 +177,18 @@
 		}
 	}
 	if name == standin.OriginID {
-		g.fleet.Origin.Set(mode)
+		c.fleet.Origin.Set(mode)
 		return nil
 	}
-	h := g.fleet.Hosts()[place(name)]
-	lists := g.fleet.Discovery
+	h := c.fleet.Hosts()[place(name)]
+	lists := c.fleet.Discovery
 	switch x.What {
 	case "die":
 		if !end {
 			h.Die()
 			return lists.Phase(name, standin.Terminated, 0)
 		}
-		return errors.Join(h.Start(), lists.Phase(name, standin.InService, g.fleet.Now()))
+		return errors.Join(h.Start(), lists.Phase(name, standin.InService, c.fleet.Now()))
 	case "void":
 		h.Void()
 	case "drain":
@@ -199,11 +199,11 @@
 	case "remove":
 		if end {
 			h.Die()
-			return errors.Join(h.Start(), lists.Phase(name, standin.InService, g.fleet.Now()))
+			return errors.Join(h.Start(), lists.Phase(name, standin.InService, c.fleet.Now()))
 		}
 		return errors.Join(lists.Phase(name, standin.Terminating, 0), lists.Phase(name, standin.Terminated, 0))
 	case "ban":
-		return each(g.plan.Fleet.balancers(), func(b string) error { return g.ban(b, name, end) })
+		return each(c.plan.Fleet.balancers(), func(b string) error { return c.ban(b, name, end) })
 	default:
 		h.Set(mode)
 	}
@@ -212,40 +212,40 @@
 
 // ban takes a host out by hand at one balancer, or puts it back. A balancer that is not there can't be told: what it does
 // not know does not bind it.
-func (g *Ground) ban(balancer, host string, end bool) error {
+func (c *Cluster) ban(balancer, host string, end bool) error {
 	i := place(balancer)
-	g.mu.Lock()
-	admin := g.admins[i]
-	g.mu.Unlock()
+	c.mu.Lock()
+	admin := c.admins[i]
+	c.mu.Unlock()
 	path := "/maintenance/enter"
 	if end {
 		path = "/maintenance/exit"
-		g.unban(balancer, host)
+		c.unban(balancer, host)
 	}
 	status, text, err := call(admin, "POST", path, host)
 	if err != nil || status != 200 {
-		g.Say("        %s %s at %s: %d %s %v\n", path, host, balancer, status, text, err)
+		c.Say("        %s %s at %s: %d %s %v\n", path, host, balancer, status, text, err)
 		return nil
 	}
 	if !end {
-		g.mu.Lock()
-		defer g.mu.Unlock()
-		g.bans = append(g.bans, Ban{balancer, host, Span{From: g.fleet.Now()}})
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.bans = append(c.bans, Ban{balancer, host, Span{From: c.fleet.Now()}})
 	}
 	return nil
 }
 
-func (g *Ground) unban(balancer, host string) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	for i := range g.bans {
-		if b := &g.bans[i]; b.Balancer == balancer && b.Host == host && b.To == 0 {
-			b.To = g.fleet.Now()
+func (c *Cluster) unban(balancer, host string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for i := range c.bans {
+		if b := &c.bans[i]; b.Balancer == balancer && b.Host == host && b.To == 0 {
+			b.To = c.fleet.Now()
 		}
 	}
 }
 
-func (g *Ground) strikeLink(x Fault, l *Link, end bool) {
+func (c *Cluster) injectLinkFault(x Fault, l *Link, end bool) {
 	switch x.What {
 	case "cut":
 		l.Cut(!end)
--- a/internal/trial/load.go
+++ b/internal/trial/load.go
@@ -20,7 +20,7 @@
 )
 
 const (
-	answerSlack = 150 * time.Millisecond // behind an op's TTL in which its answer counts still: the ground's own lateness
+	answerSlack = 150 * time.Millisecond // behind an op's TTL in which its answer counts still: the load generator's own lateness
 	listenMore  = 400 * time.Millisecond // after the last op, for answers that nobody should send
 	connectMost = 500 * time.Millisecond
 	crossed     = 10 * time.Millisecond // within which the end of a kept connection crossed the command
--- a/internal/trial/plan.go
+++ b/internal/trial/plan.go
@@ -223,7 +223,7 @@
 			b.Times, mostRate)
 	}
 	bad(len(p.Faults) > mostFaults, load, "faults: %d, want %d at most", len(p.Faults), mostFaults)
-	if !possible { // faults strike parts of a fleet
+	if !possible { // faults are injected into parts of a fleet
 		return errors.Join(all...)
 	}
 	for _, x := range p.Faults {
--- a/internal/trial/plan_test.go
+++ b/internal/trial/plan_test.go
@@ -48,7 +48,7 @@
 	// plan: line 7: slow: way: "up", want out, back or both, and that of links
 	// plan: line 7: slow: by: "0.5", want a factor above 1, at most 1000
 	// plan: line 8: cut: to: missing
-	// plan: line 8: cut: strikes links, which from and to name
+	// plan: line 8: cut: applies to links, which from and to name
 }
 
 // What a plan leaves out is as usual; zones and all stand for their parts.
@@ -77,7 +77,7 @@
 	// [b1 b3] [h2 h4 h6 discovery] <nil>
 }
 
-// A drawn plan's text reads as the plan that it was, and strikes in the same order; each has two faults at once.
+// A drawn plan's text reads as the plan that it was, and its faults are injected in the same order; each has two faults at once.
 func TestDrawnPlansPlayAgain(t *testing.T) {
 	for seed := range uint64(300) {
 		p := Draw(seed)
@@ -131,13 +131,13 @@
 		p.Faults = append(p.Faults, x)
 	}
 	least, err := Shrink(context.Background(), p, []string{"answers"}, func(_ context.Context, q Plan) (*Result, error) {
-		struck := map[string]bool{}
+		injected := map[string]bool{}
 		for _, x := range q.Faults {
 			for _, name := range x.Of {
-				struck[x.What+name] = true
+				injected[x.What+name] = true
 			}
 		}
-		if struck["killb2"] && struck["hangh3"] {
+		if injected["killb2"] && injected["hangh3"] {
 			return &Result{Breaks: []Break{{Rule: "answers"}}}, nil
 		}
 		return &Result{Breaks: []Break{{Rule: "another"}}}, nil
--- a/internal/trial/process.go
+++ b/internal/trial/process.go
@@ -76,8 +76,8 @@
 	crash string // its last word, where it ended by itself
 }
 
-// shell starts processes. Each dies with the ground, however that ends: the kernel kills a child when the thread that started
-// it ends, so one thread starts them all and lives as long as the ground.
+// shell starts processes. Each dies with the trial's process, however that ends: the kernel kills a child when the
+// thread that started it ends, so one thread starts them all and lives as long as the cluster.
 type shell struct {
 	calls chan func()
 	done  chan struct{}
--- a/internal/trial/report.go
+++ b/internal/trial/report.go
@@ -30,9 +30,9 @@
 	for _, h := range r.hosts() {
 		fmt.Fprintf(w, " %s %d", h, r.Pushes[h])
 	}
-	fmt.Fprintf(w, "\nthe ground's own lateness, 99 in 100: %.1f ms\n", r.Late)
+	fmt.Fprintf(w, "\nthe load generator's own lateness, 99 in 100: %.1f ms\n", r.Late)
 	for _, text := range r.Trouble {
-		fmt.Fprintf(w, "the ground: %s\n", text)
+		fmt.Fprintf(w, "trial cluster: %s\n", text)
 	}
 	if len(r.Breaks) == 0 {
 		fmt.Fprintf(w, "all rules kept\n")
@@ -92,7 +92,7 @@
 	var table bytes.Buffer
 	r.Table(&table)
 	return page.Execute(w, map[string]any{"Name": r.Name, "Table": table.String(), "Plan": r.Plan,
-		"Struck": strings.Join(r.Struck, "\n"), "Plots": []template.HTML{service, took, hosts}})
+		"Injected": strings.Join(r.Injected, "\n"), "Plots": []template.HTML{service, took, hosts}})
 }
 
 func ratio(n, of int) float64 {
@@ -173,7 +173,7 @@
 {{range .Plots}}<p>{{.}}</p>
 {{end}}
 <h2>What came of it</h2><pre>{{.Table}}</pre>
-<h2>What was struck</h2><pre>{{.Struck}}</pre>
+<h2>Injected faults</h2><pre>{{.Injected}}</pre>
 <h2>The plan</h2><p>Save it as plan.yaml and play it again: <code>larchthread trial plan.yaml</code></p><pre>{{.Plan}}</pre>
 </html>
 `))
--- a/internal/trial/result.go
+++ b/internal/trial/result.go
@@ -7,18 +7,19 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 )
 
-// Result is what came of a plan.
+// Result is what came of a plan. Its names in JSON stay as they were before fields were
+// renamed, for scripts that read them.
 type Result struct {
-	Plan    string         `json:"plan"`
-	Name    string         `json:"name"`
-	Breaks  []Break        `json:"breaks"`
-	Trouble []string       `json:"ground"` // what the ground itself could not do
-	Struck  []string       `json:"struck"` // faults, in the order in which they were
-	Groups  []Group        `json:"categories"`
-	Seconds []Second       `json:"seconds"`
-	Pushes  map[string]int `json:"pushes"`  // by host
-	Late    float64        `json:"late_ms"` // 99 in 100 ops were sent no later than this behind their time
-	Marks   []Mark         `json:"marks"`
+	Plan     string         `json:"plan"`
+	Name     string         `json:"name"`
+	Breaks   []Break        `json:"breaks"`
+	Trouble  []string       `json:"ground"` // what the cluster itself could not do
+	Injected []string       `json:"struck"` // faults, in the order of their injection
+	Groups   []Group        `json:"categories"`
+	Seconds  []Second       `json:"seconds"`
+	Pushes   map[string]int `json:"pushes"`  // by host
+	Late     float64        `json:"late_ms"` // 99 in 100 ops were sent no later than this behind their time
+	Marks    []Mark         `json:"marks"`
 
 	Record *Record           `json:"-"`
 	Logs   map[string][]Line `json:"-"` // by balancer
@@ -96,26 +97,26 @@
 }
 
 // result looks at what came of the plan.
-func (g *Ground) result(began time.Duration, l *load) *Result {
-	rec := &Record{Calls: l.calls, Runs: g.fleet.Runs(), Told: g.fleet.Told(), Bans: g.bans, Slack: g.plan.slack()}
-	r := &Result{Plan: g.plan.String(), Name: g.plan.Name, Struck: g.struck, Pushes: map[string]int{}, Record: rec,
+func (c *Cluster) result(began time.Duration, l *load) *Result {
+	rec := &Record{Calls: l.calls, Runs: c.fleet.Runs(), Told: c.fleet.Told(), Bans: c.bans, Slack: c.plan.slack()}
+	r := &Result{Plan: c.plan.String(), Name: c.plan.Name, Injected: c.injected, Pushes: map[string]int{}, Record: rec,
 		Logs: map[string][]Line{}}
-	for i, p := range g.processes {
-		rec.Balancers = append(rec.Balancers, BalancerRecord{p.Name, g.at.source(i), p.Absences(), p.Crash()})
+	for i, p := range c.processes {
+		rec.Balancers = append(rec.Balancers, BalancerRecord{p.Name, c.at.source(i), p.Absences(), p.Crash()})
 		r.Logs[p.Name] = p.Log()
 	}
-	for _, err := range g.broken {
+	for _, err := range c.broken {
 		r.Trouble = append(r.Trouble, err.Error())
 	}
 	for _, x := range rec.Runs {
 		r.Pushes[x.Host]++
 	}
-	for _, x := range g.plan.ordered() {
+	for _, x := range c.plan.ordered() {
 		r.Marks = append(r.Marks, Mark{x.At.d().Seconds(), (x.At + x.For).d().Seconds(), x.String()})
 	}
 	r.Late = float64(l.late.ValueAtQuantile(99)) / 1000
 	r.Breaks = rec.Check()
-	r.count(began, g.plan.Load.For.d())
+	r.count(began, c.plan.Load.For.d())
 	return r
 }
 
--- a/internal/trial/shrink.go
+++ b/internal/trial/shrink.go
@@ -10,8 +10,8 @@
 	shrinkTries = 2  // times that a smaller plan is played before it counts as well
 )
 
-// Shrink looks for the least plan that still breaks one of the rules that a failing one does: with fewer faults, parts struck,
-// a shorter load and a smaller fleet. Each smaller plan is played up to twice, for a break may need luck.
+// Shrink looks for the least plan that still breaks one of the rules that a failing one does: with fewer faults in fewer
+// parts, a shorter load and a smaller fleet. Each smaller plan is played up to twice, for a break may need luck.
 func Shrink(ctx context.Context, p Plan, broken []string, play func(context.Context, Plan) (*Result, error)) (Plan, error) {
 	runs := 0
 	fails := func(q Plan) (bool, error) {
--- a/internal/trial/start.go
+++ b/internal/trial/start.go
@@ -12,27 +12,27 @@
 )
 
 // start starts the whole fleet.
-func (g *Ground) start() error {
-	f := g.plan.Fleet
+func (c *Cluster) start() error {
+	f := c.plan.Fleet
 	dir, err := os.MkdirTemp("", "larchthread-trial-")
 	if err != nil {
 		return fmt.Errorf("trial: %w", err)
 	}
-	g.dir, g.shell, g.links = dir, newShell(), map[[2]string]*Link{}
-	g.at = ownAddresses()
+	c.dir, c.shell, c.links = dir, newShell(), map[[2]string]*Link{}
+	c.at = ownAddresses()
 	origin := standin.Work{Takes: f.Origin.d(), Slots: f.Hosts, Queue: 20 * f.Hosts}
-	if g.fleet, err = standin.NewFleet(g.plan.Seed, origin); err != nil {
+	if c.fleet, err = standin.NewFleet(c.plan.Seed, origin); err != nil {
 		return err
 	}
 	work := standin.Work{Takes: f.Work.d(), Slots: f.Slots, Queue: 8 * f.Slots}
 	warming := standin.Warming{Share: coldShare, For: coldFor, Multiple: tipTimes, Within: tipFor}
 	for i, id := range f.hosts() {
-		if _, err := g.fleet.AddHost(id, f.zone(i+1), g.at.hosts(), g.plan.Seed+uint64(i), work, warming); err != nil {
+		if _, err := c.fleet.AddHost(id, f.zone(i+1), c.at.hosts(), c.plan.Seed+uint64(i), work, warming); err != nil {
 			return err
 		}
 	}
 	for i, name := range f.balancers() {
-		if err := g.balancer(i, name); err != nil {
+		if err := c.balancer(i, name); err != nil {
 			return err
 		}
 	}
@@ -40,25 +40,25 @@
 }
 
 // balancer starts a balancer, with its links and its view of discovery.
-func (g *Ground) balancer(i int, name string) error {
-	source := net.ParseIP(g.at.source(i))
+func (c *Cluster) balancer(i int, name string) error {
+	source := net.ParseIP(c.at.source(i))
 	link := func(part string, target func() string) (*Link, error) {
-		l, err := newLink(name, part, g.at.links(i), source, g.plan.Seed+uint64(len(g.links)), target)
+		l, err := newLink(name, part, c.at.links(i), source, c.plan.Seed+uint64(len(c.links)), target)
 		if err == nil {
-			g.links[[2]string{name, part}] = l
+			c.links[[2]string{name, part}] = l
 		}
 		return l, err
 	}
-	for _, h := range g.fleet.Hosts() {
+	for _, h := range c.fleet.Hosts() {
 		if _, err := link(h.ID, h.Address); err != nil {
 			return err
 		}
 	}
-	if _, err := link(standin.OriginID, g.fleet.Origin.Address); err != nil {
+	if _, err := link(standin.OriginID, c.fleet.Origin.Address); err != nil {
 		return err
 	}
-	address := func(m standin.Member) string { return g.links[[2]string{name, m.ID}].Address() }
-	view, err := g.fleet.Discovery.View(name, address)
+	address := func(m standin.Member) string { return c.links[[2]string{name, m.ID}].Address() }
+	view, err := c.fleet.Discovery.View(name, address)
 	if err != nil {
 		return err
 	}
@@ -66,35 +66,35 @@
 	if err != nil {
 		return err
 	}
-	listen, err := g.free(i)
+	listen, err := c.free(i)
 	if err != nil {
 		return err
 	}
-	p := &Process{Name: name, Dir: filepath.Join(g.dir, name), now: g.fleet.Now, shell: g.shell, env: g.Env,
-		probe: func() bool { return g.serves(i) }}
+	p := &Process{Name: name, Dir: filepath.Join(c.dir, name), now: c.fleet.Now, shell: c.shell, env: c.Env,
+		probe: func() bool { return c.serves(i) }}
 	p.config = filepath.Join(p.Dir, "start.json")
-	g.processes, g.listens, g.admins = append(g.processes, p), append(g.listens, listen), append(g.admins, "")
+	c.processes, c.listens, c.admins = append(c.processes, p), append(c.listens, listen), append(c.admins, "")
 	if err := os.Mkdir(p.Dir, 0o700); err != nil {
 		return fmt.Errorf("%s: %w", name, err)
 	}
-	known, err := g.fleet.Discovery.Whole(address)
+	known, err := c.fleet.Discovery.Whole(address)
 	if err != nil {
 		return err
 	}
-	return g.launch(i, func() error { return g.write(i, lists.Address(), known) })
+	return c.launch(i, func() error { return c.write(i, lists.Address(), known) })
 }
 
 // launch starts a balancer's process, once its start file is written anew.
-func (g *Ground) launch(i int, write func() error) error {
+func (c *Cluster) launch(i int, write func() error) error {
 	if err := write(); err != nil {
 		return err
 	}
-	return g.processes[i].Start(g.Program, g.Args...)
+	return c.processes[i].Start(c.Program, c.Args...)
 }
 
 // free is an address that nobody has, in a balancer's own part of loopback.
-func (g *Ground) free(i int) (string, error) {
-	l, err := net.Listen("tcp", net.JoinHostPort(g.at.listen(i), "0"))
+func (c *Cluster) free(i int) (string, error) {
+	l, err := net.Listen("tcp", net.JoinHostPort(c.at.listen(i), "0"))
 	if err != nil {
 		return "", fmt.Errorf("no port free: %w", err)
 	}
@@ -103,15 +103,15 @@
 }
 
 // write writes a balancer's start file, with an operators' address of its own.
-func (g *Ground) write(i int, lists string, known json.RawMessage) error {
-	admin := g.listens[i]
-	for admin == g.listens[i] { // nobody listens there yet at a start
+func (c *Cluster) write(i int, lists string, known json.RawMessage) error {
+	admin := c.listens[i]
+	for admin == c.listens[i] { // nobody listens there yet at a start
 		var err error
-		if admin, err = g.free(i); err != nil {
+		if admin, err = c.free(i); err != nil {
 			return err
 		}
 	}
-	f := g.plan.Fleet
+	f := c.plan.Fleet
 	us := func(d time.Duration) int64 { return d.Microseconds() }
 	var rows []map[string]any
 	for _, name := range []string{"read", "put", "once"} {
@@ -122,8 +122,8 @@
 		}
 		rows = append(rows, row)
 	}
-	text, err := json.Marshal(map[string]any{"name": g.processes[i].Name, "listen": g.listens[i], "admin": admin, "discovery": lists,
-		"seed": fmt.Sprintf("%x", g.plan.Seed+uint64(i)), "known": known,
+	text, err := json.Marshal(map[string]any{"name": c.processes[i].Name, "listen": c.listens[i], "admin": admin, "discovery": lists,
+		"seed": fmt.Sprintf("%x", c.plan.Seed+uint64(i)), "known": known,
 		"limits": map[string]any{"cores": 1, "memory_mb": memoryMB, "sockets": sockets},
 		"settings": map[string]any{"categories": rows, "groupSize": f.Balancers, "quantumUs": 1000, "discovery": "on_request",
 			"benefitBy": "request", "models": []string{standin.KindHost, standin.KindOrigin}, "zone": f.zone(i + 1),
@@ -134,10 +134,10 @@
 	if err != nil {
 		return err
 	}
-	g.mu.Lock()
-	g.admins[i] = admin
-	g.mu.Unlock()
-	return os.WriteFile(g.processes[i].config, text, 0o600)
+	c.mu.Lock()
+	c.admins[i] = admin
+	c.mu.Unlock()
+	return os.WriteFile(c.processes[i].config, text, 0o600)
 }
 
 func zones(f Fleet) (all []string) {
@@ -148,20 +148,20 @@
 }
 
 // rewrite writes a start file anew for a balancer that is restarted: the list as it is now, and a new operators' address.
-func (g *Ground) rewrite(i int) error {
-	name := g.processes[i].Name
-	known, err := g.fleet.Discovery.Whole(func(m standin.Member) string { return g.links[[2]string{name, m.ID}].Address() })
+func (c *Cluster) rewrite(i int) error {
+	name := c.processes[i].Name
+	known, err := c.fleet.Discovery.Whole(func(m standin.Member) string { return c.links[[2]string{name, m.ID}].Address() })
 	if err != nil {
 		return err
 	}
-	return g.write(i, g.links[[2]string{name, discovery}].Address(), known)
+	return c.write(i, c.links[[2]string{name, discovery}].Address(), known)
 }
 
 // serves tells whether a balancer says that it serves.
-func (g *Ground) serves(i int) bool {
-	g.mu.Lock()
-	admin := g.admins[i]
-	g.mu.Unlock()
+func (c *Cluster) serves(i int) bool {
+	c.mu.Lock()
+	admin := c.admins[i]
+	c.mu.Unlock()
 	status, _, err := call(admin, "GET", "/status", "")
 	return err == nil && status == 200
 }
