--- a/cmd/larchthread/client_leaves_test.go
+++ b/cmd/larchthread/client_leaves_test.go
@@ -76,7 +76,7 @@
 func Example_leftWhileAnswered() {
 	f := &fleet{}
 	l := standin.Anywhere()
-	f.Members = append(f.Members, standin.Line("a", l.Addr().String(), standin.KindHost, standin.InService))
+	f.Members = append(f.Members, standin.ListEntry("a", l.Addr().String(), standin.KindHost, standin.InService))
 	f.Serve(l, func(c net.Conn) {
 		r := bufio.NewReader(c)
 		r.ReadString('\n')
@@ -120,7 +120,7 @@
 	f := &fleet{}
 	f.Host("a", miss)
 	l := standin.Anywhere()
-	f.Members = append(f.Members, standin.Line("log", l.Addr().String(), standin.KindOrigin, standin.InService))
+	f.Members = append(f.Members, standin.ListEntry("log", l.Addr().String(), standin.KindOrigin, standin.InService))
 	begun, read := make(chan bool), make(chan bool)
 	whole := make(chan bool)
 	f.Serve(l, func(c net.Conn) {
--- a/cmd/larchthread/fleet_test.go
+++ b/cmd/larchthread/fleet_test.go
@@ -24,7 +24,7 @@
 
 // fleet is the program and all that it speaks to: cache hosts and an origin that do as they are told, and discovery.
 type fleet struct {
-	standin.Script
+	standin.ScriptedFleet
 	process *exec.Cmd
 	watched string   // discovery's address
 	args    []string // of the program's command line
--- a/cmd/larchthread/host_connections_test.go
+++ b/cmd/larchthread/host_connections_test.go
@@ -72,7 +72,7 @@
 func Example_secondAnswer() {
 	f := &fleet{}
 	l := standin.Anywhere()
-	f.Members = append(f.Members, standin.Line("a", l.Addr().String(), standin.KindHost, standin.InService))
+	f.Members = append(f.Members, standin.ListEntry("a", l.Addr().String(), standin.KindHost, standin.InService))
 	var conns atomic.Int32
 	f.Serve(l, func(c net.Conn) {
 		n := conns.Add(1)
@@ -149,7 +149,7 @@
 	f := &fleet{}
 	f.Host("a", miss)
 	l := standin.Anywhere()
-	f.Members = append(f.Members, standin.Line("log", l.Addr().String(), standin.KindOrigin, standin.InService))
+	f.Members = append(f.Members, standin.ListEntry("log", l.Addr().String(), standin.KindOrigin, standin.InService))
 	var conns atomic.Int32
 	f.Serve(l, func(c net.Conn) {
 		n := conns.Add(1)
@@ -193,7 +193,7 @@
 	f := &fleet{}
 	f.Host("a", miss)
 	l := standin.Anywhere()
-	f.Members = append(f.Members, standin.Line("log", l.Addr().String(), standin.KindOrigin, standin.InService))
+	f.Members = append(f.Members, standin.ListEntry("log", l.Addr().String(), standin.KindOrigin, standin.InService))
 	f.Serve(l, func(c net.Conn) {
 		bufio.NewReader(c).ReadString('\n')
 		f.Note("origin: begun")
--- a/cmd/larchthread/late_host_test.go
+++ b/cmd/larchthread/late_host_test.go
@@ -45,7 +45,7 @@
 	h := newLateHost()
 	f := &fleet{sets: strings.NewReplacer(`"connectTimeoutUs":50000`, `"connectTimeoutUs":2000000`, `"cancelling":true`,
 		`"cancelling":false`, `"ttlUs":600000`, `"ttlUs":3000000`).Replace(sets)}
-	f.Members = append(f.Members, standin.Line("a", h.Addr().String(), standin.KindHost, standin.InService))
+	f.Members = append(f.Members, standin.ListEntry("a", h.Addr().String(), standin.KindHost, standin.InService))
 	f.start()
 	return f, h
 }
--- a/cmd/larchthread/long_test.go
+++ b/cmd/larchthread/long_test.go
@@ -134,7 +134,7 @@
 func Example_longTrickle() {
 	f := &fleet{}
 	l := standin.Anywhere()
-	f.Members = append(f.Members, standin.Line("a", l.Addr().String(), standin.KindHost, standin.InService))
+	f.Members = append(f.Members, standin.ListEntry("a", l.Addr().String(), standin.KindHost, standin.InService))
 	f.Serve(l, func(c net.Conn) {
 		bufio.NewReader(c).ReadString('\n')
 		io.WriteString(c, "VA 100000 O1\r\n")
--- a/cmd/larchthread/pushes_test.go
+++ b/cmd/larchthread/pushes_test.go
@@ -178,7 +178,7 @@
 	}
 	for _, name := range []string{"x", "x2"} {
 		l := standin.Anywhere()
-		f.Members = append(f.Members, standin.Line(name, l.Addr().String(), standin.KindHost, standin.InService))
+		f.Members = append(f.Members, standin.ListEntry(name, l.Addr().String(), standin.KindHost, standin.InService))
 		f.Serve(l, serve)
 	}
 	f.start()
--- a/cmd/larchthread/time_left_connection_test.go
+++ b/cmd/larchthread/time_left_connection_test.go
@@ -75,7 +75,7 @@
 	f := &fleet{sets: patient()}
 	f.Host("a", miss)
 	l := newStallingListener(t, 700*time.Millisecond)
-	f.Members = append(f.Members, standin.Line("log", l.Addr().String(), standin.KindOrigin, standin.InService))
+	f.Members = append(f.Members, standin.ListEntry("log", l.Addr().String(), standin.KindOrigin, standin.InService))
 	f.ServeOrigin(l, fetch)
 	c := startFleet(t, f)
 	r := c.send(t, longWrite)
@@ -88,7 +88,7 @@
 func TestTimeLeftOfLongWriteToHost(t *testing.T) {
 	f := &fleet{sets: patient(`"mode":"aside",`, ``)}
 	l := newStallingListener(t, 700*time.Millisecond)
-	f.Members = append(f.Members, standin.Line("a", l.Addr().String(), standin.KindHost, standin.InService))
+	f.Members = append(f.Members, standin.ListEntry("a", l.Addr().String(), standin.KindHost, standin.InService))
 	f.ServeHost("a", l, stored)
 	c := startFleet(t, f)
 	r := c.send(t, longWrite)
@@ -103,7 +103,7 @@
 // A host to which a connection comes up late is told what is left by then.
 func TestTimeLeftOnLateConnectionToHost(t *testing.T) {
 	f, h := &fleet{sets: lateTo()}, newLateHost()
-	f.Members = append(f.Members, standin.Line("a", h.Addr().String(), standin.KindHost, standin.InService))
+	f.Members = append(f.Members, standin.ListEntry("a", h.Addr().String(), standin.KindHost, standin.InService))
 	c := startFleet(t, f)
 	h.hold()
 	defer h.filler.Close()
@@ -119,7 +119,7 @@
 func TestTimeLeftOnLateConnectionToOrigin(t *testing.T) {
 	f, h := &fleet{sets: lateTo()}, newLateHost()
 	f.Host("a", miss)
-	f.Members = append(f.Members, standin.Line("log", h.Addr().String(), standin.KindOrigin, standin.InService))
+	f.Members = append(f.Members, standin.ListEntry("log", h.Addr().String(), standin.KindOrigin, standin.InService))
 	c := startFleet(t, f)
 	h.hold()
 	defer h.filler.Close()
--- a/internal/standin/attempt.go
+++ b/internal/standin/attempt.go
@@ -56,13 +56,13 @@
 }
 
 // Attempts are all attempts since the last call of Forget, in the order in which they came.
-func (s *Script) Attempts() []Attempt {
+func (s *ScriptedFleet) Attempts() []Attempt {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return append([]Attempt(nil), s.attempts...)
 }
 
-func (s *Script) attempted(a Attempt) {
+func (s *ScriptedFleet) attempted(a Attempt) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.attempts = append(s.attempts, a)
--- a/internal/standin/attempt_test.go
+++ b/internal/standin/attempt_test.go
@@ -12,7 +12,7 @@
 
 // A scripted host and origin record what each attempt told, when its last byte had come, and its list as it stood.
 func TestAttempts(t *testing.T) {
-	s := &Script{}
+	s := &ScriptedFleet{}
 	defer s.Close()
 	l := Anywhere()
 	s.ServeHost("a", l, func([]string) string { return "EN O{id}\r\n" })
--- a/internal/standin/script.go
+++ b/internal/standin/scripted_fleet.go
@@ -16,9 +16,9 @@
 	"time"
 )
 
-// Script is stand-ins that answer by the word of a test, one answer at a time, where a Fleet's go by what they hold. It notes
-// what they hear. Its methods panic where the machine has no room for them.
-type Script struct {
+// ScriptedFleet is stand-ins that answer by the word of a test, one answer at a time, where a Fleet's go by what they hold. It
+// notes what they hear. Its methods panic where the machine has no room for them.
+type ScriptedFleet struct {
 	Members []string    // of discovery's list, in its form
 	Changed chan string // the answers to watches; "down" for a failure
 	Closers []io.Closer
@@ -29,21 +29,21 @@
 }
 
 // Note notes something.
-func (s *Script) Note(form string, args ...any) {
+func (s *ScriptedFleet) Note(form string, args ...any) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.notes = append(s.notes, waited.ReplaceAllString(fmt.Sprintf(form, args...), "d=.."))
 }
 
 // Notes are all notes since the last call of Forget.
-func (s *Script) Notes() []string {
+func (s *ScriptedFleet) Notes() []string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return append([]string(nil), s.notes...)
 }
 
 // Forget takes all notes, and has noted nothing from then on; attempts are forgotten too.
-func (s *Script) Forget() []string {
+func (s *ScriptedFleet) Forget() []string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	all := s.notes
@@ -52,7 +52,7 @@
 }
 
 // Rename changes a part of all notes.
-func (s *Script) Rename(old, name string) {
+func (s *ScriptedFleet) Rename(old, name string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for i, n := range s.notes {
@@ -61,14 +61,14 @@
 }
 
 // Sort puts all notes in order of the alphabet.
-func (s *Script) Sort() {
+func (s *ScriptedFleet) Sort() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	slices.Sort(s.notes)
 }
 
 // Serve has each connection to a listener served.
-func (s *Script) Serve(l net.Listener, each func(net.Conn)) {
+func (s *ScriptedFleet) Serve(l net.Listener, each func(net.Conn)) {
 	s.Closers = append(s.Closers, l)
 	go func() {
 		for {
@@ -95,14 +95,14 @@
 
 // Host adds a cache host that answers each command with what say returns: bytes, "drop" to close the connection behind them,
 // or "" to stay silent. {id} stands for the op's id.
-func (s *Script) Host(name string, say func(words []string) string) {
+func (s *ScriptedFleet) Host(name string, say func(words []string) string) {
 	l := Anywhere()
-	s.Members = append(s.Members, Line(name, l.Addr().String(), KindHost, InService))
+	s.Members = append(s.Members, ListEntry(name, l.Addr().String(), KindHost, InService))
 	s.ServeHost(name, l, say)
 }
 
 // ServeHost answers on a listener as Host does; it is for the caller to list the host.
-func (s *Script) ServeHost(name string, l net.Listener, say func(words []string) string) {
+func (s *ScriptedFleet) ServeHost(name string, l net.Listener, say func(words []string) string) {
 	s.Serve(l, func(c net.Conn) {
 		for r := bufio.NewReader(c); ; {
 			line, err := r.ReadString('\n')
@@ -153,14 +153,14 @@
 }
 
 // Origin adds the origin.
-func (s *Script) Origin(handle func(w http.ResponseWriter, r *http.Request)) {
+func (s *ScriptedFleet) Origin(handle func(w http.ResponseWriter, r *http.Request)) {
 	l := Anywhere()
-	s.Members = append(s.Members, Line("log", l.Addr().String(), KindOrigin, InService))
+	s.Members = append(s.Members, ListEntry("log", l.Addr().String(), KindOrigin, InService))
 	s.ServeOrigin(l, handle)
 }
 
 // ServeOrigin answers on a listener as Origin does; it is for the caller to list the origin.
-func (s *Script) ServeOrigin(l net.Listener, handle func(w http.ResponseWriter, r *http.Request)) {
+func (s *ScriptedFleet) ServeOrigin(l net.Listener, handle func(w http.ResponseWriter, r *http.Request)) {
 	s.Closers = append(s.Closers, l)
 	server := &http.Server{
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connection{}, c) },
@@ -183,8 +183,8 @@
 // connection is the key of a request's connection in its context.
 type connection struct{}
 
-// Line is a member in discovery's form.
-func Line(id, address, kind, phase string) string {
+// ListEntry is a member in discovery's form.
+func ListEntry(id, address, kind, phase string) string {
 	return fmt.Sprintf(`{"id":%q,"host_port":%q,"locality":"z","flavor":%q,"cell":0,"phase":%q,"size":1,"up_since_ms":0}`,
 		id, address, kind, phase)
 }
@@ -195,7 +195,7 @@
 }
 
 // Lists starts a list service under a name, and returns its address.
-func (s *Script) Lists(name string) string {
+func (s *ScriptedFleet) Lists(name string) string {
 	l := Anywhere()
 	s.Closers = append(s.Closers, l)
 	go http.Serve(l, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -225,7 +225,7 @@
 }
 
 // Close ends all that listens.
-func (s *Script) Close() {
+func (s *ScriptedFleet) Close() {
 	for _, c := range s.Closers {
 		c.Close()
 	}
