--- a/balance/parts.go
+++ b/balance/parts.go
@@ -4,7 +4,7 @@
 	"math"
 	"slices"
 
-	"larchthread/internal/agenda"
+	"larchthread/internal/timerqueue"
 )
 
 // state of an op.
@@ -35,14 +35,14 @@
 // due is a time at which something is looked at: an op at its end, a push, or a key's ordered ops. It lies in what it
 // belongs to.
 type due struct {
-	agenda.Mark
+	timerqueue.Timer
 	op   *Op // one of the three is set
 	push *Push
 	turn *turn
 }
 
 // dues is what is due, in order.
-type dues = agenda.Queue[*due]
+type dues = timerqueue.Queue[*due]
 
 // strand is what is known of a key's or a tenant's ops together.
 type strand struct {
--- a/internal/agenda/agenda.go
+++ b/internal/timerqueue/timerqueue.go
@@ -1,30 +1,30 @@
-// Package agenda orders what is due by time: the balancer's looks at ops and pushes, and the loop's timers.
-package agenda
+// Package timerqueue orders timers by when they are due: the balancer's looks at ops and pushes, and the loop's timers.
+package timerqueue
 
 import (
 	"container/heap"
 	"math"
 )
 
-// Mark is the part of a thing that stands on an agenda. It lies in the thing, so that setting it makes nothing. The zero
-// Mark is not set.
-type Mark struct {
+// Timer is the part of an item that stands in a queue. It lies in the item, so that setting it allocates nothing. The zero
+// Timer is not set.
+type Timer struct {
 	at    float64
 	seq   uint64
 	place int // in the heap, from 1; 0 while it is not set
 }
 
-func (m *Mark) mark() *Mark { return m }
+func (t *Timer) timer() *Timer { return t }
 
-// At is when the thing falls due, or last fell due.
-func (m *Mark) At() float64 { return m.at }
+// At is when the item falls due, or last fell due.
+func (t *Timer) At() float64 { return t.at }
 
-// Marked is a pointer to what has a Mark in it.
-type Marked interface{ mark() *Mark }
+// Item is a pointer to what has a Timer in it.
+type Item interface{ timer() *Timer }
 
 // Queue is a heap of what is due, of one time in the order of setting. It holds nothing that has become void: where ops
 // last some 100 µs and their TTL is seconds, nearly all of it would be.
-type Queue[T Marked] struct {
+type Queue[T Item] struct {
 	all order[T]
 	seq uint64
 }
@@ -33,14 +33,14 @@
 func (q *Queue[T]) Set(x T, at float64) {
 	q.Stop(x)
 	q.seq++
-	m := x.mark()
-	m.at, m.seq = at, q.seq
+	t := x.timer()
+	t.at, t.seq = at, q.seq
 	heap.Push(&q.all, x)
 }
 
 // Stop voids the setting of x, if there is one.
 func (q *Queue[T]) Stop(x T) {
-	if place := x.mark().place; place > 0 {
+	if place := x.timer().place; place > 0 {
 		heap.Remove(&q.all, place-1)
 	}
 }
@@ -50,7 +50,7 @@
 	if len(q.all) == 0 {
 		return math.Inf(1)
 	}
-	return q.all[0].mark().at
+	return q.all[0].timer().at
 }
 
 // Due takes out the first, if it is due by now.
@@ -61,30 +61,30 @@
 
 // DueOf does as Due, if the first is of the settings up to the last one given.
 func (q *Queue[T]) DueOf(now float64, last uint64) (x T, due bool) {
-	if q.Next() > now || q.all[0].mark().seq > last {
+	if q.Next() > now || q.all[0].timer().seq > last {
 		return x, false
 	}
 	return heap.Pop(&q.all).(T), true
 }
 
 // order implements heap.Interface.
-type order[T Marked] []T
+type order[T Item] []T
 
 func (o order[T]) Len() int { return len(o) }
 
 func (o order[T]) Less(i, j int) bool {
-	a, b := o[i].mark(), o[j].mark()
+	a, b := o[i].timer(), o[j].timer()
 	return a.at < b.at || a.at == b.at && a.seq < b.seq
 }
 
 func (o order[T]) Swap(i, j int) {
 	o[i], o[j] = o[j], o[i]
-	o[i].mark().place, o[j].mark().place = i+1, j+1
+	o[i].timer().place, o[j].timer().place = i+1, j+1
 }
 
 func (o *order[T]) Push(x any) {
 	*o = append(*o, x.(T))
-	x.(T).mark().place = len(*o)
+	x.(T).timer().place = len(*o)
 }
 
 func (o *order[T]) Pop() any {
@@ -92,6 +92,6 @@
 	x := (*o)[n]
 	clear((*o)[n:])
 	*o = (*o)[:n]
-	x.mark().place = 0
+	x.timer().place = 0
 	return x
 }
--- a/internal/agenda/agenda_test.go
+++ b/internal/timerqueue/timerqueue_test.go
@@ -1,9 +1,9 @@
-package agenda
+package timerqueue
 
 import "fmt"
 
 type thing struct {
-	Mark
+	Timer
 	name string
 }
 
--- a/internal/transport/loop.go
+++ b/internal/transport/loop.go
@@ -16,8 +16,8 @@
 
 	"golang.org/x/sys/unix"
 
-	"larchthread/internal/agenda"
 	"larchthread/internal/machine"
+	"larchthread/internal/timerqueue"
 )
 
 const (
@@ -61,7 +61,7 @@
 	controls     []*ControlListener
 	channels     []*ControlChannel
 	resend       Timer // after messages had to wait
-	timers       agenda.Queue[*Timer]
+	timers       timerqueue.Queue[*Timer]
 	began        time.Time
 	wall         float64 // ms, Unix time then, as far as the machine knows it
 	now          float64 // ms, Unix time
--- a/internal/transport/timer.go
+++ b/internal/transport/timer.go
@@ -1,11 +1,11 @@
 package transport
 
-import "larchthread/internal/agenda"
+import "larchthread/internal/timerqueue"
 
 // Timer calls back once when its time has come. The zero Timer with its Fire set is ready for use.
 type Timer struct {
 	Fire func()
-	agenda.Mark
+	timerqueue.Timer
 }
 
 // Set lets t fire after that many ms; an earlier setting of t is void.
