simwire: arrival in place of knock

The wire keeps KNOCK; the one expected line that changes names the Go type in encoding/json's own error. go test ./internal/simwire: passed.

--- a/internal/simwire/serve.go
+++ b/internal/simwire/serve.go
@@ -103,8 +103,8 @@
 // take turns one event into a call.
 func (s *server) take(e event) error {
 	switch {
-	case e.Knock != nil:
-		return s.at("KNOCK", e.Knock.I, func(d *simulatedBalancer) error { return d.knock(e.Knock) })
+	case e.Arrival != nil:
+		return s.at("KNOCK", e.Arrival.I, func(d *simulatedBalancer) error { return d.arrive(e.Arrival) })
 	case e.AttemptEnd != nil:
 		return s.at("ATTEMPT_END", e.AttemptEnd.I, func(d *simulatedBalancer) error { return d.attemptEnd(e.AttemptEnd) })
 	case e.Headers != nil:
@@ -230,7 +230,8 @@
 	return nil
 }
 
-func (d *simulatedBalancer) knock(e *knock) error {
+// arrive takes an op that arrives.
+func (d *simulatedBalancer) arrive(e *arrival) error {
 	category := d.categories[e.QoS]
 	switch {
 	case e.Corr == "":
--- a/internal/simwire/serve_test.go
+++ b/internal/simwire/serve_test.go
@@ -83,7 +83,7 @@
 	// input[0]: KNOCK.corr: missing
 	// input[0]: KNOCK.i: unknown instance 5
 	// input[0]: KNOCK.i: missing
-	// json: cannot unmarshal string into Go struct field knock.input.KNOCK.instance.i of type int
+	// json: cannot unmarshal string into Go struct field arrival.input.KNOCK.instance.i of type int
 	// input[0]: ATTEMPT_END.corr: unknown op "never"
 	// input[0]: ANNOUNCE.slot: no list 9
 	// input[0]: ANNOUNCE.scope: unknown "Half"
--- a/internal/simwire/wire.go
+++ b/internal/simwire/wire.go
@@ -21,7 +21,7 @@
 	Shutdown   *instance   `json:"SHUTDOWN"`
 	DefineList *defineList `json:"DEFINE_LIST"`
 	Announce   *announce   `json:"ANNOUNCE"`
-	Knock      *knock      `json:"KNOCK"`
+	Arrival    *arrival    `json:"KNOCK"` // the simulator's name stays
 	Headers    *headers    `json:"HEADERS"`
 	AttemptEnd *attemptEnd `json:"ATTEMPT_END"`
 	ClientLeft *clientLeft `json:"CLIENT_LEFT"`
@@ -61,7 +61,8 @@
 	Scope string `json:"scope"`
 }
 
-type knock struct {
+// arrival is an op that arrives.
+type arrival struct {
 	instance
 	Corr   string  `json:"corr"`
 	QoS    string  `json:"qos"`
