--- a/internal/simwire/serve_test.go
+++ b/internal/simwire/serve_test.go
@@ -108,7 +108,7 @@
 func ExampleServe_twoRounds() {
 	two := strings.NewReplacer(`"cancelling":true`, `"cancelling":true,"mayDuplicate":true`, `"groupSize"`,
 		`"report":{"how":"answers","fields":["busy","rate"]},"groupSize"`, `"host":12,"shape":"origin"`, `"host":12,"shape":"box"`)
-	knock := func(corr string) string {
+	arrival := func(corr string) string {
 		return `{"KNOCK":{"i":0,"corr":"` + corr + `","qos":"read","targetKey":"k","dropDeadUs":400000,"update":false}}`
 	}
 	answer := func(corr string, round, code int, last bool, stats string) string {
@@ -116,7 +116,7 @@
 			`"serverStats":%s}}`, corr, round, code, last, stats)
 	}
 	end := func(round, code int, last bool, stats string) string { return answer("r1", round, code, last, stats) }
-	in := []string{two.Replace(up), knock("r1")}
+	in := []string{two.Replace(up), arrival("r1")}
 	for range 60 {
 		in = append(in, `{"ALARM":{"i":0,"ctx":0}}`)
 	}
@@ -126,7 +126,7 @@
 	}
 	for k, stats := range garbage { // and with the answer to a push that is out
 		corr := fmt.Sprint("g", k)
-		in = append(in, knock(corr), answer(corr, 0, 1, true, stats))
+		in = append(in, arrival(corr), answer(corr, 0, 1, true, stats))
 	}
 	in = append(in, end(1, 4, false, `[0.5,9]`), end(1, 4, false, `[0.5,9]`), end(0, 1, true, `[0.5,null]`))
 	var out strings.Builder
