routing: memoryBudget holds the buffers' limit and what is reserved of it

Four fields of Router and their three functions become a type with one job. Moved as they stood. go test of routing, takeover and a subset of the program's (long values, upgrades): passed.

--- a/internal/routing/client.go
+++ b/internal/routing/client.go
@@ -268,7 +268,7 @@
 		}
 		o.pass()
 		o.command.Value.Free()
-		r.release(&o.bulk)
+		r.memory.release(&o.bulk)
 		n++
 	}
 	c.line = slices.Delete(c.line, 0, n)
@@ -320,12 +320,8 @@
 		}
 		o.reply.Free()
 		o.command.Value.Free()
-		r.release(&o.bulk)
-	}
-	r.release(&c.bulk)
-	if c.queued {
-		c.queued = false
-		r.waiting = slices.DeleteFunc(r.waiting, func(x *client) bool { return x == c })
-		r.admit() // the next may fit
+		r.memory.release(&o.bulk)
 	}
+	r.memory.release(&c.bulk)
+	r.memory.withdraw(c)
 }
--- a/internal/routing/link.go
+++ b/internal/routing/link.go
@@ -174,7 +174,7 @@
 	}
 	l.heard = true
 	a, err := l.reader.Next(&c.In)
-	if err == nil && l.reader.Held() > protocol.WholeMost && l.router.loop.Pool.Held() > l.router.budget/2 {
+	if err == nil && l.reader.Held() > protocol.WholeMost && l.router.loop.Pool.Held() > l.router.memory.bytes/2 {
 		err = errNoRoom
 	}
 	switch {
--- a/internal/routing/memory.go
+++ b/internal/routing/memory.go
@@ -1,10 +1,37 @@
 package routing
 
 import (
+	"slices"
+
 	"larchthread/internal/protocol"
 	"larchthread/internal/transport"
 )
 
+// memoryBudget is how many bytes buffers may take, and what of it is reserved for long values of writes.
+type memoryBudget struct {
+	pool     *transport.Pool
+	alone    int       // bytes where this is the instance's only process
+	bytes    int       // bytes now
+	reserved int       // bytes for long values of writes
+	waiting  []*client // those whose long value has no room yet, first come first
+}
+
+// newMemoryBudget gives buffers so many bytes.
+func newMemoryBudget(pool *transport.Pool, bytes int) memoryBudget {
+	m := memoryBudget{pool: pool, alone: bytes}
+	m.share(false)
+	return m
+}
+
+// share leaves half of the bytes to another process of the instance, or takes them back.
+func (m *memoryBudget) share(withOther bool) {
+	m.bytes = m.alone
+	if withOther {
+		m.bytes /= 2
+	}
+	m.pool.Most = m.bytes
+}
+
 // reserve sees to it that there is room for the long value that is on its way, and tells whether it may be read. Where
 // there is none, it waits behind those that wait already: half-read values would otherwise wait for each other.
 func (c *client) reserve() bool {
@@ -13,24 +40,39 @@
 		return true
 	}
 	if !c.queued {
-		c.queued = true
-		c.router.waiting = append(c.router.waiting, c)
-		c.router.admit()
+		c.router.memory.queue(c)
 	}
 	return !c.queued
 }
 
+// queue has a client wait for room for its long value.
+func (m *memoryBudget) queue(c *client) {
+	c.queued = true
+	m.waiting = append(m.waiting, c)
+	m.admit()
+}
+
+// withdraw has a client wait no longer.
+func (m *memoryBudget) withdraw(c *client) {
+	if !c.queued {
+		return
+	}
+	c.queued = false
+	m.waiting = slices.DeleteFunc(m.waiting, func(x *client) bool { return x == c })
+	m.admit() // the next may fit
+}
+
 // admit lets those that wait for room read, in their order. One alone may always: the largest value may be more than the
 // part of the buffers that is for such.
-func (r *Router) admit() {
-	for len(r.waiting) > 0 {
-		c := r.waiting[0]
+func (m *memoryBudget) admit() {
+	for len(m.waiting) > 0 {
+		c := m.waiting[0]
 		n := c.commands.Coming()
-		if r.bulk > 0 && float64(r.bulk+n) > float64(r.budget)*bulkShare {
+		if m.reserved > 0 && float64(m.reserved+n) > float64(m.bytes)*bulkShare {
 			return
 		}
-		r.waiting = r.waiting[1:]
-		r.bulk += n
+		m.waiting = m.waiting[1:]
+		m.reserved += n
 		c.bulk, c.queued = n, false
 		c.conn.Pause(false)
 		c.attend(true)
@@ -38,11 +80,11 @@
 }
 
 // release gives back what was reserved for a long value.
-func (r *Router) release(n *int) {
+func (m *memoryBudget) release(n *int) {
 	if *n > 0 {
-		r.bulk -= *n
+		m.reserved -= *n
 		*n = 0
-		r.admit()
+		m.admit()
 	}
 }
 
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -59,8 +59,7 @@
 	categories map[string]*balance.Category
 	connIdle   float64 // ms
 	connect    float64 // ms
-	memory     int     // bytes that buffers may take where this process is alone
-	budget     int     // bytes that they may take now
+	memory     memoryBudget
 	listener   *transport.Listener
 	partner    Partner   // the other process of an upgrade, or nil
 	successor  Successor // the one that takes over, once it serves, or nil
@@ -69,8 +68,6 @@
 	atRest     resting
 	restMost   int            // clients with nothing open that may stay
 	ops        map[string]*op // by id, those without an answer
-	bulk       int            // bytes reserved for long values of writes
-	waiting    []*client      // those whose long value has no room yet, first come first
 	watch      watch
 	wake       transport.Timer
 	past       past
@@ -99,11 +96,9 @@
 // New makes the front of a balancer that has been told so much, and starts the balancer. It does not listen yet. A
 // list by hand comes by TakeInventory, and discovery is not asked.
 func New(loop *transport.Loop, log *slog.Logger, startFile *params.StartFile, byHand bool) (*Router, error) {
-	r := &Router{byHand: byHand, loop: loop, log: log, params: startFile.Params, memory: int(startFile.MemoryMB * memoryShare * (1 << 20)),
+	r := &Router{byHand: byHand, loop: loop, log: log, params: startFile.Params, memory: newMemoryBudget(loop.Pool, int(startFile.MemoryMB*memoryShare*(1<<20))),
 		ops: map[string]*op{}, tallies: map[*balance.Category]*Tally{}, hosts: map[string]*host{}, connect: startFile.Params.Limits.Connect / 1000,
 		restMost: startFile.Sockets / restShare}
-	r.budget = r.memory
-	loop.Pool.Most = r.budget
 	if r.connect <= 0 {
 		r.connect = connectFor
 	}
--- a/internal/routing/upgrade.go
+++ b/internal/routing/upgrade.go
@@ -42,11 +42,8 @@
 // With tells of the other process that lives beside this one, nil where there is none; both together have the memory of
 // one.
 func (r *Router) With(p Partner) {
-	r.partner, r.budget = p, r.memory
-	if p != nil {
-		r.budget /= 2
-	}
-	r.loop.Pool.Most = r.budget
+	r.partner = p
+	r.memory.share(p != nil)
 }
 
 // Succeed tells of the process that takes over, nil where it is lost. This one leaves new connections to it, and from the word to
