--- a/cmd/larchthread/passed_on_test.go
+++ b/cmd/larchthread/time_left_passed_on_test.go
@@ -1,10 +1,7 @@
 package main
 
 import (
-	"fmt"
 	"io"
-	"os"
-	"path/filepath"
 	"testing"
 	"time"
 
@@ -16,13 +13,10 @@
 
 // A command whose last byte comes long after its connection was passed on in an upgrade has all of its time from that byte on.
 func TestTimeLeftOfCommandPassedOnInPieces(t *testing.T) {
-	f := &fleet{sets: patient(), admin: freeAddress(), tmp: filepath.Join(os.TempDir(), fmt.Sprint("pieces", os.Getpid()))}
-	os.MkdirAll(f.tmp, 0o700)
-	t.Cleanup(func() { os.RemoveAll(f.tmp) })
-	f.Host("a", hit)
-	f.Origin(fetch)
-	startFleet(t, f)
-	c := f.client()
+	f, remove := newHandOverFleet("pieces")
+	t.Cleanup(remove)
+	f.sets = patient()
+	c := startWithHosts(t, f, hit)
 	io.WriteString(c, "ms k 4 O1 Pc=put,d=1000\r\nab")
 	time.Sleep(quietAfter)
 	f.upgradeInTest(t)
