routing: clientSide holds listener, clients and open ops

Five fields of Router become a type with one job. Moved as they stood. go test of routing, takeover and a subset of the program's (clients, shutdown, upgrades, limits): passed.

--- a/internal/routing/ban.go
+++ b/internal/routing/ban.go
@@ -18,7 +18,7 @@
 // Ban takes a cache host out of use by hand, or puts it back; done hears the outcome. From then on nothing new is sent to
 // it, whatever lists say, by this process or the other of an upgrade.
 func (r *Router) Ban(id string, out bool, done func(error)) {
-	if r.listener == nil { // the process before is not bound yet by what this one is told
+	if r.clients.listener == nil { // the process before is not bound yet by what this one is told
 		done(ErrShut)
 		return
 	}
--- a/internal/routing/client.go
+++ b/internal/routing/client.go
@@ -44,8 +44,8 @@
 	for _, p := range slices.Clone(o.pushes) {
 		p.withdraw()
 	}
-	if r := o.client.router; r.ops[o.command.ID] == o {
-		delete(r.ops, o.command.ID)
+	if r := o.client.router; r.clients.ops[o.command.ID] == o {
+		delete(r.clients.ops, o.command.ID)
 	}
 }
 
@@ -87,16 +87,16 @@
 	rest     *list.Element    // its place among those with nothing open, or nil
 	ending   transport.Reason // why the connection ends behind the answers; empty while it goes on
 	patience transport.Timer  // until the rest of a command, or the first op, has to be there
-	place    int              // in the router's list
+	place    int              // among all clients
 }
 
 // accept takes in a client's connection.
 func (r *Router) accept(conn *transport.Conn) {
-	c := &client{router: r, conn: conn, place: len(r.clients)}
+	c := &client{router: r, conn: conn}
 	conn.Owner, conn.Use = c, c.use
 	c.patience.Fire = c.overdue
 	r.loop.Set(&c.patience, restFor)
-	r.clients = append(r.clients, c)
+	r.clients.add(c)
 }
 
 // between tells whether the connection stands between two commands, the last answers perhaps still to be written.
@@ -122,7 +122,7 @@
 // only so many connections, and some keep theirs for good: their like could open none. Until its first op a client has
 // what it was given at the start.
 func (c *client) attend(took bool) {
-	c.router.atRest.remove(c)
+	c.router.clients.atRest.remove(c)
 	switch {
 	case c.left || !c.proven && !c.commands.Begun() || c.ending != "":
 	case c.conn.Paused() || !c.half() && len(c.line) > 0: // it is for this side to go on
@@ -131,8 +131,7 @@
 	case !c.half():
 		c.waits = false
 		c.router.loop.Set(&c.patience, idleFor)
-		c.router.atRest.add(c)
-		c.router.turnOver()
+		c.router.clients.rest(c)
 	case took || !c.waits || c.commands.Begun(): // a long value takes its time, as long as it comes
 		c.waits = true
 		c.router.loop.Set(&c.patience, restFor)
@@ -234,13 +233,13 @@
 		protocol.WritePong(o.out())
 	case category == nil:
 		protocol.WriteBad(o.out(), protocol.ErrCategory(command))
-	case r.ops[command.ID] != nil: // hosts would take the two for one, and turn both away
+	case r.clients.ops[command.ID] != nil: // hosts would take the two for one, and turn both away
 		protocol.WriteBad(o.out(), protocol.ErrOpen(command))
 	case !room:
 		r.tallies[category].Nacked++
 		protocol.WriteNack(o.out(), backoff)
 	default:
-		r.ops[command.ID], o.pushes = o, o.first[:0]
+		r.clients.ops[command.ID], o.pushes = o, o.first[:0]
 		c.proven = true
 		o.deadline = c.conn.Arrived + command.TTL
 		o.Op = balance.Op{Ref: o, Category: category, Key: command.Key, Due: o.deadline,
@@ -304,10 +303,7 @@
 	r := c.router
 	c.left = true
 	r.loop.Stop(&c.patience)
-	r.atRest.remove(c)
-	last := r.clients[len(r.clients)-1]
-	r.clients[c.place], last.place = last, c.place
-	r.clients = r.clients[:len(r.clients)-1]
+	r.clients.remove(c)
 	line := c.line
 	c.line = nil
 	for _, o := range line {
--- a/internal/routing/figures.go
+++ b/internal/routing/figures.go
@@ -18,7 +18,7 @@
 // Figures tells how things stand.
 func (r *Router) Figures() Figures {
 	f := r.figures
-	f.Open = len(r.ops)
+	f.Open = len(r.clients.ops)
 	f.Hosts, f.Avoided = r.balancer.Hosts()
 	return f
 }
--- a/internal/routing/link_test.go
+++ b/internal/routing/link_test.go
@@ -86,17 +86,17 @@
 		fmt.Println(err)
 		return
 	}
-	r := &Router{loop: loop, restMost: 9}
+	r := &Router{loop: loop, clients: newClientSide(9)}
 	for range 2 {
 		r.accept(loop.Dial("client", netip.AddrPort{}, nil))
 	}
-	first := r.clients[0]
+	first := r.clients.all[0]
 	first.proven = true
 	first.attend(false)
-	fmt.Println(len(r.clients), "clients,", r.atRest.Len(), "at rest")
+	fmt.Println(len(r.clients.all), "clients,", r.clients.atRest.Len(), "at rest")
 	first.leave()
 	first.attend(true)
-	fmt.Println(len(r.clients), "clients,", r.atRest.Len(), "at rest")
+	fmt.Println(len(r.clients.all), "clients,", r.clients.atRest.Len(), "at rest")
 	// Output:
 	// 2 clients, 1 at rest
 	// 1 clients, 0 at rest
--- a/internal/routing/memory.go
+++ b/internal/routing/memory.go
@@ -102,7 +102,7 @@
 func (r *Router) spare() {
 	for r.loop.Pool.Full() {
 		var worst *client
-		for _, c := range r.clients {
+		for _, c := range r.clients.all {
 			if n := c.idleBytes(); n > 0 && (worst == nil || n > worst.idleBytes()) {
 				worst = c
 			}
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -60,14 +60,10 @@
 	connIdle   float64 // ms
 	connect    float64 // ms
 	memory     memoryBudget
-	listener   *transport.Listener
 	partner    Partner   // the other process of an upgrade, or nil
 	successor  Successor // the one that takes over, once it serves, or nil
 	hosts      map[string]*host
-	clients    []*client
-	atRest     resting
-	restMost   int            // clients with nothing open that may stay
-	ops        map[string]*op // by id, those without an answer
+	clients    clientSide
 	watch      watch
 	wake       transport.Timer
 	past       past
@@ -96,9 +92,17 @@
 // New makes the front of a balancer that has been told so much, and starts the balancer. It does not listen yet. A
 // list by hand comes by TakeInventory, and discovery is not asked.
 func New(loop *transport.Loop, log *slog.Logger, startFile *params.StartFile, byHand bool) (*Router, error) {
-	r := &Router{byHand: byHand, loop: loop, log: log, params: startFile.Params, memory: newMemoryBudget(loop.Pool, int(startFile.MemoryMB*memoryShare*(1<<20))),
-		ops: map[string]*op{}, tallies: map[*balance.Category]*Tally{}, hosts: map[string]*host{}, connect: startFile.Params.Limits.Connect / 1000,
-		restMost: startFile.Sockets / restShare}
+	r := &Router{
+		loop:    loop,
+		log:     log,
+		params:  startFile.Params,
+		byHand:  byHand,
+		memory:  newMemoryBudget(loop.Pool, int(startFile.MemoryMB*memoryShare*(1<<20))),
+		clients: newClientSide(startFile.Sockets / restShare),
+		hosts:   map[string]*host{},
+		connect: startFile.Params.Limits.Connect / 1000,
+		tallies: map[*balance.Category]*Tally{},
+	}
 	if r.connect <= 0 {
 		r.connect = connectFor
 	}
@@ -197,7 +201,7 @@
 
 // Serving tells why no op can be served now, if so.
 func (r *Router) Serving() error {
-	if r.listener == nil {
+	if r.clients.listener == nil {
 		return ErrShut
 	}
 	if !r.Lists() {
--- a/internal/routing/shutdown.go
+++ b/internal/routing/shutdown.go
@@ -28,7 +28,7 @@
 		return
 	}
 	s.on, s.began = true, r.loop.Now()
-	r.log.Info("stopping", "clients", len(r.clients))
+	r.log.Info("stopping", "clients", len(r.clients.all))
 	if r.successor != nil { // new connections are its own
 		r.sweep()
 		return
@@ -43,15 +43,15 @@
 	if r.successor != nil {
 		r.passOn()
 	}
-	for i := len(r.clients) - 1; i >= 0 && r.successor == nil; i-- {
-		if c := r.clients[i]; c.idle() && (c.proven || now-c.conn.Began > shutdownGrace) && !c.conn.Unheard() {
+	for i := len(r.clients.all) - 1; i >= 0 && r.successor == nil; i-- {
+		if c := r.clients.all[i]; c.idle() && (c.proven || now-c.conn.Began > shutdownGrace) && !c.conn.Unheard() {
 			c.finish(transport.Stopping)
 		}
 	}
 	if now-r.shutdown.began > shutdownTake && r.successor == nil {
 		r.balancer.Close()
 	}
-	if len(r.clients) == 0 && !r.loop.Unsent() {
+	if len(r.clients.all) == 0 && !r.loop.Unsent() {
 		if r.shutdown.empty == 0 {
 			r.shutdown.empty = now
 		}
--- a/internal/routing/upgrade.go
+++ b/internal/routing/upgrade.go
@@ -26,18 +26,18 @@
 
 // Listen listens at an address; a shared one may have listeners of several processes.
 func (r *Router) Listen(at netip.AddrPort, shared bool) (err error) {
-	r.listener, err = r.loop.ListenAt("client", at, shared, 0, r.accept)
+	r.clients.listener, err = r.loop.ListenAt("client", at, shared, 0, r.accept)
 	return err
 }
 
 // Inherit listens on a socket that another process has listened on.
 func (r *Router) Inherit(fd int) (err error) {
-	r.listener, err = r.loop.AdoptListener("client", fd, 0, r.accept)
+	r.clients.listener, err = r.loop.AdoptListener("client", fd, 0, r.accept)
 	return err
 }
 
 // Listener is the clients' listener; nil while there is none.
-func (r *Router) Listener() *transport.Listener { return r.listener }
+func (r *Router) Listener() *transport.Listener { return r.clients.listener }
 
 // With tells of the other process that lives beside this one, nil where there is none; both together have the memory of
 // one.
@@ -50,7 +50,7 @@
 // stop on passes its clients on.
 func (r *Router) Succeed(s Successor) {
 	r.successor = s
-	r.listener.Suspend(s != nil)
+	r.clients.listener.Suspend(s != nil)
 	r.loop.Again()
 }
 
@@ -102,14 +102,14 @@
 
 // Passed takes a client's connection that another process has passed on.
 func (r *Router) Passed(fd int, unread []byte, proven bool) {
-	c := r.listener.AdoptConn(fd, unread).Owner.(*client)
+	c := r.clients.listener.AdoptConn(fd, unread).Owner.(*client)
 	c.proven = proven
 	c.attend(false)
 }
 
 // passOn passes on the clients' connections that stand between two ops.
 func (r *Router) passOn() {
-	for _, c := range slices.Clone(r.clients) {
+	for _, c := range slices.Clone(r.clients.all) {
 		unread := c.commands.Unread()
 		if len(c.line) > 0 || c.conn.Out.Len() > 0 || c.ending != "" || !c.conn.Up() ||
 			len(unread)+c.conn.In.Len() > passMost {
