routing: hostPool holds the hosts known, those that were, and their timeouts

Four fields of Router and two of its functions become a type with one job; connect and connIdle are connectTimeout and idleTimeout. Moved as they stood. go test of routing, takeover and a subset of the program's (hosts, connections, bans, lists, time left): passed.

--- a/internal/routing/ban.go
+++ b/internal/routing/ban.go
@@ -29,7 +29,7 @@
 	}
 	r.partner.TellBan(id, out, func(known bool) {
 		if known && err == ErrNeverListed {
-			r.past.add(id)
+			r.hosts.past.add(id)
 			err = r.TakeBan(id, out)
 		}
 		done(err)
@@ -56,7 +56,7 @@
 func (r *Router) banAll(ids []string) {
 	var hosts []*balance.Host
 	for _, id := range ids {
-		r.past.add(id)
+		r.hosts.past.add(id)
 		if h, err := r.bannable(id); err == nil {
 			hosts = append(hosts, &h.Host)
 		}
@@ -78,9 +78,9 @@
 
 // bannable finds the host that a call names, also one that is known no more: it may come back under its id.
 func (r *Router) bannable(id string) (*host, error) {
-	h := r.hosts[id]
-	if h == nil && r.past.ids[id] {
-		h = r.host(id, false)
+	h := r.hosts.byID[id]
+	if h == nil && r.hosts.past.ids[id] {
+		h = r.hosts.add(id, false)
 		h.Status = balance.Gone
 	}
 	switch {
@@ -91,23 +91,3 @@
 	}
 	return h, nil
 }
-
-// past holds the ids of hosts that are known no more, the latest of them: each may still be named by a call.
-type past struct {
-	ids   map[string]bool
-	order []string
-}
-
-func (p *past) add(id string) {
-	if p.ids[id] {
-		return
-	}
-	if p.ids == nil {
-		p.ids = map[string]bool{}
-	}
-	p.ids[id], p.order = true, append(p.order, id)
-	if len(p.order) > pastMost {
-		delete(p.ids, p.order[0])
-		p.order = append(p.order[:0], p.order[1:]...)
-	}
-}
--- a/internal/routing/inventory.go
+++ b/internal/routing/inventory.go
@@ -25,7 +25,7 @@
 	for _, h := range *hosts {
 		m := protocol.Listed{ID: h.ID, Address: h.Address, Locality: h.Zone, Flavor: h.Kind, Phase: protocol.InService,
 			Size: h.Weight}
-		switch before := r.hosts[h.ID]; {
+		switch before := r.hosts.byID[h.ID]; {
 		case first: // the first list: nothing tells that any is new
 		case before == nil || before.listed.Address != h.Address || before.Status == balance.Gone:
 			m.UpSince = r.loop.Now()
--- a/internal/routing/inventory_test.go
+++ b/internal/routing/inventory_test.go
@@ -24,7 +24,7 @@
 	if err != nil {
 		panic(err)
 	}
-	r := &Router{loop: loop, log: loop.Log, hosts: map[string]*host{}, byHand: true}
+	r := &Router{loop: loop, log: loop.Log, hosts: newHostPool(0), byHand: true}
 	r.balancer = balance.New(balance.Start{Group: 1, ColdFor: 5000, ColdShare: 0.5, ConnIdle: 1,
 		Categories: []*balance.Category{{Target: 100}}}, r, loop.Now())
 	return r
@@ -39,7 +39,7 @@
 		r.takeInventory()
 		var cold []string
 		for _, h := range hosts {
-			if r.hosts[h.ID].UpSince > 0 {
+			if r.hosts.byID[h.ID].UpSince > 0 {
 				cold = append(cold, h.ID)
 			}
 		}
--- a/internal/routing/link.go
+++ b/internal/routing/link.go
@@ -56,7 +56,7 @@
 		return transport.Idle
 	}
 	l.coming.Fire = l.late
-	r.loop.Set(&l.coming, r.connect)
+	r.loop.Set(&l.coming, r.hosts.connectTimeout)
 	return l
 }
 
@@ -70,7 +70,7 @@
 		}
 		h.idle = slices.Delete(h.idle, i, i+1)
 		switch {
-		case rest >= r.connIdle*idleShare:
+		case rest >= r.hosts.idleTimeout*idleShare:
 			l.conn.Close(transport.IdleTooLong)
 		case l.conn.Quiet():
 			l.early = rest <= secondFor
--- a/internal/routing/link_test.go
+++ b/internal/routing/link_test.go
@@ -44,7 +44,7 @@
 		fmt.Println(err)
 		return
 	}
-	r := &Router{loop: loop, hosts: map[string]*host{}, params: params.Params{}}
+	r := &Router{loop: loop, hosts: newHostPool(0), params: params.Params{}}
 	r.balancer = balance.New(balance.Start{Group: 1}, r, 0)
 	tell := func(whole bool, phase protocol.Phase, ids ...string) {
 		l := &protocol.List{}
@@ -52,7 +52,7 @@
 			l.Members = append(l.Members, protocol.Listed{ID: id, Phase: phase})
 		}
 		r.list(l, whole, false)
-		fmt.Println(slices.Sorted(maps.Keys(r.hosts)))
+		fmt.Println(slices.Sorted(maps.Keys(r.hosts.byID)))
 	}
 	tell(true, protocol.InService, "a", "b", "c")
 	tell(false, protocol.Terminated, "a")
@@ -62,13 +62,13 @@
 		fmt.Println(err, err2)
 		return
 	}
-	r.hosts["b"].pushes = []*push{{state: writing, link: &link{conn: listener.AdoptConn(pair[0], nil)}}}
+	r.hosts.byID["b"].pushes = []*push{{state: writing, link: &link{conn: listener.AdoptConn(pair[0], nil)}}}
 	tell(true, protocol.InService, "d")
-	for _, h := range r.hosts {
+	for _, h := range r.hosts.byID {
 		h.gone = min(h.gone, 1) // long ago
 	}
 	tell(false, protocol.InService, "e")
-	r.hosts["b"].pushes = nil
+	r.hosts.byID["b"].pushes = nil
 	tell(false, protocol.InService, "b") // back in time
 	// Output:
 	// [a b c]
--- a/internal/routing/push.go
+++ b/internal/routing/push.go
@@ -69,7 +69,7 @@
 // connection may take to come up, as where its client went away, says nothing of the host.
 func (p *push) unheard() {
 	h := p.link.host
-	h.silent = h.silent || h.heard < p.began && p.router.loop.Now()-p.began > p.router.connect
+	h.silent = h.silent || h.heard < p.began && p.router.loop.Now()-p.began > p.router.hosts.connectTimeout
 }
 
 // callOff ends a push by closing its connection.
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -8,7 +8,6 @@
 	"errors"
 	"fmt"
 	"log/slog"
-	"net/netip"
 	"slices"
 	"strconv"
 	"sync/atomic"
@@ -57,16 +56,13 @@
 	balancer   *balance.Balancer
 	params     params.Params
 	categories map[string]*balance.Category
-	connIdle   float64 // ms
-	connect    float64 // ms
 	memory     memoryBudget
 	partner    Partner   // the other process of an upgrade, or nil
 	successor  Successor // the one that takes over, once it serves, or nil
-	hosts      map[string]*host
+	hosts      hostPool
 	clients    clientSide
 	watch      watch
 	wake       transport.Timer
-	past       past
 	figures    Figures
 	tallies    map[*balance.Category]*Tally
 	calledOff  []*push // of which the balancer has still to hear
@@ -77,18 +73,6 @@
 	byHand     bool                             // the list comes by hand, not from discovery
 }
 
-// host is a cache host, or the origin, with the connections to it that carry nothing.
-type host struct {
-	balance.Host
-	address netip.AddrPort
-	listed  protocol.Listed // the latest line on it
-	idle    []*link
-	heard   float64 // ms, time of its last answer
-	pushes  []*push // on connections to it
-	gone    float64 // ms, when it was first seen to be gone; 0 while it is not
-	silent  bool    // the last push to it had to be given up, and none was answered since that began
-}
-
 // New makes the front of a balancer that has been told so much, and starts the balancer. It does not listen yet. A
 // list by hand comes by TakeInventory, and discovery is not asked.
 func New(loop *transport.Loop, log *slog.Logger, startFile *params.StartFile, byHand bool) (*Router, error) {
@@ -99,13 +83,9 @@
 		byHand:  byHand,
 		memory:  newMemoryBudget(loop.Pool, int(startFile.MemoryMB*memoryShare*(1<<20))),
 		clients: newClientSide(startFile.Sockets / restShare),
-		hosts:   map[string]*host{},
-		connect: startFile.Params.Limits.Connect / 1000,
+		hosts:   newHostPool(startFile.Params.Limits.Connect / 1000),
 		tallies: map[*balance.Category]*Tally{},
 	}
-	if r.connect <= 0 {
-		r.connect = connectFor
-	}
 	r.watch = watch{router: r, address: startFile.Discovery}
 	r.watch.limit.Fire = r.watch.overdue
 	r.wake.Fire = func() { r.balancer.Woke() }
@@ -124,7 +104,7 @@
 		r.figures.Categories = append(r.figures.Categories, t)
 		r.tallies[r.categories[c.Name]] = t
 	}
-	r.connIdle = begin.ConnIdle
+	r.hosts.idleTimeout = begin.ConnIdle
 	r.watch.revision = known.Revision
 	r.balancer = balance.New(begin, r, loop.Now())
 	if len(known.Members) > 0 {
@@ -159,9 +139,9 @@
 	}
 	entries := make([]balance.Entry, 0, len(l.Members))
 	for _, m := range l.Members {
-		h := r.hosts[m.ID]
+		h := r.hosts.byID[m.ID]
 		if h == nil {
-			h = r.host(m.ID, r.params.IsOrigin(m.Flavor))
+			h = r.hosts.add(m.ID, r.params.IsOrigin(m.Flavor))
 		}
 		listing := balance.Listing{Zone: slices.Index(r.params.Zones, m.Locality), Cell: m.Cell, Size: m.Size,
 			UpSince: m.UpSince, Status: phases[m.Phase]}
@@ -182,15 +162,7 @@
 		entries = append(entries, balance.Entry{Host: &h.Host, Listing: listing})
 	}
 	r.balancer.List(entries, whole, saved)
-	r.forget()
-}
-
-// host makes a host known.
-func (r *Router) host(id string, origin bool) *host {
-	h := &host{Host: balance.Host{Name: id, Origin: origin}}
-	h.Ref = h
-	r.hosts[id] = h
-	return h
+	r.hosts.forget(r.loop.Now())
 }
 
 // Lists tells whether any cache host is listed.
@@ -210,26 +182,6 @@
 	return nil
 }
 
-// forget lets go of hosts that have been gone for a while: where hosts are replaced by new ones, ids are ever new. One that
-// comes back sooner is still known, with what was learned of it and what it was sent.
-func (r *Router) forget() {
-	now := r.loop.Now()
-	for id, h := range r.hosts {
-		switch {
-		case h.Status != balance.Gone:
-			h.gone = 0
-		case h.gone == 0:
-			h.gone = now
-			h.leave() // a whole list does not name it
-		case now-h.gone > goneFor && len(h.pushes) == 0 && !h.Banned:
-			delete(r.hosts, id)
-			if !h.Origin {
-				r.past.add(id)
-			}
-		}
-	}
-}
-
 var phases = map[protocol.Phase]balance.Status{protocol.InService: balance.Ready,
 	protocol.Terminating: balance.Draining, protocol.Terminated: balance.Gone}
 
--- a/internal/routing/upgrade.go
+++ b/internal/routing/upgrade.go
@@ -57,7 +57,7 @@
 // Known is what another process has to know of hosts: the list as it stands, the ids there were, and those banned.
 func (r *Router) Known() (l *protocol.List, past, banned []string) {
 	l = &protocol.List{Revision: r.watch.revision, Complete: true}
-	for id, h := range r.hosts {
+	for id, h := range r.hosts.byID {
 		if h.Status != balance.Gone {
 			l.Members = append(l.Members, h.listed)
 		}
@@ -71,7 +71,7 @@
 	slices.SortFunc(l.Members, func(x, y protocol.Listed) int { return strings.Compare(x.ID, y.ID) })
 	slices.Sort(banned)
 	slices.Sort(past)
-	return l, append(slices.Clone(r.past.order), past...), banned
+	return l, append(slices.Clone(r.hosts.past.order), past...), banned
 }
 
 // Yield leaves the budgets for cold hosts to another process, or takes them back.
@@ -83,8 +83,8 @@
 // Adopt takes what another process knows of hosts.
 func (r *Router) Adopt(l *protocol.List, past, banned []string, learned []balance.Learned) {
 	for _, id := range past {
-		if r.hosts[id] == nil {
-			r.past.add(id)
+		if r.hosts.byID[id] == nil {
+			r.hosts.past.add(id)
 		}
 	}
 	if l.Revision >= r.watch.revision && len(l.Members) > 0 {
