--- a/internal/routing/ban.go
+++ b/internal/routing/ban.go
@@ -23,11 +23,11 @@
 		return
 	}
 	err := r.TakeBan(id, out)
-	if r.partner == nil || err == errOrigin {
+	if r.handOver.partner == nil || err == errOrigin {
 		done(err)
 		return
 	}
-	r.partner.TellBan(id, out, func(known bool) {
+	r.handOver.partner.TellBan(id, out, func(known bool) {
 		if known && err == ErrNeverListed {
 			r.hosts.past.add(id)
 			err = r.TakeBan(id, out)
--- a/internal/routing/client.go
+++ b/internal/routing/client.go
@@ -279,7 +279,8 @@
 		switch {
 		case c.ending != "" && len(c.line) == 0:
 			c.finish(c.ending)
-		case r.shutdown.closing && r.successor == nil && c.between(): // a client without pauses would go on until the end is forced
+		case r.shutdown.closing && r.handOver.successor == nil && c.between():
+			// A client without pauses would go on until the end is forced.
 			c.finish(transport.Stopping)
 		case full: // commands that have come meanwhile are read on
 			r.loop.Later(c.conn)
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -57,8 +57,7 @@
 	params     params.Params
 	categories map[string]*balance.Category
 	memory     memoryBudget
-	partner    Partner   // the other process of an upgrade, or nil
-	successor  Successor // the one that takes over, once it serves, or nil
+	handOver   handOver
 	hosts      hostPool
 	clients    clientSide
 	watch      watch
@@ -121,7 +120,7 @@
 	r.balancer.Behind(r.loop.Waits())
 	r.reload()
 	r.takeInventory()
-	if r.shutdown.closing && r.successor != nil {
+	if r.shutdown.closing && r.handOver.successor != nil {
 		r.passOn()
 	}
 	over := r.calledOff
--- a/internal/routing/shutdown.go
+++ b/internal/routing/shutdown.go
@@ -29,7 +29,7 @@
 	}
 	s.on, s.began = true, r.loop.Now()
 	r.log.Info("stopping", "clients", len(r.clients.all))
-	if r.successor != nil { // new connections are its own
+	if r.handOver.successor != nil { // new connections are its own
 		r.sweep()
 		return
 	}
@@ -40,22 +40,22 @@
 func (r *Router) sweep() {
 	now := r.loop.Now()
 	r.shutdown.closing = true
-	if r.successor != nil {
+	if r.handOver.successor != nil {
 		r.passOn()
 	}
-	for i := len(r.clients.all) - 1; i >= 0 && r.successor == nil; i-- {
+	for i := len(r.clients.all) - 1; i >= 0 && r.handOver.successor == nil; i-- {
 		if c := r.clients.all[i]; c.idle() && (c.proven || now-c.conn.Began > shutdownGrace) && !c.conn.Unheard() {
 			c.finish(transport.Stopping)
 		}
 	}
-	if now-r.shutdown.began > shutdownTake && r.successor == nil {
+	if now-r.shutdown.began > shutdownTake && r.handOver.successor == nil {
 		r.balancer.Close()
 	}
 	if len(r.clients.all) == 0 && !r.loop.Unsent() {
 		if r.shutdown.empty == 0 {
 			r.shutdown.empty = now
 		}
-		if now-r.shutdown.empty > shutdownLast && (r.successor == nil || !r.successor.Waiting()) {
+		if now-r.shutdown.empty > shutdownLast && (r.handOver.successor == nil || !r.handOver.successor.Waiting()) {
 			r.log.Info("stopped", "ms", int(now-r.shutdown.began))
 			r.loop.End()
 			return
--- a/internal/routing/upgrade.go
+++ b/internal/routing/upgrade.go
@@ -24,6 +24,12 @@
 	Waiting() bool                           // some of that is still on its way
 }
 
+// handOver is what this process knows of the other ones of its instance while there are any.
+type handOver struct {
+	partner   Partner   // the other process of an upgrade, or nil
+	successor Successor // the one that takes over, once it serves, or nil
+}
+
 // Listen listens at an address; a shared one may have listeners of several processes.
 func (r *Router) Listen(at netip.AddrPort, shared bool) (err error) {
 	r.clients.listener, err = r.loop.ListenAt("client", at, shared, 0, r.accept)
@@ -42,14 +48,14 @@
 // With tells of the other process that lives beside this one, nil where there is none; both together have the memory of
 // one.
 func (r *Router) With(p Partner) {
-	r.partner = p
+	r.handOver.partner = p
 	r.memory.share(p != nil)
 }
 
 // Succeed tells of the process that takes over, nil where it is lost. This one leaves new connections to it, and from the word to
 // stop on passes its clients on.
 func (r *Router) Succeed(s Successor) {
-	r.successor = s
+	r.handOver.successor = s
 	r.clients.listener.Suspend(s != nil)
 	r.loop.Again()
 }
@@ -117,6 +123,6 @@
 		}
 		c.leave()
 		fd, in := c.conn.Pass()
-		r.successor.Pass(fd, append([]byte(unread), in...), c.proven)
+		r.handOver.successor.Pass(fd, append([]byte(unread), in...), c.proven)
 	}
 }
