routing: counters hold what operators read

Two fields of Router become a type. go test of routing, takeover and a subset of the program's (operators, metrics, long values, pushes): passed.

--- a/internal/routing/client.go
+++ b/internal/routing/client.go
@@ -209,7 +209,7 @@
 	if !skipped {
 		return false
 	}
-	c.router.tallies[category].Nacked++
+	c.router.counters.byCategory[category].Nacked++
 	c.proven = true
 	if last >= 0 {
 		c.line[last].behind = protocol.AppendNack(c.line[last].behind, backoff)
@@ -236,7 +236,7 @@
 	case r.clients.ops[command.ID] != nil: // hosts would take the two for one, and turn both away
 		protocol.WriteBad(o.out(), protocol.ErrOpen(command))
 	case !room:
-		r.tallies[category].Nacked++
+		r.counters.byCategory[category].Nacked++
 		protocol.WriteNack(o.out(), backoff)
 	default:
 		r.clients.ops[command.ID], o.pushes = o, o.first[:0]
--- a/internal/routing/figures.go
+++ b/internal/routing/figures.go
@@ -1,5 +1,7 @@
 package routing
 
+import "larchthread/balance"
+
 // Tally counts the ops of a category by their last answer.
 type Tally struct {
 	Name                        string
@@ -15,10 +17,25 @@
 	Avoided    int      // of these, those that get no op now
 }
 
+// counters counts what operators read, where it happens.
+type counters struct {
+	tallies    []*Tally // in the order of the start parameters
+	byCategory map[*balance.Category]*Tally
+	pushes     int // written whole to cache hosts
+}
+
+func newCounters() counters { return counters{byCategory: map[*balance.Category]*Tally{}} }
+
+// add has the ops of a category counted.
+func (c *counters) add(name string, category *balance.Category) {
+	t := &Tally{Name: name}
+	c.tallies = append(c.tallies, t)
+	c.byCategory[category] = t
+}
+
 // Figures tells how things stand.
 func (r *Router) Figures() Figures {
-	f := r.figures
-	f.Open = len(r.clients.ops)
+	f := Figures{Categories: r.counters.tallies, Pushes: r.counters.pushes, Open: len(r.clients.ops)}
 	f.Hosts, f.Avoided = r.balancer.Hosts()
 	return f
 }
--- a/internal/routing/flow.go
+++ b/internal/routing/flow.go
@@ -80,7 +80,7 @@
 		l.conn.Pause(false)
 		l.spare(f.answer.Close)
 	}
-	l.router.tallies[op.Category].Acked++
+	l.router.counters.byCategory[op.Category].Acked++
 	op.client.answer(op)
 	l.router.ended(p, balance.Served, f.answer.Load...)
 }
@@ -107,7 +107,7 @@
 	l, p, c := f.link, f.link.push, f.op.client
 	l.close(why)
 	p.move(over)
-	l.router.tallies[f.op.Category].DeadLettered++
+	l.router.counters.byCategory[f.op.Category].DeadLettered++
 	f.op.move(answered)
 	l.router.ended(p, o)
 	c.cut(transport.HalfAnswer)
--- a/internal/routing/link.go
+++ b/internal/routing/link.go
@@ -126,7 +126,7 @@
 	case !p.whole && p.sent():
 		p.whole = true
 		l.router.loop.Stop(&p.before)
-		l.router.figures.Pushes++
+		l.router.counters.pushes++
 	}
 }
 
@@ -249,7 +249,7 @@
 	}
 	if a.Kind == protocol.Value || a.Kind == protocol.Receipt {
 		if op.state == open && op.flow == nil {
-			l.router.tallies[op.Category].Acked++
+			l.router.counters.byCategory[op.Category].Acked++
 			protocol.WriteAnswer(op.out(), op.command, a)
 			op.client.answer(op)
 		}
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -62,8 +62,7 @@
 	clients    clientSide
 	watch      watch
 	wake       transport.Timer
-	figures    Figures
-	tallies    map[*balance.Category]*Tally
+	counters   counters
 	calledOff  []*push // of which the balancer has still to hear
 	shutdown   shutdown
 	startFile  atomic.Pointer[params.StartFile] // read anew, still to be heeded
@@ -83,7 +82,6 @@
 		memory:  newMemoryBudget(loop.Pool, int(startFile.MemoryMB*memoryShare*(1<<20))),
 		clients: newClientSide(startFile.Sockets / restShare),
 		hosts:   newHostPool(startFile.Params.Limits.Connect / 1000),
-		tallies: map[*balance.Category]*Tally{},
 	}
 	r.watch = watch{router: r, address: startFile.Discovery}
 	r.watch.limit.Fire = r.watch.overdue
@@ -98,10 +96,9 @@
 	var begin balance.Start
 	begin, r.categories, _ = startFile.Params.Begin(startFile.Seed)
 	begin.OnRequest = !byHand // also where lists are pushed: only to those who watch
+	r.counters = newCounters()
 	for _, c := range startFile.Params.Categories {
-		t := &Tally{Name: c.Name}
-		r.figures.Categories = append(r.figures.Categories, t)
-		r.tallies[r.categories[c.Name]] = t
+		r.counters.add(c.Name, r.categories[c.Name])
 	}
 	r.hosts.idleTimeout = begin.ConnIdle
 	r.watch.revision = known.Revision
@@ -212,14 +209,14 @@
 
 func (r *Router) Nack(o *balance.Op, backoff float64) {
 	op := o.Ref.(*op)
-	r.tallies[op.Category].Nacked++
+	r.counters.byCategory[op.Category].Nacked++
 	protocol.WriteNack(op.out(), backoff)
 	op.client.answer(op)
 }
 
 func (r *Router) DeadLetter(o *balance.Op) {
 	op := o.Ref.(*op)
-	r.tallies[op.Category].DeadLettered++
+	r.counters.byCategory[op.Category].DeadLettered++
 	protocol.WriteDeadLetter(op.out())
 	op.client.answer(op)
 }
