--- a/internal/routing/inventory.go
+++ b/internal/routing/inventory.go
@@ -1,25 +1,34 @@
 package routing
 
 import (
+	"sync/atomic"
+
 	"larchthread/balance"
 	"larchthread/internal/inventory"
 	"larchthread/internal/protocol"
 )
 
+// inventoryState is the list of hosts that comes by hand, from a file, in place of discovery's.
+type inventoryState struct {
+	inUse   bool
+	pending atomic.Pointer[[]inventory.Host] // still to be put in force
+	current *[]inventory.Host                // in force
+}
+
 // TakeInventory puts a list of hosts in force in place of discovery's. It may be called from any goroutine.
 func (r *Router) TakeInventory(hosts []inventory.Host) {
-	r.inventory.Store(&hosts)
+	r.inventory.pending.Store(&hosts)
 	r.loop.Ring()
 }
 
 // takeInventory hands the list on, as one of discovery's: hosts that are not on it drain, and new ones join. The file does not
 // tell when a host started, so one that comes later than the first list, or to another address, is taken for cold.
 func (r *Router) takeInventory() {
-	hosts := r.inventory.Swap(nil)
+	hosts := r.inventory.pending.Swap(nil)
 	if hosts == nil {
 		return
 	}
-	r.byFile = hosts
+	r.inventory.current = hosts
 	l := &protocol.List{Revision: r.watch.revision + 1, Complete: true}
 	first := !r.Lists()
 	for _, h := range *hosts {
--- a/internal/routing/inventory_test.go
+++ b/internal/routing/inventory_test.go
@@ -24,7 +24,7 @@
 	if err != nil {
 		panic(err)
 	}
-	r := &Router{loop: loop, log: loop.Log, hosts: newHostPool(0), byHand: true}
+	r := &Router{loop: loop, log: loop.Log, hosts: newHostPool(0), inventory: inventoryState{inUse: true}}
 	r.balancer = balance.New(balance.Start{Group: 1, ColdFor: 5000, ColdShare: 0.5, ConnIdle: 1,
 		Categories: []*balance.Category{{Target: 100}}}, r, loop.Now())
 	return r
--- a/internal/routing/reload.go
+++ b/internal/routing/reload.go
@@ -19,7 +19,7 @@
 		return
 	}
 	r.log.Info("configuration read anew", "discovery", startFile.Discovery.String())
-	if startFile.Discovery != r.watch.address && !r.byHand {
+	if startFile.Discovery != r.watch.address && !r.inventory.inUse {
 		r.watch.end(transport.WatchMoved)
 		r.watch.address = startFile.Discovery
 		r.balancer.ListMoved()
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -13,7 +13,6 @@
 	"sync/atomic"
 
 	"larchthread/balance"
-	"larchthread/internal/inventory"
 	"larchthread/internal/params"
 	"larchthread/internal/protocol"
 	"larchthread/internal/transport"
@@ -66,22 +65,20 @@
 	calledOff  []*push // of which the balancer has still to hear
 	shutdown   shutdown
 	startFile  atomic.Pointer[params.StartFile] // read anew, still to be heeded
-	inventory  atomic.Pointer[[]inventory.Host] // a list by hand, still to be heeded
-	byFile     *[]inventory.Host                // the list by hand that is in force
-	byHand     bool                             // the list comes by hand, not from discovery
+	inventory  inventoryState
 }
 
 // New makes the front of a balancer that has been told so much, and starts the balancer. It does not listen yet. A
 // list by hand comes by TakeInventory, and discovery is not asked.
 func New(loop *transport.Loop, log *slog.Logger, startFile *params.StartFile, byHand bool) (*Router, error) {
 	r := &Router{
-		loop:    loop,
-		log:     log,
-		params:  startFile.Params,
-		byHand:  byHand,
-		memory:  newMemoryBudget(loop.Pool, int(startFile.MemoryMB*memoryShare*(1<<20))),
-		clients: newClientSide(startFile.Sockets / restShare),
-		hosts:   newHostPool(startFile.Params.Limits.Connect / 1000),
+		loop:      loop,
+		log:       log,
+		params:    startFile.Params,
+		inventory: inventoryState{inUse: byHand},
+		memory:    newMemoryBudget(loop.Pool, int(startFile.MemoryMB*memoryShare*(1<<20))),
+		clients:   newClientSide(startFile.Sockets / restShare),
+		hosts:     newHostPool(startFile.Params.Limits.Connect / 1000),
 	}
 	r.watch = watch{router: r, address: startFile.Discovery}
 	r.watch.limit.Fire = r.watch.overdue
--- a/internal/routing/upgrade.go
+++ b/internal/routing/upgrade.go
@@ -97,8 +97,8 @@
 		r.watch.revision = l.Revision
 		r.list(l, true, true)
 	}
-	if r.byHand { // the file is this process's own, and may be newer
-		r.inventory.Store(r.byFile)
+	if r.inventory.inUse { // the file is this process's own, and may be newer
+		r.inventory.pending.Store(r.inventory.current)
 	}
 	for _, part := range learned {
 		r.balancer.Resume(part)
