--- a/internal/routing/link.go
+++ b/internal/routing/link.go
@@ -56,7 +56,7 @@
 		return transport.Idle
 	}
 	l.coming.Fire = l.late
-	r.loop.Set(&l.coming, r.connect)
+	r.loop.Set(&l.coming, r.hosts.connectTimeout)
 	return l
 }
 
@@ -70,7 +70,7 @@
 		}
 		h.idle = slices.Delete(h.idle, i, i+1)
 		switch {
-		case rest >= r.connIdle*idleShare:
+		case rest >= r.hosts.idleTimeout*idleShare:
 			l.conn.Close(transport.IdleTooLong)
 		case l.conn.Quiet():
 			l.early = rest <= secondFor
@@ -126,7 +126,7 @@
 	case !p.whole && p.sent():
 		p.whole = true
 		l.router.loop.Stop(&p.before)
-		l.router.figures.Pushes++
+		l.router.counters.pushes++
 	}
 }
 
@@ -249,7 +249,7 @@
 	}
 	if a.Kind == protocol.Value || a.Kind == protocol.Receipt {
 		if op.state == open && op.flow == nil {
-			l.router.tallies[op.Category].Acked++
+			l.router.counters.byCategory[op.Category].Acked++
 			protocol.WriteAnswer(op.out(), op.command, a)
 			op.client.answer(op)
 		}
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -8,13 +8,11 @@
 	"errors"
 	"fmt"
 	"log/slog"
-	"net/netip"
 	"slices"
 	"strconv"
 	"sync/atomic"
 
 	"larchthread/balance"
-	"larchthread/internal/inventory"
 	"larchthread/internal/params"
 	"larchthread/internal/protocol"
 	"larchthread/internal/transport"
@@ -57,50 +55,30 @@
 	balancer   *balance.Balancer
 	params     params.Params
 	categories map[string]*balance.Category
-	connIdle   float64 // ms
-	connect    float64 // ms
 	memory     memoryBudget
-	listener   *transport.Listener
-	partner    Partner   // the other process of an upgrade, or nil
-	successor  Successor // the one that takes over, once it serves, or nil
-	hosts      map[string]*host
-	clients    []*client
-	atRest     resting
-	restMost   int            // clients with nothing open that may stay
-	ops        map[string]*op // by id, those without an answer
+	handOver   handOver
+	hosts      hostPool
+	clients    clientSide
 	watch      watch
 	wake       transport.Timer
-	past       past
-	figures    Figures
-	tallies    map[*balance.Category]*Tally
+	counters   counters
 	calledOff  []*push // of which the balancer has still to hear
 	shutdown   shutdown
 	startFile  atomic.Pointer[params.StartFile] // read anew, still to be heeded
-	inventory  atomic.Pointer[[]inventory.Host] // a list by hand, still to be heeded
-	byFile     *[]inventory.Host                // the list by hand that is in force
-	byHand     bool                             // the list comes by hand, not from discovery
-}
-
-// host is a cache host, or the origin, with the connections to it that carry nothing.
-type host struct {
-	balance.Host
-	address netip.AddrPort
-	listed  protocol.Listed // the latest line on it
-	idle    []*link
-	heard   float64 // ms, time of its last answer
-	pushes  []*push // on connections to it
-	gone    float64 // ms, when it was first seen to be gone; 0 while it is not
-	silent  bool    // the last push to it had to be given up, and none was answered since that began
+	inventory  inventoryState
 }
 
 // New makes the front of a balancer that has been told so much, and starts the balancer. It does not listen yet. A
 // list by hand comes by TakeInventory, and discovery is not asked.
 func New(loop *transport.Loop, log *slog.Logger, startFile *params.StartFile, byHand bool) (*Router, error) {
-	r := &Router{byHand: byHand, loop: loop, log: log, params: startFile.Params, memory: newMemoryBudget(loop.Pool, int(startFile.MemoryMB*memoryShare*(1<<20))),
-		ops: map[string]*op{}, tallies: map[*balance.Category]*Tally{}, hosts: map[string]*host{}, connect: startFile.Params.Limits.Connect / 1000,
-		restMost: startFile.Sockets / restShare}
-	if r.connect <= 0 {
-		r.connect = connectFor
+	r := &Router{
+		loop:      loop,
+		log:       log,
+		params:    startFile.Params,
+		inventory: inventoryState{inUse: byHand},
+		memory:    newMemoryBudget(loop.Pool, int(startFile.MemoryMB*memoryShare*(1<<20))),
+		clients:   newClientSide(startFile.Sockets / restShare),
+		hosts:     newHostPool(startFile.Params.Limits.Connect / 1000),
 	}
 	r.watch = watch{router: r, address: startFile.Discovery}
 	r.watch.limit.Fire = r.watch.overdue
@@ -115,12 +93,11 @@
 	var begin balance.Start
 	begin, r.categories, _ = startFile.Params.Begin(startFile.Seed)
 	begin.OnRequest = !byHand // also where lists are pushed: only to those who watch
+	r.counters = newCounters()
 	for _, c := range startFile.Params.Categories {
-		t := &Tally{Name: c.Name}
-		r.figures.Categories = append(r.figures.Categories, t)
-		r.tallies[r.categories[c.Name]] = t
+		r.counters.add(c.Name, r.categories[c.Name])
 	}
-	r.connIdle = begin.ConnIdle
+	r.hosts.idleTimeout = begin.ConnIdle
 	r.watch.revision = known.Revision
 	r.balancer = balance.New(begin, r, loop.Now())
 	if len(known.Members) > 0 {
@@ -137,7 +114,7 @@
 	r.balancer.Behind(r.loop.Waits())
 	r.reload()
 	r.takeInventory()
-	if r.shutdown.closing && r.successor != nil {
+	if r.shutdown.closing && r.handOver.successor != nil {
 		r.passOn()
 	}
 	over := r.calledOff
@@ -155,9 +132,9 @@
 	}
 	entries := make([]balance.Entry, 0, len(l.Members))
 	for _, m := range l.Members {
-		h := r.hosts[m.ID]
+		h := r.hosts.byID[m.ID]
 		if h == nil {
-			h = r.host(m.ID, r.params.IsOrigin(m.Flavor))
+			h = r.hosts.add(m.ID, r.params.IsOrigin(m.Flavor))
 		}
 		listing := balance.Listing{Zone: slices.Index(r.params.Zones, m.Locality), Cell: m.Cell, Size: m.Size,
 			UpSince: m.UpSince, Status: phases[m.Phase]}
@@ -178,15 +155,7 @@
 		entries = append(entries, balance.Entry{Host: &h.Host, Listing: listing})
 	}
 	r.balancer.List(entries, whole, saved)
-	r.forget()
-}
-
-// host makes a host known.
-func (r *Router) host(id string, origin bool) *host {
-	h := &host{Host: balance.Host{Name: id, Origin: origin}}
-	h.Ref = h
-	r.hosts[id] = h
-	return h
+	r.hosts.forget(r.loop.Now())
 }
 
 // Lists tells whether any cache host is listed.
@@ -197,7 +166,7 @@
 
 // Serving tells why no op can be served now, if so.
 func (r *Router) Serving() error {
-	if r.listener == nil {
+	if r.clients.listener == nil {
 		return ErrShut
 	}
 	if !r.Lists() {
@@ -206,26 +175,6 @@
 	return nil
 }
 
-// forget lets go of hosts that have been gone for a while: where hosts are replaced by new ones, ids are ever new. One that
-// comes back sooner is still known, with what was learned of it and what it was sent.
-func (r *Router) forget() {
-	now := r.loop.Now()
-	for id, h := range r.hosts {
-		switch {
-		case h.Status != balance.Gone:
-			h.gone = 0
-		case h.gone == 0:
-			h.gone = now
-			h.leave() // a whole list does not name it
-		case now-h.gone > goneFor && len(h.pushes) == 0 && !h.Banned:
-			delete(r.hosts, id)
-			if !h.Origin {
-				r.past.add(id)
-			}
-		}
-	}
-}
-
 var phases = map[protocol.Phase]balance.Status{protocol.InService: balance.Ready,
 	protocol.Terminating: balance.Draining, protocol.Terminated: balance.Gone}
 
@@ -257,14 +206,14 @@
 
 func (r *Router) Nack(o *balance.Op, backoff float64) {
 	op := o.Ref.(*op)
-	r.tallies[op.Category].Nacked++
+	r.counters.byCategory[op.Category].Nacked++
 	protocol.WriteNack(op.out(), backoff)
 	op.client.answer(op)
 }
 
 func (r *Router) DeadLetter(o *balance.Op) {
 	op := o.Ref.(*op)
-	r.tallies[op.Category].DeadLettered++
+	r.counters.byCategory[op.Category].DeadLettered++
 	protocol.WriteDeadLetter(op.out())
 	op.client.answer(op)
 }
--- a/internal/routing/upgrade.go
+++ b/internal/routing/upgrade.go
@@ -24,40 +24,46 @@
 	Waiting() bool                           // some of that is still on its way
 }
 
+// handOver is what this process knows of the other ones of its instance while there are any.
+type handOver struct {
+	partner   Partner   // the other process of an upgrade, or nil
+	successor Successor // the one that takes over, once it serves, or nil
+}
+
 // Listen listens at an address; a shared one may have listeners of several processes.
 func (r *Router) Listen(at netip.AddrPort, shared bool) (err error) {
-	r.listener, err = r.loop.ListenAt("client", at, shared, 0, r.accept)
+	r.clients.listener, err = r.loop.ListenAt("client", at, shared, 0, r.accept)
 	return err
 }
 
 // Inherit listens on a socket that another process has listened on.
 func (r *Router) Inherit(fd int) (err error) {
-	r.listener, err = r.loop.AdoptListener("client", fd, 0, r.accept)
+	r.clients.listener, err = r.loop.AdoptListener("client", fd, 0, r.accept)
 	return err
 }
 
 // Listener is the clients' listener; nil while there is none.
-func (r *Router) Listener() *transport.Listener { return r.listener }
+func (r *Router) Listener() *transport.Listener { return r.clients.listener }
 
 // With tells of the other process that lives beside this one, nil where there is none; both together have the memory of
 // one.
 func (r *Router) With(p Partner) {
-	r.partner = p
+	r.handOver.partner = p
 	r.memory.share(p != nil)
 }
 
 // Succeed tells of the process that takes over, nil where it is lost. This one leaves new connections to it, and from the word to
 // stop on passes its clients on.
 func (r *Router) Succeed(s Successor) {
-	r.successor = s
-	r.listener.Suspend(s != nil)
+	r.handOver.successor = s
+	r.clients.listener.Suspend(s != nil)
 	r.loop.Again()
 }
 
 // Known is what another process has to know of hosts: the list as it stands, the ids there were, and those banned.
 func (r *Router) Known() (l *protocol.List, past, banned []string) {
 	l = &protocol.List{Revision: r.watch.revision, Complete: true}
-	for id, h := range r.hosts {
+	for id, h := range r.hosts.byID {
 		if h.Status != balance.Gone {
 			l.Members = append(l.Members, h.listed)
 		}
@@ -71,7 +77,7 @@
 	slices.SortFunc(l.Members, func(x, y protocol.Listed) int { return strings.Compare(x.ID, y.ID) })
 	slices.Sort(banned)
 	slices.Sort(past)
-	return l, append(slices.Clone(r.past.order), past...), banned
+	return l, append(slices.Clone(r.hosts.past.order), past...), banned
 }
 
 // Yield leaves the budgets for cold hosts to another process, or takes them back.
@@ -83,16 +89,16 @@
 // Adopt takes what another process knows of hosts.
 func (r *Router) Adopt(l *protocol.List, past, banned []string, learned []balance.Learned) {
 	for _, id := range past {
-		if r.hosts[id] == nil {
-			r.past.add(id)
+		if r.hosts.byID[id] == nil {
+			r.hosts.past.add(id)
 		}
 	}
 	if l.Revision >= r.watch.revision && len(l.Members) > 0 {
 		r.watch.revision = l.Revision
 		r.list(l, true, true)
 	}
-	if r.byHand { // the file is this process's own, and may be newer
-		r.inventory.Store(r.byFile)
+	if r.inventory.inUse { // the file is this process's own, and may be newer
+		r.inventory.pending.Store(r.inventory.current)
 	}
 	for _, part := range learned {
 		r.balancer.Resume(part)
@@ -102,14 +108,14 @@
 
 // Passed takes a client's connection that another process has passed on.
 func (r *Router) Passed(fd int, unread []byte, proven bool) {
-	c := r.listener.AdoptConn(fd, unread).Owner.(*client)
+	c := r.clients.listener.AdoptConn(fd, unread).Owner.(*client)
 	c.proven = proven
 	c.attend(false)
 }
 
 // passOn passes on the clients' connections that stand between two ops.
 func (r *Router) passOn() {
-	for _, c := range slices.Clone(r.clients) {
+	for _, c := range slices.Clone(r.clients.all) {
 		unread := c.commands.Unread()
 		if len(c.line) > 0 || c.conn.Out.Len() > 0 || c.ending != "" || !c.conn.Up() ||
 			len(unread)+c.conn.In.Len() > passMost {
@@ -117,6 +123,6 @@
 		}
 		c.leave()
 		fd, in := c.conn.Pass()
-		r.successor.Pass(fd, append([]byte(unread), in...), c.proven)
+		r.handOver.successor.Pass(fd, append([]byte(unread), in...), c.proven)
 	}
 }
