--- a/internal/routing/client.go
+++ b/internal/routing/client.go
@@ -205,7 +205,7 @@
 	if last >= 0 && len(c.line[last].behind) > shortMost {
 		return false
 	}
-	category, skipped := protocol.Skip(&c.commands, &c.conn.In, c.router.categories)
+	category, skipped := protocol.Skip(&c.commands, &c.conn.In, c.router.configuration.categories)
 	if !skipped {
 		return false
 	}
@@ -226,7 +226,7 @@
 	o := &op{client: c, command: command, reply: r.loop.Pool.Chain(), bulk: c.bulk}
 	c.bulk = 0
 	c.line = append(c.line, o)
-	switch category := r.categories[command.Category]; {
+	switch category := r.configuration.categories[command.Category]; {
 	case command.Bad != nil:
 		protocol.WriteBad(o.out(), command.Bad)
 	case command.Verb == protocol.Ping:
--- a/internal/routing/link_test.go
+++ b/internal/routing/link_test.go
@@ -10,7 +10,6 @@
 	"golang.org/x/sys/unix"
 
 	"larchthread/balance"
-	"larchthread/internal/params"
 	"larchthread/internal/protocol"
 	"larchthread/internal/transport"
 )
@@ -44,7 +43,7 @@
 		fmt.Println(err)
 		return
 	}
-	r := &Router{loop: loop, hosts: newHostPool(0), params: params.Params{}}
+	r := &Router{loop: loop, hosts: newHostPool(0)}
 	r.balancer = balance.New(balance.Start{Group: 1}, r, 0)
 	tell := func(whole bool, phase protocol.Phase, ids ...string) {
 		l := &protocol.List{}
--- a/internal/routing/reload.go
+++ b/internal/routing/reload.go
@@ -1,20 +1,30 @@
 package routing
 
 import (
+	"sync/atomic"
+
+	"larchthread/balance"
 	"larchthread/internal/params"
 	"larchthread/internal/transport"
 )
 
+// configuration is what the instance was told, and goes by until it ends.
+type configuration struct {
+	params     params.Params
+	categories map[string]*balance.Category
+	reread     atomic.Pointer[params.StartFile] // a start file that was read anew, still to be heeded
+}
+
 // Reload takes a configuration that was read anew. It may be called from any goroutine.
 func (r *Router) Reload(startFile *params.StartFile) {
-	r.startFile.Store(startFile)
+	r.configuration.reread.Store(startFile)
 	r.loop.Ring()
 }
 
 // reload moves the watch to where the new configuration says. The list, the ops and all other connections stay;
 // what else has changed counts from the next start.
 func (r *Router) reload() {
-	startFile := r.startFile.Swap(nil)
+	startFile := r.configuration.reread.Swap(nil)
 	if startFile == nil {
 		return
 	}
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -10,7 +10,6 @@
 	"log/slog"
 	"slices"
 	"strconv"
-	"sync/atomic"
 
 	"larchthread/balance"
 	"larchthread/internal/params"
@@ -50,35 +49,33 @@
 
 // Router is the front of one balancer, and its port.
 type Router struct {
-	loop       *transport.Loop
-	log        *slog.Logger
-	balancer   *balance.Balancer
-	params     params.Params
-	categories map[string]*balance.Category
-	memory     memoryBudget
-	handOver   handOver
-	hosts      hostPool
-	clients    clientSide
-	watch      watch
-	wake       transport.Timer
-	counters   counters
-	calledOff  []*push // of which the balancer has still to hear
-	shutdown   shutdown
-	startFile  atomic.Pointer[params.StartFile] // read anew, still to be heeded
-	inventory  inventoryState
+	loop          *transport.Loop
+	log           *slog.Logger
+	balancer      *balance.Balancer
+	configuration configuration
+	memory        memoryBudget
+	handOver      handOver
+	hosts         hostPool
+	clients       clientSide
+	watch         watch
+	wake          transport.Timer
+	counters      counters
+	calledOff     []*push // of which the balancer has still to hear
+	shutdown      shutdown
+	inventory     inventoryState
 }
 
 // New makes the front of a balancer that has been told so much, and starts the balancer. It does not listen yet. A
 // list by hand comes by TakeInventory, and discovery is not asked.
 func New(loop *transport.Loop, log *slog.Logger, startFile *params.StartFile, byHand bool) (*Router, error) {
 	r := &Router{
-		loop:      loop,
-		log:       log,
-		params:    startFile.Params,
-		inventory: inventoryState{inUse: byHand},
-		memory:    newMemoryBudget(loop.Pool, int(startFile.MemoryMB*memoryShare*(1<<20))),
-		clients:   newClientSide(startFile.Sockets / restShare),
-		hosts:     newHostPool(startFile.Params.Limits.Connect / 1000),
+		loop:          loop,
+		log:           log,
+		configuration: configuration{params: startFile.Params},
+		inventory:     inventoryState{inUse: byHand},
+		memory:        newMemoryBudget(loop.Pool, int(startFile.MemoryMB*memoryShare*(1<<20))),
+		clients:       newClientSide(startFile.Sockets / restShare),
+		hosts:         newHostPool(startFile.Params.Limits.Connect / 1000),
 	}
 	r.watch = watch{router: r, address: startFile.Discovery}
 	r.watch.limit.Fire = r.watch.overdue
@@ -91,11 +88,11 @@
 		}
 	}
 	var begin balance.Start
-	begin, r.categories, _ = startFile.Params.Begin(startFile.Seed)
+	begin, r.configuration.categories, _ = startFile.Params.Begin(startFile.Seed)
 	begin.OnRequest = !byHand // also where lists are pushed: only to those who watch
 	r.counters = newCounters()
 	for _, c := range startFile.Params.Categories {
-		r.counters.add(c.Name, r.categories[c.Name])
+		r.counters.add(c.Name, r.configuration.categories[c.Name])
 	}
 	r.hosts.idleTimeout = begin.ConnIdle
 	r.watch.revision = known.Revision
@@ -134,9 +131,9 @@
 	for _, m := range l.Members {
 		h := r.hosts.byID[m.ID]
 		if h == nil {
-			h = r.hosts.add(m.ID, r.params.IsOrigin(m.Flavor))
+			h = r.hosts.add(m.ID, r.configuration.params.IsOrigin(m.Flavor))
 		}
-		listing := balance.Listing{Zone: slices.Index(r.params.Zones, m.Locality), Cell: m.Cell, Size: m.Size,
+		listing := balance.Listing{Zone: slices.Index(r.configuration.params.Zones, m.Locality), Cell: m.Cell, Size: m.Size,
 			UpSince: m.UpSince, Status: phases[m.Phase]}
 		if !(listing.Size > 0) { // a list without sizes
 			listing.Size = 1
@@ -229,7 +226,7 @@
 	var report *balance.Report
 	for _, a := range load {
 		if v, err := strconv.ParseFloat(a.Value, 64); err == nil {
-			report = r.params.Report(report, a.Name, v)
+			report = r.configuration.params.Report(report, a.Name, v)
 		}
 	}
 	spent := r.loop.Now() - p.began
