--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -9,7 +9,6 @@
 	"fmt"
 	"log/slog"
 	"slices"
-	"strconv"
 
 	"larchthread/balance"
 	"larchthread/internal/params"
@@ -47,22 +46,22 @@
 	shutdownLast   = 250.0 // ms after the last client until the end, for the sockets to be closed in good order
 )
 
-// Router is the front of one balancer, and its port.
+// Router is the front of one balancer, and its port. It joins parts that have one job each.
 type Router struct {
 	loop          *transport.Loop
 	log           *slog.Logger
 	balancer      *balance.Balancer
 	configuration configuration
-	memory        memoryBudget
-	handOver      handOver
-	hosts         hostPool
 	clients       clientSide
-	watch         watch
-	wake          transport.Timer
+	hosts         hostPool
+	memory        memoryBudget
 	counters      counters
-	calledOff     []*push // of which the balancer has still to hear
-	shutdown      shutdown
+	watch         watch
 	inventory     inventoryState
+	handOver      handOver
+	shutdown      shutdown
+	wake          transport.Timer // the balancer's
+	calledOff     []*push         // of which the balancer has still to hear
 }
 
 // New makes the front of a balancer that has been told so much, and starts the balancer. It does not listen yet. A
@@ -174,67 +173,3 @@
 
 var phases = map[protocol.Phase]balance.Status{protocol.InService: balance.Ready,
 	protocol.Terminating: balance.Draining, protocol.Terminated: balance.Gone}
-
-// Push implements balance.Port, as do the methods below.
-func (r *Router) Push(b *balance.Push, limit float64) {
-	now := r.loop.Now()
-	p := &push{Push: b, router: r, op: b.Op.Ref.(*op), began: now, until: now + limit}
-	b.Ref = p
-	if p.left(now) < leastLeft {
-		p.end(balance.NotSent)
-		return
-	}
-	p.limit.Fire, p.before.Fire = p.late, p.withdraw
-	r.loop.Set(&p.limit, limit)
-	p.op.pushes = append(p.op.pushes, p)
-	b.Host.Ref.(*host).link(r, b.Op.Category.Repeat != balance.Redeliverable).carry(p)
-	if !p.link.conn.Up() { // else it goes out with this round
-		r.loop.Set(&p.before, b.Before-now)
-	}
-}
-
-// Cancel calls a push off by closing its connection.
-func (r *Router) Cancel(b *balance.Push) {
-	if p := b.Ref.(*push); p.state != over {
-		p.unheard()
-		p.callOff(transport.CalledOff)
-	}
-}
-
-func (r *Router) Nack(o *balance.Op, backoff float64) {
-	op := o.Ref.(*op)
-	r.counters.byCategory[op.Category].Nacked++
-	protocol.WriteNack(op.out(), backoff)
-	op.client.answer(op)
-}
-
-func (r *Router) DeadLetter(o *balance.Op) {
-	op := o.Ref.(*op)
-	r.counters.byCategory[op.Category].DeadLettered++
-	protocol.WriteDeadLetter(op.out())
-	op.client.answer(op)
-}
-
-func (r *Router) Wake(after float64) { r.loop.Set(&r.wake, after) }
-
-func (r *Router) Watch() { r.watch.begin() }
-
-func (r *Router) HangUp(h *balance.Host) { h.Ref.(*host).hangUp(transport.HungUp) }
-
-// ended tells the balancer how a push ended, and what its host told of its load, if anything.
-func (r *Router) ended(p *push, o balance.Outcome, load ...protocol.Attr) {
-	var report *balance.Report
-	for _, a := range load {
-		if v, err := strconv.ParseFloat(a.Value, 64); err == nil {
-			report = r.configuration.params.Report(report, a.Name, v)
-		}
-	}
-	spent := r.loop.Now() - p.began
-	switch {
-	case p.took > 0: // a long value counts by its first bytes
-		spent = p.took
-	case o == balance.Served || o == balance.Missed:
-		spent = max(0, r.loop.Heard()-p.began)
-	}
-	r.balancer.Ended(p.Push, o, spent, p.op.state != open, report)
-}
