--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -9,8 +9,6 @@
 	"fmt"
 	"log/slog"
 	"slices"
-	"strconv"
-	"sync/atomic"
 
 	"larchthread/balance"
 	"larchthread/internal/params"
@@ -48,37 +46,35 @@
 	shutdownLast   = 250.0 // ms after the last client until the end, for the sockets to be closed in good order
 )
 
-// Router is the front of one balancer, and its port.
+// Router is the front of one balancer, and its port. It joins parts that have one job each.
 type Router struct {
-	loop       *transport.Loop
-	log        *slog.Logger
-	balancer   *balance.Balancer
-	params     params.Params
-	categories map[string]*balance.Category
-	memory     memoryBudget
-	handOver   handOver
-	hosts      hostPool
-	clients    clientSide
-	watch      watch
-	wake       transport.Timer
-	counters   counters
-	calledOff  []*push // of which the balancer has still to hear
-	shutdown   shutdown
-	startFile  atomic.Pointer[params.StartFile] // read anew, still to be heeded
-	inventory  inventoryState
+	loop          *transport.Loop
+	log           *slog.Logger
+	balancer      *balance.Balancer
+	configuration configuration
+	clients       clientSide
+	hosts         hostPool
+	memory        memoryBudget
+	counters      counters
+	watch         watch
+	inventory     inventoryState
+	handOver      handOver
+	shutdown      shutdown
+	wake          transport.Timer // the balancer's
+	calledOff     []*push         // of which the balancer has still to hear
 }
 
 // New makes the front of a balancer that has been told so much, and starts the balancer. It does not listen yet. A
 // list by hand comes by TakeInventory, and discovery is not asked.
 func New(loop *transport.Loop, log *slog.Logger, startFile *params.StartFile, byHand bool) (*Router, error) {
 	r := &Router{
-		loop:      loop,
-		log:       log,
-		params:    startFile.Params,
-		inventory: inventoryState{inUse: byHand},
-		memory:    newMemoryBudget(loop.Pool, int(startFile.MemoryMB*memoryShare*(1<<20))),
-		clients:   newClientSide(startFile.Sockets / restShare),
-		hosts:     newHostPool(startFile.Params.Limits.Connect / 1000),
+		loop:          loop,
+		log:           log,
+		configuration: configuration{params: startFile.Params},
+		inventory:     inventoryState{inUse: byHand},
+		memory:        newMemoryBudget(loop.Pool, int(startFile.MemoryMB*memoryShare*(1<<20))),
+		clients:       newClientSide(startFile.Sockets / restShare),
+		hosts:         newHostPool(startFile.Params.Limits.Connect / 1000),
 	}
 	r.watch = watch{router: r, address: startFile.Discovery}
 	r.watch.limit.Fire = r.watch.overdue
@@ -91,11 +87,11 @@
 		}
 	}
 	var begin balance.Start
-	begin, r.categories, _ = startFile.Params.Begin(startFile.Seed)
+	begin, r.configuration.categories, _ = startFile.Params.Begin(startFile.Seed)
 	begin.OnRequest = !byHand // also where lists are pushed: only to those who watch
 	r.counters = newCounters()
 	for _, c := range startFile.Params.Categories {
-		r.counters.add(c.Name, r.categories[c.Name])
+		r.counters.add(c.Name, r.configuration.categories[c.Name])
 	}
 	r.hosts.idleTimeout = begin.ConnIdle
 	r.watch.revision = known.Revision
@@ -134,9 +130,9 @@
 	for _, m := range l.Members {
 		h := r.hosts.byID[m.ID]
 		if h == nil {
-			h = r.hosts.add(m.ID, r.params.IsOrigin(m.Flavor))
+			h = r.hosts.add(m.ID, r.configuration.params.IsOrigin(m.Flavor))
 		}
-		listing := balance.Listing{Zone: slices.Index(r.params.Zones, m.Locality), Cell: m.Cell, Size: m.Size,
+		listing := balance.Listing{Zone: slices.Index(r.configuration.params.Zones, m.Locality), Cell: m.Cell, Size: m.Size,
 			UpSince: m.UpSince, Status: phases[m.Phase]}
 		if !(listing.Size > 0) { // a list without sizes
 			listing.Size = 1
@@ -177,67 +173,3 @@
 
 var phases = map[protocol.Phase]balance.Status{protocol.InService: balance.Ready,
 	protocol.Terminating: balance.Draining, protocol.Terminated: balance.Gone}
-
-// Push implements balance.Port, as do the methods below.
-func (r *Router) Push(b *balance.Push, limit float64) {
-	now := r.loop.Now()
-	p := &push{Push: b, router: r, op: b.Op.Ref.(*op), began: now, until: now + limit}
-	b.Ref = p
-	if p.left(now) < leastLeft {
-		p.end(balance.NotSent)
-		return
-	}
-	p.limit.Fire, p.before.Fire = p.late, p.withdraw
-	r.loop.Set(&p.limit, limit)
-	p.op.pushes = append(p.op.pushes, p)
-	b.Host.Ref.(*host).link(r, b.Op.Category.Repeat != balance.Redeliverable).carry(p)
-	if !p.link.conn.Up() { // else it goes out with this round
-		r.loop.Set(&p.before, b.Before-now)
-	}
-}
-
-// Cancel calls a push off by closing its connection.
-func (r *Router) Cancel(b *balance.Push) {
-	if p := b.Ref.(*push); p.state != over {
-		p.unheard()
-		p.callOff(transport.CalledOff)
-	}
-}
-
-func (r *Router) Nack(o *balance.Op, backoff float64) {
-	op := o.Ref.(*op)
-	r.counters.byCategory[op.Category].Nacked++
-	protocol.WriteNack(op.out(), backoff)
-	op.client.answer(op)
-}
-
-func (r *Router) DeadLetter(o *balance.Op) {
-	op := o.Ref.(*op)
-	r.counters.byCategory[op.Category].DeadLettered++
-	protocol.WriteDeadLetter(op.out())
-	op.client.answer(op)
-}
-
-func (r *Router) Wake(after float64) { r.loop.Set(&r.wake, after) }
-
-func (r *Router) Watch() { r.watch.begin() }
-
-func (r *Router) HangUp(h *balance.Host) { h.Ref.(*host).hangUp(transport.HungUp) }
-
-// ended tells the balancer how a push ended, and what its host told of its load, if anything.
-func (r *Router) ended(p *push, o balance.Outcome, load ...protocol.Attr) {
-	var report *balance.Report
-	for _, a := range load {
-		if v, err := strconv.ParseFloat(a.Value, 64); err == nil {
-			report = r.params.Report(report, a.Name, v)
-		}
-	}
-	spent := r.loop.Now() - p.began
-	switch {
-	case p.took > 0: // a long value counts by its first bytes
-		spent = p.took
-	case o == balance.Served || o == balance.Missed:
-		spent = max(0, r.loop.Heard()-p.began)
-	}
-	r.balancer.Ended(p.Push, o, spent, p.op.state != open, report)
-}
