scale: measure lists, watch, decisions, connections and control by size

Nothing told how costs grow with the fleet. Package internal/scale measures the host list, the watch with hollow balancers (the real loop, router and module without clients), decisions of many balancers in simulated time, connections of one real process, and reckons the ways to carry settings and purges; larchthread scale runs them. standin.Discovery.Handler serves a view from a caller's own server; transport.Loop.Close closes a loop that has ended. Tests: bytes of a list by hosts and of the watch by balancers grow no worse than linearly.

--- a/cmd/larchthread/commands.go
+++ b/cmd/larchthread/commands.go
@@ -48,7 +48,7 @@
 	serving := &cobra.Command{Use: "serve", Short: "Serve, by the start file that RELAY_CONFIG names", Args: cobra.NoArgs, RunE: run,
 		Example: "  RELAY_CONFIG=/run/balancer/config.json larchthread serve --own deploy/own.yaml"}
 	serving.Flags().StringVar(&own, "own", "", "the installation's own file: where the inventory stands")
-	root.AddCommand(serving, inventoryCommand(), configCommand(), versionCommand(), trialCommand(), tryCommand())
+	root.AddCommand(serving, inventoryCommand(), configCommand(), versionCommand(), trialCommand(), tryCommand(), scaleCommand())
 	return root
 }
 
--- /dev/null
+++ b/internal/scale/connections.go
@@ -0,0 +1,269 @@
+package scale
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math"
+	"net"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"larchthread/internal/standin"
+)
+
+const (
+	connectionSockets = 4096
+	reachKeys         = 8000 // keys asked for until each of 200 hosts has had some
+	usedClients       = 400
+	usedFor           = 300 * time.Millisecond // that a host takes over an answer, so that all are out at once
+	largeClients      = 8
+	largeReads        = 50 // of each of these clients
+	clientLimit       = 20 * time.Second
+	smallValue        = "value"
+	usedPrefix        = "used"
+	largePrefix       = "large"
+)
+
+// ConnectionsConfig is what is measured of connections.
+type ConnectionsConfig struct {
+	Hosts   int
+	Program string // the balancer
+	Env     []string
+}
+
+// ConnectionsResult is what connections cost one real balancer, and what follows for the fleet.
+type ConnectionsResult struct {
+	Hosts               int     `json:"hosts"`
+	Resting             int     `json:"resting"`        // connections to hosts that carry nothing
+	RestingMemory       float64 `json:"resting_memory"` // resident bytes of the process, each
+	Used                int     `json:"used"`           // descriptors beyond that, with a request in flight for each of its clients
+	UsedClients         int     `json:"used_clients"`
+	UsedMemory          float64 `json:"used_memory"` // resident bytes for each request in flight
+	StartMemory         float64 `json:"start_memory"`
+	LargeAnswers        int     `json:"large_answers"`
+	LargeFailed         int     `json:"large_failed"`
+	LargeCPU            float64 `json:"large_cpu_ms"` // processor time of an answer of 385 KB
+	LargePeak           float64 `json:"large_peak"`   // most resident bytes of the process until then
+	HostConnections     int     `json:"host_connections"`
+	FleetConnections    int     `json:"fleet_connections"`
+	ReturnFirst         float64 `json:"return_first"` // handshakes at a host in the first second after its return
+	ReturnAll           float64 `json:"return_all"`   // seconds until 99 in 100 balancers have one
+	CoreAtTarget        float64 `json:"core_at_target"`
+	BandwidthGigabit    float64 `json:"bandwidth_gbit"`
+	RequestsPerSecond   float64 `json:"requests_per_second"`
+	HandshakesPerZone   float64 `json:"handshakes_per_zone"`
+	PushesEachPerSecond float64 `json:"pushes_each_per_second"` // from one balancer to one host
+}
+
+// MeasureConnections starts one real balancer before simulated hosts, and counts its descriptors, memory and processor time.
+func MeasureConnections(config ConnectionsConfig) (*ConnectionsResult, error) {
+	script := &standin.Script{Changed: make(chan string, 1)}
+	defer script.Close()
+	large := strings.Repeat("x", TargetAnswerBytes)
+	for host := range config.Hosts {
+		script.Host(hostName(host), func(words []string) string { return cannedAnswer(words[1], large) })
+	}
+	form := startForm{Name: "connections", Discovery: script.Lists("discovery"), Seed: "1", Settings: settings(1, false),
+		Limits: processLimits{Cores: 1, MemoryMB: hollowMemoryMB, Sockets: connectionSockets},
+		Known:  json.RawMessage(standin.List(1, true, script.Members...))}
+	p, err := startProcess(config.Program, config.Env, form)
+	if err != nil {
+		return nil, err
+	}
+	defer p.stop()
+	result := &ConnectionsResult{Hosts: config.Hosts, UsedClients: usedClients}
+	for _, step := range []func(*process) error{result.resting, result.used, result.largeAnswers} {
+		if err := step(p); err != nil {
+			return nil, err
+		}
+	}
+	result.reckon()
+	return result, nil
+}
+
+// cannedAnswer is what a simulated host answers for a key.
+func cannedAnswer(key, large string) string {
+	value := smallValue
+	switch {
+	case strings.HasPrefix(key, usedPrefix):
+		time.Sleep(usedFor)
+	case strings.HasPrefix(key, largePrefix):
+		value = large
+	}
+	return fmt.Sprintf("VA %d O{id}\r\n%s\r\n", len(value), value)
+}
+
+// resting opens a connection to each host, and lets all rest.
+func (r *ConnectionsResult) resting(p *process) (err error) {
+	if r.StartMemory, err = p.memory("VmRSS"); err != nil {
+		return err
+	}
+	before, err := p.descriptors()
+	if err != nil {
+		return err
+	}
+	if _, err := readKeys(p.listen, "small", reachKeys); err != nil {
+		return err
+	}
+	time.Sleep(100 * time.Millisecond) // for the client's own connection to be closed
+	after, err := p.descriptors()
+	if err != nil {
+		return err
+	}
+	memory, err := p.memory("VmRSS")
+	r.Resting = after - before
+	r.RestingMemory = (memory - r.StartMemory) / math.Max(float64(r.Resting), 1)
+	return err
+}
+
+// used has many requests in flight at once.
+func (r *ConnectionsResult) used(p *process) error {
+	before, err := p.descriptors()
+	if err != nil {
+		return err
+	}
+	memory, err := p.memory("VmRSS")
+	if err != nil {
+		return err
+	}
+	var all sync.WaitGroup
+	errs := make([]error, usedClients)
+	for i := range usedClients {
+		all.Go(func() { _, errs[i] = readKeys(p.listen, fmt.Sprint(usedPrefix, i), 1) })
+	}
+	time.Sleep(usedFor * 2 / 3)
+	during, err := p.descriptors()
+	if err != nil {
+		return err
+	}
+	peak, err := p.memory("VmRSS")
+	all.Wait()
+	r.Used = during - before
+	r.UsedMemory = (peak - memory) / usedClients
+	for _, e := range errs {
+		if e != nil {
+			return e
+		}
+	}
+	return err
+}
+
+// largeAnswers reads answers of the mean size through the balancer.
+func (r *ConnectionsResult) largeAnswers(p *process) error {
+	before, err := p.processorTime()
+	if err != nil {
+		return err
+	}
+	var all sync.WaitGroup
+	errs, served := make([]error, largeClients), make([]int, largeClients)
+	for i := range largeClients {
+		all.Go(func() { served[i], errs[i] = readKeys(p.listen, fmt.Sprint(largePrefix, i, "-"), largeReads) })
+	}
+	all.Wait()
+	for i, e := range errs {
+		if e != nil {
+			return e
+		}
+		r.LargeAnswers += served[i]
+	}
+	r.LargeFailed = largeClients*largeReads - r.LargeAnswers
+	after, err := p.processorTime()
+	if err != nil {
+		return err
+	}
+	r.LargeCPU = milliseconds(after-before) / math.Max(float64(r.LargeAnswers), 1)
+	r.LargePeak, err = p.memory("VmHWM")
+	return err
+}
+
+// reckon derives what follows at the size that the fleet is designed for.
+func (r *ConnectionsResult) reckon() {
+	r.RequestsPerSecond = TargetRate / TargetBalancers
+	r.BandwidthGigabit = r.RequestsPerSecond * TargetAnswerBytes * 8 / 1e9
+	r.CoreAtTarget = r.RequestsPerSecond * r.LargeCPU / 1000
+	r.HostConnections = TargetBalancers
+	r.FleetConnections = TargetBalancers * TargetHosts
+	r.PushesEachPerSecond = r.RequestsPerSecond / TargetHosts
+	// A host that is back stands on the cycle with a part of its points, so each balancer sends it that part of the usual
+	// rate; the first push of each opens a connection.
+	first := r.PushesEachPerSecond * coldShare
+	r.ReturnFirst = TargetBalancers * (1 - math.Exp(-first))
+	r.ReturnAll = math.Log(100) / first
+	r.HandshakesPerZone = TargetBalancers * zoneHosts
+}
+
+// readKeys reads so many keys one after the other on one connection, and returns how many were served.
+func readKeys(address, prefix string, n int) (served int, err error) {
+	c, err := net.Dial("tcp", address)
+	if err != nil {
+		return 0, err
+	}
+	defer c.Close()
+	if err := c.SetDeadline(time.Now().Add(clientLimit)); err != nil {
+		return 0, err
+	}
+	reader := bufio.NewReader(c)
+	for i := range n {
+		if _, err := fmt.Fprintf(c, "mg %s%d v O%s%d Pc=%s,d=590\r\n", prefix, i, prefix, i, category); err != nil {
+			return served, err
+		}
+		ok, err := readAnswer(reader)
+		if err != nil {
+			return served, err
+		}
+		if ok {
+			served++
+		}
+	}
+	return served, nil
+}
+
+// readAnswer reads one answer, and tells whether it was a value.
+func readAnswer(r *bufio.Reader) (bool, error) {
+	line, err := r.ReadString('\n')
+	if err != nil {
+		return false, err
+	}
+	words := strings.Fields(line)
+	if len(words) < 2 || words[0] != "VA" {
+		return false, nil
+	}
+	length, err := strconv.Atoi(words[1])
+	if err != nil {
+		return false, err
+	}
+	_, err = io.CopyN(io.Discard, r, int64(length+len("\r\n")))
+	return err == nil, err
+}
+
+// Tables implements Result.
+func (r *ConnectionsResult) Tables() []Table {
+	kilobytes := func(bytes float64) string { return fmt.Sprintf("%.1f KB", bytes/1000) }
+	measured := Table{Title: "Connections of one real balancer, measured", Columns: []string{"what", "figure"}, Rows: [][]string{
+		{"cache hosts", strconv.Itoa(r.Hosts)},
+		{"resident memory at the start", kilobytes(r.StartMemory)},
+		{"resting connections to hosts, a descriptor each", strconv.Itoa(r.Resting)},
+		{"resident memory of each, answers of some bytes read on them included", kilobytes(r.RestingMemory)},
+		{fmt.Sprintf("descriptors for %d requests in flight, beyond those", r.UsedClients), strconv.Itoa(r.Used)},
+		{"resident memory for each request in flight", kilobytes(r.UsedMemory)},
+		{"answers of 385 KB read, and not served", fmt.Sprintf("%d, %d", r.LargeAnswers, r.LargeFailed)},
+		{"processor time of one", fmt.Sprintf("%.3f ms", r.LargeCPU)},
+		{"greatest resident memory of the process", kilobytes(r.LargePeak)},
+	}}
+	reckoned := Table{Title: "What follows at the designed size, reckoned", Columns: []string{"what", "figure"}, Rows: [][]string{
+		{"requests a second at a balancer", fmt.Sprintf("%.0f", r.RequestsPerSecond)},
+		{"answers at a balancer", fmt.Sprintf("%.2f Gbit/s", r.BandwidthGigabit)},
+		{"core of a balancer for that", fmt.Sprintf("%.2f", r.CoreAtTarget)},
+		{"pushes a second from one balancer to one host", fmt.Sprintf("%.1f", r.PushesEachPerSecond)},
+		{"resting connections at a host", strconv.Itoa(r.HostConnections)},
+		{"resting connections of the fleet", strconv.Itoa(r.FleetConnections)},
+		{"handshakes at a host in the first second after its return", fmt.Sprintf("%.0f", r.ReturnFirst)},
+		{"seconds until 99 in 100 balancers have a connection to it", fmt.Sprintf("%.1f", r.ReturnAll)},
+		{fmt.Sprintf("handshakes after a zone's return, %d hosts", zoneHosts), fmt.Sprintf("%.0f", r.HandshakesPerZone)},
+	}}
+	return []Table{measured, reckoned}
+}
--- /dev/null
+++ b/internal/scale/fit.go
@@ -0,0 +1,62 @@
+package scale
+
+import (
+	"fmt"
+	"math"
+)
+
+// Point is one measured value at one size.
+type Point struct {
+	Size  float64
+	Value float64
+}
+
+// Line is a straight line fitted to measured values by least squares.
+type Line struct {
+	Name      string  `json:"name"`
+	Intercept float64 `json:"intercept"`
+	Slope     float64 `json:"slope"`
+	Residual  float64 `json:"residual"` // largest distance of a value from the line, as a part of the largest value
+}
+
+// FitLine fits a straight line to points of at least two different sizes.
+func FitLine(name string, points []Point) Line {
+	var sumSize, sumValue, sumSquare, sumProduct float64
+	for _, p := range points {
+		sumSize += p.Size
+		sumValue += p.Value
+		sumSquare += p.Size * p.Size
+		sumProduct += p.Size * p.Value
+	}
+	n := float64(len(points))
+	slope := (n*sumProduct - sumSize*sumValue) / (n*sumSquare - sumSize*sumSize)
+	line := Line{Name: name, Slope: slope, Intercept: (sumValue - slope*sumSize) / n}
+	largest, distance := 0.0, 0.0
+	for _, p := range points {
+		largest = math.Max(largest, math.Abs(p.Value))
+		distance = math.Max(distance, math.Abs(p.Value-line.At(p.Size)))
+	}
+	if largest > 0 {
+		line.Residual = distance / largest
+	}
+	return line
+}
+
+// At is the line's value at a size.
+func (l Line) At(size float64) float64 { return l.Intercept + l.Slope*size }
+
+// String describes the line in one sentence.
+func (l Line) String() string {
+	return fmt.Sprintf("%s: %.4g + %.4g x size, residual %.1f%%", l.Name, l.Intercept, l.Slope, 100*l.Residual)
+}
+
+// worstGrowth is by how much the value per size grows at the most from the smallest size to any larger one; up to 1 the
+// growth is linear or slower.
+func worstGrowth(points []Point) float64 {
+	first := points[0].Value / points[0].Size
+	worst := 0.0
+	for _, p := range points[1:] {
+		worst = math.Max(worst, p.Value/p.Size/first)
+	}
+	return worst
+}
--- a/internal/standin/discovery.go
+++ b/internal/standin/discovery.go
@@ -137,7 +137,7 @@
 	if err != nil {
 		return "", fmt.Errorf("discovery: %w", err)
 	}
-	s := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { d.answer(name, address, w, r) })}
+	s := &http.Server{Handler: d.Handler(name, address)}
 	d.mu.Lock()
 	d.servers = append(d.servers, s)
 	d.mu.Unlock()
@@ -145,6 +145,11 @@
 	return l.Addr().String(), nil
 }
 
+// Handler serves a balancer's view, for a server of the caller's own.
+func (d *Discovery) Handler(name string, address func(m Member) string) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { d.answer(name, address, w, r) })
+}
+
 // Whole is the list as a view would show it, for a balancer's start file.
 func (d *Discovery) Whole(address func(m Member) string) (json.RawMessage, error) {
 	d.mu.Lock()
--- a/internal/transport/loop.go
+++ b/internal/transport/loop.go
@@ -192,6 +192,17 @@
 	return nil
 }
 
+// Close closes all that is open, once Run has returned.
+func (l *Loop) Close() {
+	for _, c := range l.conns {
+		if c != nil {
+			l.drop(c)
+		}
+	}
+	unix.Close(l.bell)
+	unix.Close(l.epoll)
+}
+
 // overslept tells whether a wait took so many ms longer than it should have at the most that the process must have stood
 // still: what came meanwhile waited for it, nobody knows for how long.
 func overslept(took float64, patience int) bool {
