scale: connections with hosts of 50 ms, decisions by exact scenario

Requests of the connections measurement were called off by a balancer used to answers at once, so none was in flight when descriptors were counted: hosts now take 50 ms all the while. Scenarios of decisions are chosen by name, one or several.

--- a/cmd/larchthread/scale.go
+++ b/cmd/larchthread/scale.go
@@ -7,7 +7,6 @@
 	"os"
 	"runtime/debug"
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/spf13/cobra"
@@ -47,7 +46,7 @@
 
 func scaleDecisionsCommand(asJSON *bool) *cobra.Command {
 	balancers, hosts, atOnce := []int{1, 30, 300, 1700}, scale.TargetHosts, 4
-	only := ""
+	only := []string{}
 	warmUp, measured := 3*time.Second, time.Second
 	c := &cobra.Command{Use: "decisions", Short: "Routing decisions: how evenly many balancers load one set of hosts", Args: cobra.NoArgs,
 		Long: "Play the decisions of many balancers over one set of hosts in simulated time, with the whole load held constant. All scenarios\n" +
@@ -55,7 +54,9 @@
 		RunE: func(c *cobra.Command, _ []string) error {
 			debug.SetMemoryLimit(decisionsMemory)
 			all := scale.Scenarios(balancers, hosts, float64(warmUp.Milliseconds()), float64(measured.Milliseconds()))
-			all = slices.DeleteFunc(all, func(s scale.Scenario) bool { return !strings.Contains(s.Name, only) })
+			if len(only) > 0 {
+				all = slices.DeleteFunc(all, func(s scale.Scenario) bool { return !slices.Contains(only, s.Name) })
+			}
 			result, err := scale.MeasureDecisions(all, atOnce)
 			if err != nil {
 				return err
@@ -65,7 +66,7 @@
 	c.Flags().IntSliceVar(&balancers, "balancers", balancers, "numbers of balancers; variants are played with the last")
 	c.Flags().IntVar(&hosts, "hosts", hosts, "cache hosts; the load of each stays the same")
 	c.Flags().IntVar(&atOnce, "at-once", atOnce, "scenarios played at once")
-	c.Flags().StringVar(&only, "only", only, "only scenarios with this in their name")
+	c.Flags().StringArrayVar(&only, "only", only, "only the scenario of this name; may be given several times")
 	c.Flags().DurationVar(&warmUp, "warm-up", warmUp, "simulated time before measuring")
 	c.Flags().DurationVar(&measured, "for", measured, "simulated time that is measured")
 	return c
--- a/internal/scale/connections.go
+++ b/internal/scale/connections.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"math"
@@ -17,14 +18,16 @@
 
 const (
 	connectionSockets = 4096
-	reachKeys         = 8000 // keys asked for until each of 200 hosts has had some
+	reachClients      = 64
+	reachKeys         = 40 // keys asked for, for each host: each host has some of them
 	usedClients       = 400
-	usedFor           = 300 * time.Millisecond // that a host takes over an answer, so that all are out at once
+	usedReads         = 20                    // of each of these clients: a second
+	hostAnswers       = 50 * time.Millisecond // until a host answers
 	largeClients      = 8
-	largeReads        = 50 // of each of these clients
+	largeReads        = 50                     // of each of these clients
+	clientsClose      = 100 * time.Millisecond // until the connections of clients that have left are closed
 	clientLimit       = 20 * time.Second
 	smallValue        = "value"
-	usedPrefix        = "used"
 	largePrefix       = "large"
 )
 
@@ -88,12 +91,10 @@
 // cannedAnswer is what a simulated host answers for a key.
 func cannedAnswer(key, large string) string {
 	value := smallValue
-	switch {
-	case strings.HasPrefix(key, usedPrefix):
-		time.Sleep(usedFor)
-	case strings.HasPrefix(key, largePrefix):
+	if strings.HasPrefix(key, largePrefix) {
 		value = large
 	}
+	time.Sleep(hostAnswers)
 	return fmt.Sprintf("VA %d O{id}\r\n%s\r\n", len(value), value)
 }
 
@@ -106,10 +107,10 @@
 	if err != nil {
 		return err
 	}
-	if _, err := readKeys(p.listen, "small", reachKeys); err != nil {
+	if _, err := readAtOnce(p.listen, "small", reachClients, reachKeys*r.Hosts/reachClients+1); err != nil {
 		return err
 	}
-	time.Sleep(100 * time.Millisecond) // for the client's own connection to be closed
+	time.Sleep(clientsClose)
 	after, err := p.descriptors()
 	if err != nil {
 		return err
@@ -130,26 +131,23 @@
 	if err != nil {
 		return err
 	}
-	var all sync.WaitGroup
-	errs := make([]error, usedClients)
-	for i := range usedClients {
-		all.Go(func() { _, errs[i] = readKeys(p.listen, fmt.Sprint(usedPrefix, i), 1) })
-	}
-	time.Sleep(usedFor * 2 / 3)
+	ended := make(chan error, 1)
+	go func() {
+		_, err := readAtOnce(p.listen, "used", usedClients, usedReads)
+		ended <- err
+	}()
+	time.Sleep(usedReads * hostAnswers / 2)
 	during, err := p.descriptors()
 	if err != nil {
 		return err
 	}
 	peak, err := p.memory("VmRSS")
-	all.Wait()
+	if err != nil {
+		return err
+	}
 	r.Used = during - before
 	r.UsedMemory = (peak - memory) / usedClients
-	for _, e := range errs {
-		if e != nil {
-			return e
-		}
-	}
-	return err
+	return <-ended
 }
 
 // largeAnswers reads answers of the mean size through the balancer.
@@ -158,17 +156,8 @@
 	if err != nil {
 		return err
 	}
-	var all sync.WaitGroup
-	errs, served := make([]error, largeClients), make([]int, largeClients)
-	for i := range largeClients {
-		all.Go(func() { served[i], errs[i] = readKeys(p.listen, fmt.Sprint(largePrefix, i, "-"), largeReads) })
-	}
-	all.Wait()
-	for i, e := range errs {
-		if e != nil {
-			return e
-		}
-		r.LargeAnswers += served[i]
+	if r.LargeAnswers, err = readAtOnce(p.listen, largePrefix, largeClients, largeReads); err != nil {
+		return err
 	}
 	r.LargeFailed = largeClients*largeReads - r.LargeAnswers
 	after, err := p.processorTime()
@@ -196,6 +185,21 @@
 	r.HandshakesPerZone = TargetBalancers * zoneHosts
 }
 
+// readAtOnce has so many clients read so many keys each, and returns how many reads were served.
+func readAtOnce(address, prefix string, clients, reads int) (int, error) {
+	var all sync.WaitGroup
+	errs, served := make([]error, clients), make([]int, clients)
+	for i := range clients {
+		all.Go(func() { served[i], errs[i] = readKeys(address, fmt.Sprint(prefix, i, "-"), reads) })
+	}
+	all.Wait()
+	sum := 0
+	for _, n := range served {
+		sum += n
+	}
+	return sum, errors.Join(errs...)
+}
+
 // readKeys reads so many keys one after the other on one connection, and returns how many were served.
 func readKeys(address, prefix string, n int) (served int, err error) {
 	c, err := net.Dial("tcp", address)
