--- a/cmd/larchthread/scale.go
+++ b/cmd/larchthread/scale.go
@@ -74,7 +74,7 @@
 
 func scaleWatchCommand(asJSON *bool) *cobra.Command {
 	balancers := []int{50, 200, 600, 1700}
-	config := scale.WatchConfig{Hosts: scale.TargetHosts, Idle: 3 * time.Second, Absence: 3 * time.Second}
+	config := scale.WatchConfig{Hosts: scale.TargetHosts, Idle: 4 * time.Second, Absence: 3 * time.Second}
 	c := &cobra.Command{Use: "watch", Short: "The watch on discovery: many hollow balancers, one real one beside them", Args: cobra.NoArgs,
 		Long: "Run the real loop, router and watch of many balancers without clients in this process, on loopback sockets, and one real\n" +
 			"process beside them. Takes about a minute.",
