--- a/internal/scale/connections.go
+++ b/internal/scale/connections.go
@@ -64,15 +64,15 @@
 
 // MeasureConnections starts one real balancer before simulated hosts, and counts its descriptors, memory and processor time.
 func MeasureConnections(config ConnectionsConfig) (*ConnectionsResult, error) {
-	script := &standin.Script{Changed: make(chan string, 1)}
-	defer script.Close()
+	fleet := &standin.ScriptedFleet{Changed: make(chan string, 1)}
+	defer fleet.Close()
 	large := strings.Repeat("x", TargetAnswerBytes)
 	for host := range config.Hosts {
-		script.Host(hostName(host), func(words []string) string { return cannedAnswer(words[1], large) })
+		fleet.Host(hostName(host), func(words []string) string { return cannedAnswer(words[1], large) })
 	}
-	form := startForm{Name: "connections", Discovery: script.Lists("discovery"), Seed: "1", Settings: settings(1, false),
+	form := startForm{Name: "connections", Discovery: fleet.Lists("discovery"), Seed: "1", Settings: settings(1, false),
 		Limits: processLimits{Cores: 1, MemoryMB: hollowMemoryMB, Sockets: connectionSockets},
-		Known:  json.RawMessage(standin.List(1, true, script.Members...))}
+		Known:  json.RawMessage(standin.List(1, true, fleet.Members...))}
 	p, err := startProcess(config.Program, config.Env, form)
 	if err != nil {
 		return nil, err
--- a/internal/scale/instance.go
+++ b/internal/scale/instance.go
@@ -2,16 +2,16 @@
 
 import (
 	"larchthread/balance"
-	"larchthread/internal/agenda"
+	"larchthread/internal/timerqueue"
 )
 
 // instance is one balancer in a simulation of decisions: the real module, with the simulation as its port.
 type instance struct {
-	agenda.Mark // its timer
-	simulation  *simulation
-	balancer    *balance.Balancer
-	hosts       []*balance.Host // by their place among the simulation's servers
-	idle        []uint8         // connections to each that carry nothing, where tables of connections are simulated
+	timerqueue.Timer // its timer
+	simulation       *simulation
+	balancer         *balance.Balancer
+	hosts            []*balance.Host // by their place among the simulation's servers
+	idle             []uint8         // connections to each that carry nothing, where tables of connections are simulated
 }
 
 // request is an op as its client sees it.
@@ -20,9 +20,9 @@
 	ended   bool    // the client has its answer, or a nack
 }
 
-// attempt is a push on its way. Its mark is the time of its outcome.
+// attempt is a push on its way. Its timer is the time of its outcome.
 type attempt struct {
-	agenda.Mark
+	timerqueue.Timer
 	instance *instance
 	server   *server
 	place    int // of the server among all
--- a/internal/scale/simulation.go
+++ b/internal/scale/simulation.go
@@ -8,7 +8,7 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 
 	"larchthread/balance"
-	"larchthread/internal/agenda"
+	"larchthread/internal/timerqueue"
 )
 
 const (
@@ -38,8 +38,8 @@
 	now       float64 // ms
 	instances []*instance
 	servers   []*server // the cache hosts, then the origin
-	attempts  agenda.Queue[*attempt]
-	timers    agenda.Queue[*instance]
+	attempts  timerqueue.Queue[*attempt]
+	timers    timerqueue.Queue[*instance]
 	figures   counts
 	latencies *hdrhistogram.Histogram // µs, of served requests
 	samples   int
