--- a/internal/scale/fit.go
+++ b/internal/scale/fit.go
@@ -49,14 +49,3 @@
 func (l Line) String() string {
 	return fmt.Sprintf("%s: %.4g + %.4g x size, residual %.1f%%", l.Name, l.Intercept, l.Slope, 100*l.Residual)
 }
-
-// worstGrowth is by how much the value per size grows at the most from the smallest size to any larger one; up to 1 the
-// growth is linear or slower.
-func worstGrowth(points []Point) float64 {
-	first := points[0].Value / points[0].Size
-	worst := 0.0
-	for _, p := range points[1:] {
-		worst = math.Max(worst, p.Value/p.Size/first)
-	}
-	return worst
-}
--- a/internal/scale/list_test.go
+++ b/internal/scale/list_test.go
@@ -42,3 +42,14 @@
 		t.Errorf("squares grow by %v, want 3", growth)
 	}
 }
+
+// worstGrowth is by how much the value per size grows at the most from the smallest size to any larger one; up to 1 the
+// growth is linear or slower.
+func worstGrowth(points []Point) float64 {
+	first := points[0].Value / points[0].Size
+	worst := 0.0
+	for _, p := range points[1:] {
+		worst = math.Max(worst, p.Value/p.Size/first)
+	}
+	return worst
+}
--- a/internal/scale/watch_test.go
+++ b/internal/scale/watch_test.go
@@ -5,10 +5,13 @@
 	"time"
 )
 
-const watchSlack = 1.5 // by how much the bytes of a balancer may grow: a slow machine has more idle calls in between
+const (
+	watchSlack = 1.5 // by how much the bytes of a balancer may grow: a slow machine has more idle calls in between
+	wholeMost  = 2   // whole lists that a balancer is written at the most, in bytes: one, changes, and idle answers
+)
 
-// TestWatchGrowth checks that discovery writes each change once to each balancer, and no more bytes for a balancer where
-// there are more of them.
+// TestWatchGrowth checks that discovery writes each change once to each balancer, no more bytes for a balancer where
+// there are more of them, and changes as changes, not as whole lists.
 func TestWatchGrowth(t *testing.T) {
 	const changes = 5
 	var bytes []Point
@@ -43,6 +46,13 @@
 		if want := balancers * (1 + changes); news != want {
 			t.Errorf("%d balancers: %d lists with hosts, want a whole one and %d changes for each", balancers, news, changes)
 		}
+		whole, err := listAnswer(wholeList(TargetHosts))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if most := int64(wholeMost * len(whole) * balancers); passed.Out > most {
+			t.Errorf("%d balancers: %d bytes written, at most %d", balancers, passed.Out, most)
+		}
 		bytes = append(bytes, Point{float64(balancers), float64(passed.In + passed.Out)})
 	}
 	if growth := worstGrowth(bytes); growth > watchSlack {
