--- a/internal/scale/simulation.go
+++ b/internal/scale/simulation.go
@@ -20,6 +20,7 @@
 	roundTrip    = 1.0   // ms
 	missPart     = 0.05  // part of the reads that the hosts lack, but for the popular key
 	ordinaryKeys = 1_000_000
+	startTime    = 1e6  // ms; at a time near zero a module would take hosts for just told of
 	sampleEvery  = 10.0 // ms
 	gateRoom     = 2.0  // gates of balancers that have served for long let out so many times what they need
 	slowFactor   = 4.0  // by which a slow host takes longer
@@ -46,7 +47,7 @@
 }
 
 func newSimulation(s Scenario) (*simulation, error) {
-	x := &simulation{scenario: s, random: rand.New(rand.NewPCG(1, uint64(s.Balancers))), latencies: hdrhistogram.New(1, 10_000_000, 3)}
+	x := &simulation{scenario: s, now: startTime, random: rand.New(rand.NewPCG(1, uint64(s.Balancers))), latencies: hdrhistogram.New(1, 10_000_000, 3)}
 	for host := range s.Hosts {
 		takes := hostTakes
 		if s.SlowEvery > 0 && host%s.SlowEvery == 0 {
@@ -72,7 +73,7 @@
 		if s.Table > 0 {
 			i.idle = make([]uint8, len(x.servers))
 		}
-		i.balancer = balance.New(start, i, 0)
+		i.balancer = balance.New(start, i, x.now)
 		for place := range x.servers {
 			i.hosts = append(i.hosts, &balance.Host{Ref: place, Name: hostName(place), Origin: place == s.Hosts})
 		}
@@ -125,14 +126,14 @@
 
 // run plays the warm-up and the measured time.
 func (x *simulation) run() {
-	x.advance(x.scenario.WarmUp)
+	x.advance(startTime + x.scenario.WarmUp)
 	x.strike()
 	for _, s := range x.servers {
 		s.forget()
 	}
 	x.figures, x.samples = counts{}, 0
 	x.latencies.Reset()
-	x.advance(x.scenario.WarmUp + x.scenario.Measured)
+	x.advance(startTime + x.scenario.WarmUp + x.scenario.Measured)
 }
 
 // strike begins what the scenario has happen with the measured time.
