machine: files that are appended to, with their faults

The change feed's publisher appends to a log, where a file so far was written whole. Append opens a file that is there; the faults build fails, holds back or tears what is appended as it does with Create. Measured: the package's tests pass in both builds.

--- a/internal/machine/machine.go
+++ b/internal/machine/machine.go
@@ -20,6 +20,7 @@
 type Files interface {
 	Read(path string) ([]byte, error)
 	Create(path string) (File, error) // empty, in place of one that is there
+	Append(path string) (File, error) // what is written goes behind what one that is there holds
 	Rename(from, to string) error     // in place of one that is there
 	SyncDirectory(path string) error  // returns once the disk has the names in it
 }
@@ -33,6 +34,10 @@
 	return os.OpenFile(path, os.O_WRONLY|os.O_CREATE|os.O_TRUNC, 0o600)
 }
 
+func (disk) Append(path string) (File, error) {
+	return os.OpenFile(path, os.O_WRONLY|os.O_APPEND, 0o600)
+}
+
 func (disk) Rename(from, to string) error { return os.Rename(from, to) }
 
 func (disk) SyncDirectory(path string) error {
--- a/internal/machine/machine_test.go
+++ b/internal/machine/machine_test.go
@@ -1,6 +1,7 @@
 package machine
 
 import (
+	"errors"
 	"os"
 	"path/filepath"
 	"testing"
@@ -21,3 +22,28 @@
 		t.Errorf("left behind: %v", names)
 	}
 }
+
+func TestAppend(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "log")
+	if _, err := Disk().Append(path); !os.IsNotExist(err) {
+		t.Fatalf("of a file that is not there: %v", err)
+	}
+	if err := os.WriteFile(path, []byte("first"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	for range 2 {
+		f, err := Disk().Append(path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := f.Write([]byte(" next")); err != nil {
+			t.Fatal(err)
+		}
+		if err := errors.Join(f.Sync(), f.Close()); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if got, err := Disk().Read(path); err != nil || string(got) != "first next next" {
+		t.Fatalf("%q %v", got, err)
+	}
+}
--- a/internal/machine/spoil.go
+++ b/internal/machine/spoil.go
@@ -111,6 +111,14 @@
 	return &spoiltFile{File: f}, err
 }
 
+func (d spoiltDisk) Append(path string) (File, error) {
+	f, err := d.disk.Append(path)
+	if err != nil {
+		return nil, err
+	}
+	return &spoiltFile{File: f}, nil
+}
+
 func (d spoiltDisk) Rename(from, to string) error {
 	if on, _ := is("rename"); on {
 		return &os.LinkError{Op: "rename", Old: from, New: to, Err: errSpoilt}
--- a/internal/machine/spoil_test.go
+++ b/internal/machine/spoil_test.go
@@ -52,6 +52,28 @@
 	}
 }
 
+// Of what is appended and not synced, half is there; what stood before stays whole.
+func TestTornAppend(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "log")
+	if err := os.WriteFile(path, []byte("old"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	spoil([]string{"disk", "torn"})
+	defer spoil([]string{"disk", "well"})
+	f, err := Disk().Append(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.Write([]byte("0123456789"))
+	if got, _ := os.ReadFile(path); string(got) != "old01234" {
+		t.Errorf("before the sync: %q", got)
+	}
+	f.Sync()
+	if got, _ := os.ReadFile(path); string(got) != "old0123456789" {
+		t.Errorf("behind it: %q", got)
+	}
+}
+
 func TestHang(t *testing.T) {
 	spoil([]string{"disk", "hang"})
 	dir := t.TempDir()
