--- a/internal/feed/feedscale/audit.go
+++ b/internal/feed/feedscale/audit.go
@@ -55,7 +55,7 @@
 func newAudit(ledger *ledger) *audit {
 	a := &audit{}
 	for kind := range kinds {
-		a.published[kind] = ledger.published(kind)
+		a.published[kind] = placeUncertain(ledger.published(kind))
 		a.index[kind] = make(map[uint64]int, len(a.published[kind]))
 		for i, change := range a.published[kind] {
 			a.index[kind][change.Identity] = i
@@ -64,6 +64,18 @@
 	return a
 }
 
+// placeUncertain gives changes of unknown position that of the one before, so that positions never fall.
+func placeUncertain(changes []publishedChange) []publishedChange {
+	var last position
+	for i := range changes {
+		if changes[i].Acknowledged {
+			last = changes[i].Position
+		}
+		changes[i].Position = last
+	}
+	return changes
+}
+
 // Coverage counts how a subscriber came by the changes that it did not apply one by one.
 type Coverage struct {
 	ByPrefix   int // purges covered by the prefix of their key
--- a/internal/feed/feedscale/history.go
+++ b/internal/feed/feedscale/history.go
@@ -51,7 +51,12 @@
 	h.mutex.Lock()
 	h.applied = append(h.applied, change)
 	h.mutex.Unlock()
-	h.heads[change.Kind].Store(uint64(change.Sequence))
+	h.advance(change.Kind, uint64(change.Sequence))
+}
+
+// advance notes the sequence that the subscriber has come to.
+func (h *history) advance(kind Kind, sequence uint64) {
+	h.heads[kind].Store(sequence)
 }
 
 func (h *history) cover(covered coveredRange) {
@@ -59,7 +64,7 @@
 	covered.After = len(h.applied)
 	h.covered = append(h.covered, covered)
 	h.mutex.Unlock()
-	h.heads[covered.Kind].Store(covered.To.Sequence)
+	h.advance(covered.Kind, covered.To.Sequence)
 }
 
 func (h *history) freshen(at time.Duration, stale bool) {
@@ -68,6 +73,23 @@
 	h.fresh = append(h.fresh, freshness{at, stale})
 }
 
+// isFresh tells whether the subscriber was last told that its knowledge is fresh.
+func (h *history) isFresh() bool {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	return len(h.fresh) > 0 && !h.fresh[len(h.fresh)-1].Stale
+}
+
+// reached tells whether the subscriber has come to a sequence of each kind.
+func (h *history) reached(sequences [kinds]uint64) bool {
+	for kind, sequence := range sequences {
+		if h.heads[kind].Load() < sequence {
+			return false
+		}
+	}
+	return true
+}
+
 // bytes is the memory that the history itself holds.
 func (h *history) bytes() int {
 	h.mutex.Lock()
