--- a/internal/feed/config.go
+++ b/internal/feed/config.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"hash/crc32"
 	"time"
 )
 
@@ -50,9 +51,11 @@
 const (
 	maxKinds = 16
 	// changeOverhead is the most that a message with one change holds besides its key and value.
-	changeOverhead = 96
-	// heartbeatReserve is kept in a child's budget for heartbeats: no change may take it.
-	heartbeatReserve = 80
+	changeOverhead = messageOverhead + entryOverhead
+	// heartbeatReserve is kept in a child's budget for heartbeats and greetings: no change may take it.
+	heartbeatReserve = 120
+	// leastRelayBursts makes for a burst of the larger budgets in which a change fits beside what is reserved.
+	leastRelayBursts = 2 * burstShare
 )
 
 // Config is the configuration of a Node. A zero field with a Default constant takes that default.
@@ -127,6 +130,16 @@
 	}
 }
 
+// kindsChecksum tells lists of kinds apart that nodes can't exchange changes with.
+func (c Config) kindsChecksum() uint32 {
+	e := encoder{}
+	for _, kind := range c.Kinds {
+		e.bytes([]byte(kind.Name))
+		e.flag(kind.Latest)
+	}
+	return crc32.Checksum(e.buffer, castagnoli)
+}
+
 // Validate returns a *ConfigError for the first field that can't be used, or nil.
 func (c Config) Validate() error {
 	c = c.withDefaults()
@@ -214,8 +227,8 @@
 		return invalid("ChildBurst", "has to be %d bytes or more", minBurst)
 	case c.ChildBytesPerSecond < c.ChildBurst:
 		return invalid("ChildBytesPerSecond", "is less than ChildBurst (%d)", c.ChildBurst)
-	case c.RelayBytesPerSecond < burstShare*c.ChildBurst:
-		return invalid("RelayBytesPerSecond", "has to be at least %d times ChildBurst (%d)", burstShare, c.ChildBurst)
+	case c.RelayBytesPerSecond < leastRelayBursts*c.ChildBurst:
+		return invalid("RelayBytesPerSecond", "has to be at least %d times ChildBurst (%d)", leastRelayBursts, c.ChildBurst)
 	case c.TotalBytesPerSecond < c.RelayBytesPerSecond:
 		return invalid("TotalBytesPerSecond", "is less than RelayBytesPerSecond (%d)", c.RelayBytesPerSecond)
 	}
--- a/internal/feed/message.go
+++ b/internal/feed/message.go
@@ -27,6 +27,8 @@
 	Cluster string
 	ID      string
 	Role    Role
+	// Kinds is a checksum of the kinds' names and sorts, see Config.Kinds.
+	Kinds uint32
 	// Epoch is the highest that the sender has seen.
 	Epoch uint64
 	// Probe: the child wants the parent's Hello alone for now, no changes.
--- a/internal/feed/output.go
+++ b/internal/feed/output.go
@@ -73,6 +73,6 @@
 func (Applied) event()         {}
 func (AppliedSet) event()      {}
 func (AppliedSnapshot) event() {}
-func (Reset) event()  {}
+func (Reset) event()           {}
 func (Stale) event()           {}
 func (Fresh) event()           {}
