--- a/internal/feed/feedscale/faults.go
+++ b/internal/feed/feedscale/faults.go
@@ -37,7 +37,7 @@
 		}
 		mark.To = time.Since(f.began)
 		for kind := range kinds {
-			mark.Heads[kind] = f.ledger.head(kind)
+			mark.Heads[kind] = f.ledger.head(kind, mark.To)
 		}
 		marks = append(marks, mark)
 		say("over: " + fault.text)
--- a/internal/feed/feedscale/feedconfig.go
+++ b/internal/feed/feedscale/feedconfig.go
@@ -14,7 +14,7 @@
 	maxSettingBytes = 256
 )
 
-// feedKinds are the kinds of changes as the feed is configured for them.
+// feedKinds are the kinds of changes, as the program's control command has them by default.
 func feedKinds() []feed.KindConfig {
 	return []feed.KindConfig{
 		Settings: {Name: Settings.String(), Latest: true, Window: settingsWindow, MaxValue: maxSettingBytes},
--- a/internal/feed/feedscale/fleet.go
+++ b/internal/feed/feedscale/fleet.go
@@ -128,10 +128,13 @@
 }
 
 // current is the number of subscribers that have come to the last acknowledged change of each kind.
-func (f *fleet) current() (number int) {
+func (f *fleet) current() int { return f.have(time.Since(f.began)) }
+
+// have is the number of subscribers that have all that had been acknowledged at a time since the run began.
+func (f *fleet) have(at time.Duration) (number int) {
 	var heads [kinds]uint64
 	for kind := range kinds {
-		heads[kind] = f.ledger.head(kind).Sequence
+		heads[kind] = f.ledger.head(kind, at).Sequence
 	}
 	for _, subscriber := range f.subscribers {
 		if subscriber.history.reached(heads) {
--- a/internal/feed/feedscale/ledger.go
+++ b/internal/feed/feedscale/ledger.go
@@ -41,12 +41,12 @@
 	l.changes[kind] = append(l.changes[kind], change)
 }
 
-// head is the position of the last acknowledged change of a kind.
-func (l *ledger) head(kind Kind) position {
+// head is the position of the last change of a kind that had been acknowledged at a time since the run began.
+func (l *ledger) head(kind Kind, at time.Duration) position {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	for _, change := range slices.Backward(l.changes[kind]) {
-		if change.Acknowledged {
+		if change.Acknowledged && change.Done <= at {
 			return change.Position
 		}
 	}
--- a/internal/feed/feedscale/measures.go
+++ b/internal/feed/feedscale/measures.go
@@ -91,7 +91,7 @@
 // faultLead is how long before a fault a change may have been due that the fault still met on its way.
 const faultLead = time.Second
 
-func (f *fleet) faultResult(r *Result, mark faultMark) FaultResult {
+func (f *fleet) faultResult(r *Result, w window, mark faultMark) FaultResult {
 	result := FaultResult{Text: mark.Text, From: mark.From - r.From, To: mark.To - r.From}
 	result.Everywhere, result.Partial = r.spreads.everywhere(Purges, r.Subscriber.Counted, mark.From-faultLead, mark.To+faultWindow)
 	recovered := newLatencyHistogram()
@@ -105,7 +105,7 @@
 		} else {
 			recovered.add(at - mark.To)
 		}
-		lastStale, lastFresh := subscriber.history.staleness(mark.From, r.To)
+		lastStale, lastFresh := subscriber.history.staleness(mark.From, w.settled)
 		if lastStale > 0 {
 			result.Stale++
 			result.LastStale = max(result.LastStale, lastStale-mark.From)
--- a/internal/feed/feedscale/result.go
+++ b/internal/feed/feedscale/result.go
@@ -108,7 +108,7 @@
 	r.Senders = f.senderResults(w)
 	r.Processes = processResults(w)
 	for _, mark := range w.marks {
-		r.Faults = append(r.Faults, f.faultResult(r, mark))
+		r.Faults = append(r.Faults, f.faultResult(r, w, mark))
 	}
 	r.seconds = f.secondResults(r)
 	return r
--- a/internal/feed/feedscale/run.go
+++ b/internal/feed/feedscale/run.go
@@ -25,10 +25,7 @@
 		return nil, err
 	}
 	defer os.RemoveAll(directory)
-	control, err := newControl(options, directory)
-	if err != nil {
-		return nil, err
-	}
+	control := newControl(options, directory)
 	length := startLimit + options.Duration + settleLimit
 	fleet, err := newFleet(options, control, length)
 	if err != nil {
@@ -39,8 +36,11 @@
 }
 
 // newControl runs publisher and relays as the options ask for.
-func newControl(options Options, directory string) (control, error) {
-	return newLocalControl(directory, options.Seed), nil
+func newControl(options Options, directory string) control {
+	if options.Program == "" {
+		return newLocalControl(directory, options.Seed)
+	}
+	return newProcessControl(options.Program, directory, options.Seed)
 }
 
 // run starts everything, plays the workload and the faults, and sums up what came of it.
@@ -114,9 +114,10 @@
 // tellProgress says once a second how far the fleet is.
 func (f *fleet) tellProgress(ctx context.Context, start time.Duration, say func(string)) {
 	for sleep(ctx, progressing) {
-		settings, _ := f.ledger.counts(Settings)
-		purges, failed := f.ledger.counts(Purges)
-		say(fmt.Sprintf("%4.0f s: %d settings, %d purges published (%d failed); %d of %d subscribers current, %d fresh",
-			(time.Since(f.began) - start).Seconds(), settings, purges, failed, f.current(), len(f.subscribers), f.fresh()))
+		settings, failedSettings := f.ledger.counts(Settings)
+		purges, failedPurges := f.ledger.counts(Purges)
+		now := time.Since(f.began)
+		say(fmt.Sprintf("%4.0f s: %d settings and %d purges published, %d failed; of %d subscribers %d have all up to 1 s ago, %d are fresh",
+			(now - start).Seconds(), settings, purges, failedSettings+failedPurges, len(f.subscribers), f.have(now-time.Second), f.fresh()))
 	}
 }
