--- a/internal/feed/age.go
+++ b/internal/feed/age.go
@@ -61,7 +61,7 @@
 	}
 	if parent := n.upstream.parent; parent != nil && parent.epoch < epoch {
 		n.endLink(parent, Refused{Reason: RefusedEpoch})
-		n.planNextParent(parent.index)
+		n.planNextParent(parent.index, n.now)
 	}
 }
 
--- a/internal/feed/codec.go
+++ b/internal/feed/codec.go
@@ -77,8 +77,6 @@
 type Decoder struct {
 	reader *bufio.Reader
 	limit  int
-	// read counts the bytes of whole frames.
-	read uint64
 }
 
 // NewDecoder returns a decoder that refuses payloads longer than limit.
@@ -90,12 +88,10 @@
 // be read on.
 func (d *Decoder) Decode() (Message, error) {
 	length, err := binary.ReadUvarint(d.reader)
-	switch {
-	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF):
-		return nil, err
-	case err != nil:
+	if err != nil {
 		return nil, err
-	case length > uint64(d.limit):
+	}
+	if length > uint64(d.limit) {
 		return nil, ErrFrameTooLong
 	}
 	data := make([]byte, int(length)+checksumLength)
--- a/internal/feed/config.go
+++ b/internal/feed/config.go
@@ -38,6 +38,7 @@
 	DefaultDialTimeout         = 500 * time.Millisecond
 	DefaultRetryMin            = 100 * time.Millisecond
 	DefaultRetryMax            = time.Second
+	DefaultRelayRetryMax       = 400 * time.Millisecond
 	DefaultMaxAge              = 2 * time.Second
 	DefaultReturnAfter         = 30 * time.Second
 	DefaultReturnJitter        = 30 * time.Second
@@ -82,7 +83,8 @@
 	SilenceAfter time.Duration
 	// DialTimeout is how long an attempt to connect may take.
 	DialTimeout time.Duration
-	// RetryMin and RetryMax bound the wait between attempts: exponential with full jitter.
+	// RetryMin and RetryMax bound the time from one attempt's start to the next: exponential with full jitter, and not before
+	// the attempt has failed. There are few relays, and many wait for each: their default is shorter.
 	RetryMin, RetryMax time.Duration
 	// MaxAge is the age of knowledge beyond which it counts as stale.
 	MaxAge time.Duration
@@ -112,6 +114,9 @@
 	setDefault(&c.SilenceAfter, DefaultSilenceAfter)
 	setDefault(&c.DialTimeout, DefaultDialTimeout)
 	setDefault(&c.RetryMin, DefaultRetryMin)
+	if c.Role == Relay {
+		setDefault(&c.RetryMax, DefaultRelayRetryMax)
+	}
 	setDefault(&c.RetryMax, DefaultRetryMax)
 	setDefault(&c.MaxAge, DefaultMaxAge)
 	setDefault(&c.ReturnAfter, DefaultReturnAfter)
--- a/internal/feed/greeting.go
+++ b/internal/feed/greeting.go
@@ -32,7 +32,7 @@
 		n.follow(link)
 		return
 	}
-	if link.sourceStale {
+	if !n.isBetter(link) {
 		n.endLink(link, Goodbye{})
 		n.candidateGone(link)
 		return
@@ -41,6 +41,12 @@
 	n.follow(link)
 }
 
+// isBetter tells whether to leave the parent for a candidate.
+func (n *Node) isBetter(candidate *link) bool {
+	preferred := candidate.index < n.upstream.parent.index
+	return !candidate.sourceStale && (preferred || n.parentIsStuck())
+}
+
 // refuseParent returns why the sender of a Hello can't be a parent, or zero.
 func (n *Node) refuseParent(hello Hello) RefusalReason {
 	switch {
@@ -84,7 +90,7 @@
 	u.returnAt = never
 	u.pingAt = n.now + jitter(n.random, n.config.HeartbeatEvery)
 	link.state = linkFollowing
-	link.since = n.now
+	link.changed = n.now
 	n.raiseEpoch(link.epoch)
 	n.planReturn()
 	if link.probed {
--- /dev/null
+++ b/internal/feed/growth_test.go
@@ -0,0 +1,67 @@
+package feed
+
+import (
+	"testing"
+	"time"
+)
+
+// fleetTraffic is what a fleet's nodes have sent each other.
+type fleetTraffic struct {
+	subscribers     int
+	messages, bytes float64
+}
+
+// measureFleet counts all messages of a fleet in which changes go on while a relay dies and comes back.
+func measureFleet(t *testing.T, subscribers int) fleetTraffic {
+	t.Helper()
+	p := plan{
+		seed: 7, relays: 4, subscribers: subscribers, window: 30000, purgesPerSecond: 22, settingsPerSecond: 0.5,
+		steps: []step{
+			{fault: faultParentDead, at: 5 * time.Second, lasts: 5 * time.Second, node: relayName(1)},
+			{fault: faultRegionCut, at: 8 * time.Second, lasts: 20 * time.Second, region: 2},
+		},
+		healed: 28 * time.Second,
+	}
+	s := runPlan(p, nil)
+	if len(s.checker.violations) > 0 {
+		t.Fatalf("%d subscribers: %s", subscribers, s.checker.violations[0])
+	}
+	total := fleetTraffic{subscribers: subscribers}
+	for _, node := range s.nodes {
+		counters := node.node.Status().Counters
+		for _, traffic := range []Traffic{counters.ToChildren, counters.ToParents} {
+			total.messages += float64(traffic.Messages)
+			total.bytes += float64(traffic.Bytes)
+		}
+	}
+	return total
+}
+
+func TestTrafficGrowsLinearly(t *testing.T) {
+	// The fleets differ in what they draw at random: so much may go the one way or the other.
+	const tolerance = 1.05
+	var fleets []fleetTraffic
+	for _, subscribers := range []int{50, 100, 200, 400} {
+		fleets = append(fleets, measureFleet(t, subscribers))
+	}
+	first := fleets[0]
+	perSubscriber := first.bytes / float64(first.subscribers)
+	var messagesAdded, bytesAdded float64
+	for i, fleet := range fleets[1:] {
+		smaller := fleets[i]
+		added := float64(fleet.subscribers - smaller.subscribers)
+		messages := (fleet.messages - smaller.messages) / added
+		bytes := (fleet.bytes - smaller.bytes) / added
+		t.Logf("%d to %d subscribers: %.0f messages and %.0f bytes more for each", smaller.subscribers,
+			fleet.subscribers, messages, bytes)
+		if i > 0 && (messages > messagesAdded*tolerance || bytes > bytesAdded*tolerance) {
+			t.Errorf("each subscriber from %d to %d adds more than each did before: %.0f messages after %.0f, %.0f bytes after %.0f",
+				smaller.subscribers, fleet.subscribers, messages, messagesAdded, bytes, bytesAdded)
+		}
+		messagesAdded, bytesAdded = messages, bytes
+		if each := fleet.bytes / float64(fleet.subscribers); each > perSubscriber*tolerance {
+			t.Errorf("%d subscribers: %.0f bytes for each, with %d it was %.0f", fleet.subscribers, each,
+				first.subscribers, perSubscriber)
+		}
+	}
+}
--- a/internal/feed/parent.go
+++ b/internal/feed/parent.go
@@ -22,8 +22,8 @@
 	address string
 	peer    PeerID
 	state   linkState
-	// since is when the state began; heard is when the parent last said anything.
-	since, heard time.Duration
+	// dialled is when the attempt began; heard is when the parent last said anything; changed is when it last brought changes.
+	dialled, heard, changed time.Duration
 	// probed: the Hello that was sent asked for no changes.
 	probed bool
 	// awaitsHello: what comes before the parent's next Hello doesn't fit anymore.
@@ -129,14 +129,14 @@
 // candidateDeadline returns when a candidate is given up.
 func (n *Node) candidateDeadline(candidate *link) time.Duration {
 	if candidate.state == linkDialling {
-		return candidate.since + n.config.DialTimeout
+		return candidate.dialled + n.config.DialTimeout
 	}
 	return candidate.heard + n.config.SilenceAfter
 }
 
 func (n *Node) dial(index int) {
 	address := n.upstream.addresses[index]
-	n.upstream.candidate = &link{index: index, address: address, state: linkDialling, since: n.now}
+	n.upstream.candidate = &link{index: index, address: address, state: linkDialling, dialled: n.now}
 	n.output.Dial = address
 	n.counters.Dials++
 }
@@ -160,7 +160,6 @@
 	}
 	candidate.peer = peer
 	candidate.state = linkGreeting
-	candidate.since = n.now
 	candidate.heard = n.now
 	candidate.probed = n.upstream.parent != nil
 	n.sendHello(candidate, candidate.probed)
@@ -232,13 +231,13 @@
 
 func (n *Node) parentGone(parent *link) {
 	n.counters.ParentsLost++
-	n.planNextParent(parent.index)
+	n.planNextParent(parent.index, n.now)
 }
 
 // candidateGone goes on to the next address, or back to what the candidate was to be better than.
 func (n *Node) candidateGone(candidate *link) {
 	if n.upstream.parent == nil {
-		n.planNextParent(candidate.index)
+		n.planNextParent(candidate.index, candidate.dialled)
 		return
 	}
 	n.upstream.next = n.nextIndex(candidate.index)
@@ -246,11 +245,12 @@
 	n.planSearch()
 }
 
-// planNextParent plans an attempt at the address after that of a parent that is lost.
-func (n *Node) planNextParent(lost int) {
+// planNextParent plans an attempt at the address after that of a parent that is lost. The wait is from a moment on: from the
+// loss, or from the beginning of the attempt that has failed.
+func (n *Node) planNextParent(lost int, from time.Duration) {
 	u := &n.upstream
 	u.next = n.nextIndex(lost)
-	u.dialAt = n.now + u.retry.next(n.random)
+	u.dialAt = max(n.now, from+u.retry.next(n.random))
 }
 
 func (n *Node) nextIndex(index int) int {
@@ -266,13 +266,20 @@
 	u.returnAt = n.now + n.config.ReturnAfter + jitter(n.random, n.config.ReturnJitter)
 }
 
-// planSearch plans a look at other parents while the one that is followed is stale itself.
+// parentIsStuck tells whether the parent's own knowledge is stale and nothing new comes from it. One that is catching up
+// itself is not stuck: to leave it then would only cost time.
+func (n *Node) parentIsStuck() bool {
+	parent := n.upstream.parent
+	return parent.sourceStale && n.now-parent.changed > n.config.HeartbeatEvery
+}
+
+// planSearch plans a look at other parents while the one that is followed is stuck.
 func (n *Node) planSearch() {
 	u := &n.upstream
 	if u.parent == nil {
 		return
 	}
-	if !u.parent.sourceStale {
+	if !n.parentIsStuck() {
 		u.dialAt = never
 		u.search.reset()
 		return
--- a/internal/feed/receive.go
+++ b/internal/feed/receive.go
@@ -13,7 +13,9 @@
 	}
 	if !n.apply(message) {
 		n.helloAgain(link)
+		return
 	}
+	link.changed = n.now
 }
 
 // apply returns false for a message that doesn't fit.
--- a/internal/feed/simulated_network_test.go
+++ b/internal/feed/simulated_network_test.go
@@ -9,14 +9,16 @@
 
 // simulation runs nodes on a network with virtual time. All that happens follows from its seed.
 type simulation struct {
-	now      time.Duration
-	random   *rand.Rand
-	agenda   agenda
-	entered  uint64
-	nodes    []*simulatedNode
-	byName   map[string]*simulatedNode
-	nextPeer PeerID
-	checker  *checker
+	now    time.Duration
+	random *rand.Rand
+	// publications is apart from random, so that fleets of any size have the same changes.
+	publications *rand.Rand
+	agenda       agenda
+	entered      uint64
+	nodes        []*simulatedNode
+	byName       map[string]*simulatedNode
+	nextPeer     PeerID
+	checker      *checker
 	// isolated are the regions that can't reach others, nor be reached.
 	isolated map[int]bool
 	// slowUntil and slowBy delay what is sent between different regions.
@@ -70,10 +72,11 @@
 
 func newSimulation(seed uint64, config Config) *simulation {
 	return &simulation{
-		random:   rand.New(rand.NewPCG(seed, 1)),
-		byName:   make(map[string]*simulatedNode),
-		checker:  newChecker(config),
-		isolated: make(map[int]bool),
+		random:       rand.New(rand.NewPCG(seed, 1)),
+		publications: rand.New(rand.NewPCG(seed, 3)),
+		byName:       make(map[string]*simulatedNode),
+		checker:      newChecker(config),
+		isolated:     make(map[int]bool),
 	}
 }
 
