--- a/cmd/larchthread/commands.go
+++ b/cmd/larchthread/commands.go
@@ -49,6 +49,7 @@
 		Example: "  RELAY_CONFIG=/run/balancer/config.json larchthread serve --own deploy/own.yaml"}
 	serving.Flags().StringVar(&own, "own", "", "the installation's own file: where the inventory stands")
 	root.AddCommand(serving, inventoryCommand(), configCommand(), versionCommand(), trialCommand(), tryCommand())
+	root.AddCommand(scaleCommand())
 	return root
 }
 
--- a/internal/feed/feedscale/audit.go
+++ b/internal/feed/feedscale/audit.go
@@ -200,8 +200,6 @@
 	return found
 }
 
-const identityBits = 8 * identityBytes
-
 func (w *auditWalk) advance(to position) {
 	if to.compare(w.cursor) > 0 {
 		w.cursor = to
--- a/internal/feed/feedscale/control.go
+++ b/internal/feed/feedscale/control.go
@@ -9,7 +9,7 @@
 // control runs the publisher and the relays.
 type control interface {
 	// publish publishes a change and returns its position.
-	publish(ctx context.Context, kind Kind, key, value []byte) (position, error)
+	publish(ctx context.Context, change plannedChange) (position, error)
 	// startPublisher and startRelay start what is not running.
 	startPublisher(address string) error
 	startRelay(relay int, address, publisher string) error
--- a/internal/feed/feedscale/control_local.go
+++ b/internal/feed/feedscale/control_local.go
@@ -23,14 +23,14 @@
 	return &localControl{directory: directory, seed: seed, relays: map[int]*feednet.Server{}}
 }
 
-func (c *localControl) publish(ctx context.Context, kind Kind, key, value []byte) (position, error) {
+func (c *localControl) publish(ctx context.Context, change plannedChange) (position, error) {
 	c.mutex.Lock()
 	publisher := c.publisher
 	c.mutex.Unlock()
 	if publisher == nil {
 		return position{}, feednet.ErrClosed
 	}
-	at, err := publisher.Publish(ctx, feed.Kind(kind), key, value)
+	at, err := publisher.Publish(ctx, feed.Kind(change.Kind), change.key(), []byte(change.Value))
 	return position(at), err
 }
 
--- a/internal/feed/feedscale/control_processes.go
+++ b/internal/feed/feedscale/control_processes.go
@@ -165,14 +165,14 @@
 	return c.processes[name]
 }
 
-func (c *processControl) publish(ctx context.Context, kind Kind, key, value []byte) (position, error) {
+func (c *processControl) publish(ctx context.Context, change plannedChange) (position, error) {
 	publisher := c.process(publisherName)
 	if publisher == nil {
 		return position{}, errNotRunning
 	}
-	line := fmt.Sprintf("%v %+q", kind, key)
-	if kind == Settings {
-		line += fmt.Sprintf(" %+q", value)
+	line := fmt.Sprintf("%v %s", change.Kind, change.Name)
+	if change.Kind == Settings {
+		line += " " + change.Value
 	}
 	answer, err := publisher.ask(ctx, line)
 	if err != nil {
--- a/internal/feed/feedscale/options.go
+++ b/internal/feed/feedscale/options.go
@@ -49,8 +49,8 @@
 		return errors.New("want a duration")
 	case o.PurgesPerSecond < 0 || o.SettingsPerSecond < 0:
 		return errors.New("want rates that are not negative")
-	case o.SettingBytes < identityBytes:
-		return fmt.Errorf("want settings of at least %d bytes", identityBytes)
+	case o.SettingBytes < identityDigits:
+		return fmt.Errorf("want settings of at least %d bytes", identityDigits)
 	case o.KillRelays >= o.Relays:
 		return fmt.Errorf("want to kill fewer relays than the %d there are", o.Relays)
 	case o.CutSize < 0 || o.CutSize > o.Subscribers:
--- a/internal/feed/feedscale/publishing.go
+++ b/internal/feed/feedscale/publishing.go
@@ -35,7 +35,7 @@
 func (f *fleet) publish(ctx context.Context, due time.Duration, change plannedChange) {
 	ctx, cancel := context.WithTimeout(ctx, publishTimeout)
 	defer cancel()
-	at, err := f.control.publish(ctx, change.Kind, change.Key, change.Value)
-	f.ledger.add(change.Kind, publishedChange{Identity: change.Identity, Key: string(change.Key), Due: due,
+	at, err := f.control.publish(ctx, change)
+	f.ledger.add(change.Kind, publishedChange{Identity: change.Identity, Key: change.Name, Due: due,
 		Done: time.Since(f.began), Position: at, Acknowledged: err == nil})
 }
--- a/internal/feed/feedscale/run_test.go
+++ b/internal/feed/feedscale/run_test.go
@@ -105,7 +105,7 @@
 		"no subscriber":       func(o *Options) { o.Subscribers = 0 },
 		"no duration":         func(o *Options) { o.Duration = 0 },
 		"a negative rate":     func(o *Options) { o.PurgesPerSecond = -1 },
-		"too small a setting": func(o *Options) { o.SettingBytes = identityBytes - 1 },
+		"too small a setting": func(o *Options) { o.SettingBytes = identityDigits - 1 },
 		"all relays killed":   func(o *Options) { o.KillRelays = o.Relays },
 		"a cut without time":  func(o *Options) { o.CutSize = 1 },
 		"a cut to the end":    func(o *Options) { o.CutSize, o.Cut = 1, o.Duration },
--- a/internal/feed/feedscale/virtual_test.go
+++ b/internal/feed/feedscale/virtual_test.go
@@ -160,12 +160,12 @@
 
 func (v *virtualFleet) publishOne(start time.Duration, change plannedChange) {
 	v.run(start + change.Due)
-	at, err := v.nodes[0].Publish(feed.Kind(change.Kind), change.Key, change.Value)
+	at, err := v.nodes[0].Publish(feed.Kind(change.Kind), change.key(), []byte(change.Value))
 	if err != nil {
 		v.t.Fatal(err)
 	}
 	v.take(0)
 	v.deliver()
-	v.ledger.add(change.Kind, publishedChange{Identity: change.Identity, Key: string(change.Key), Due: start + change.Due,
+	v.ledger.add(change.Kind, publishedChange{Identity: change.Identity, Key: change.Name, Due: start + change.Due,
 		Position: position(at), Acknowledged: true})
 }
--- a/internal/feed/feedscale/workload.go
+++ b/internal/feed/feedscale/workload.go
@@ -4,7 +4,10 @@
 	"encoding/binary"
 	"fmt"
 	"math/rand/v2"
+	"strconv"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // Kind is a kind of changes in the workload. Its value is the kind's index in the feed's configuration.
@@ -37,16 +40,26 @@
 )
 
 const (
-	identityBytes = 8 // a change is identified by the start of its key (purges) or of its value (settings)
-	settingKeys   = 200
+	settingKeys    = 200
+	identityDigits = 16 // at the start of a setting's value, hexadecimal
+	identityBits   = 64
 )
 
 // plannedChange is a change that the workload publishes.
 type plannedChange struct {
-	Kind       Kind
-	Due        time.Duration // since the workload began
-	Identity   uint64        // no other change of the kind has it
-	Key, Value []byte
+	Kind     Kind
+	Due      time.Duration // since the workload began
+	Identity uint64        // no other change of the kind has it
+	Name     string        // the setting's key, or the object that is purged
+	Value    string        // of a setting
+}
+
+// key is the change's key in the feed: a purge has the hash of its object.
+func (c plannedChange) key() []byte {
+	if c.Kind == Purges {
+		return binary.BigEndian.AppendUint64(nil, c.Identity)
+	}
+	return []byte(c.Name)
 }
 
 // planWorkload draws the changes of a kind, in the order of their due times.
@@ -62,9 +75,12 @@
 	taken := map[uint64]bool{}
 	var plan []plannedChange
 	for due := nextArrival(random, rate); due < options.Duration; due += nextArrival(random, rate) {
-		identity := newIdentity(random, taken)
-		change := plannedChange{Kind: kind, Due: due, Identity: identity}
-		change.Key, change.Value = content(kind, identity, options.SettingBytes, random)
+		change := drawChange(kind, options.SettingBytes, random)
+		for taken[change.Identity] {
+			change = drawChange(kind, options.SettingBytes, random)
+		}
+		taken[change.Identity] = true
+		change.Due = due
 		plan = append(plan, change)
 	}
 	return plan
@@ -75,37 +91,31 @@
 	return time.Duration(random.ExpFloat64() / perSecond * float64(time.Second))
 }
 
-func newIdentity(random *rand.Rand, taken map[uint64]bool) uint64 {
-	for {
-		identity := random.Uint64()
-		if !taken[identity] {
-			taken[identity] = true
-			return identity
-		}
-	}
-}
-
-// content makes a change's key and value. A purge is the hash of an object and has no value.
-func content(kind Kind, identity uint64, settingBytes int, random *rand.Rand) (key, value []byte) {
+func drawChange(kind Kind, settingBytes int, random *rand.Rand) plannedChange {
 	if kind == Purges {
-		return binary.BigEndian.AppendUint64(nil, identity), nil
+		object := fmt.Sprintf("object/%016x", random.Uint64())
+		return plannedChange{Kind: Purges, Identity: xxhash.Sum64String(object), Name: object}
 	}
-	key = fmt.Appendf(nil, "cache/setting/%03d", random.IntN(settingKeys))
-	value = binary.BigEndian.AppendUint64(nil, identity)
+	identity := random.Uint64()
+	value := fmt.Appendf(nil, "%0*x", identityDigits, identity)
 	for len(value) < settingBytes {
-		value = append(value, byte(random.Uint32()))
+		value = append(value, 'a'+byte(random.IntN(26)))
 	}
-	return key, value
+	name := fmt.Sprintf("cache/setting/%03d", random.IntN(settingKeys))
+	return plannedChange{Kind: Settings, Identity: identity, Name: name, Value: string(value)}
 }
 
-// identityOf reads back what content wrote.
+// identityOf reads a change's identity back from its key and value.
 func identityOf(kind Kind, key, value []byte) (identity uint64, ok bool) {
-	text := key
-	if kind == Settings {
-		text = value
+	if kind == Purges {
+		if len(key) != identityBits/8 {
+			return 0, false
+		}
+		return binary.BigEndian.Uint64(key), true
 	}
-	if len(text) < identityBytes {
+	if len(value) < identityDigits {
 		return 0, false
 	}
-	return binary.BigEndian.Uint64(text), true
+	identity, err := strconv.ParseUint(string(value[:identityDigits]), 16, identityBits)
+	return identity, err == nil
 }
