Change feed: unit tests; own stops are told from ordinary waits

A node took each ordinary wait of half a second for a stop of its own and so forgave its parent's silence (found by the catch-up tests). A dial that times out is followed by the next at once, and a child that received nothing for a second starts with a full burst.

--- a/internal/feed/children.go
+++ b/internal/feed/children.go
@@ -11,6 +11,7 @@
 // child is a connection to a node that follows this one, or asks to.
 type child struct {
 	peer PeerID
+	id   string
 	role Role
 	// greeted: its Hello was accepted. following: it is sent changes.
 	greeted, following bool
@@ -110,8 +111,11 @@
 	n.children.inOrder = append(n.children.inOrder, child)
 }
 
-// dismiss says a last word to a child and closes its connection.
+// dismiss says a last word to a child and closes its connection, unless that has been done.
 func (n *Node) dismiss(child *child, last Message) {
+	if n.children.byPeer[child.peer] == nil {
+		return
+	}
 	n.send(child.peer, last, &n.counters.ToChildren)
 	n.close(child.peer)
 	n.children.remove(child.peer)
@@ -140,9 +144,10 @@
 		return
 	}
 	if !child.greeted {
+		child.budget = n.childBudget(hello)
 		child.greeted = true
 		child.role = hello.Role
-		child.budget = n.childBudget(hello.Role)
+		child.id = hello.ID
 	}
 	child.echo = hello.Stamp
 	n.answerHello(child)
@@ -180,13 +185,21 @@
 	return 0
 }
 
-// childBudget returns the budget of a new child. It begins empty: one that comes back is not to get another burst.
-func (n *Node) childBudget(role Role) budget {
+// childBudget returns the budget of a new child. It begins empty where the child has received something within the last
+// second, from this node or another, and with what an earlier connection of the same child has left.
+func (n *Node) childBudget(hello Hello) budget {
 	b := newBoundBudget(n.config.RelayBytesPerSecond, n.now)
-	if role == Subscriber {
+	if hello.Role == Subscriber {
 		b = newBudget(n.config.ChildBytesPerSecond, n.config.ChildBurst, n.now)
 	}
-	b.tokens = 0
+	if hello.SinceReceived < time.Second {
+		b.tokens = 0
+	}
+	for _, earlier := range n.children.inOrder {
+		if earlier.greeted && earlier.id == hello.ID {
+			b.tokens = min(b.tokens, float64(earlier.budget.available(n.now)))
+		}
+	}
 	return b
 }
 
--- a/internal/feed/codec_fields.go
+++ b/internal/feed/codec_fields.go
@@ -76,13 +76,15 @@
 	e.flag(m.Probe)
 	e.number(uint64(m.Stamp))
 	e.age(m.Age)
+	e.age(m.SinceReceived)
 	e.positions(m.Positions)
 }
 
 func decodeHello(d *decoder) Message {
 	return Hello{
 		Version: d.number(), Cluster: d.name(), ID: d.name(), Role: Role(d.octet()), Kinds: d.checksum(), Epoch: d.number(),
-		Probe: d.flag(), Stamp: Stamp(d.number()), Age: d.age(), Positions: d.positions(),
+		Probe: d.flag(), Stamp: Stamp(d.number()), Age: d.age(), SinceReceived: d.age(),
+		Positions: d.positions(),
 	}
 }
 
--- a/internal/feed/codec_test.go
+++ b/internal/feed/codec_test.go
@@ -25,7 +25,7 @@
 	return []Message{
 		Hello{
 			Version: Version, Cluster: "fleet", ID: "node-1", Role: Relay, Kinds: 1 << 31, Epoch: 3, Probe: true, Stamp: 77,
-			Age: 5 * time.Millisecond, Positions: []Position{from, {}},
+			Age: 5 * time.Millisecond, SinceReceived: time.Second, Positions: []Position{from, {}},
 		},
 		Hello{Version: Version, Cluster: "fleet", ID: "node-2", Role: Subscriber, Age: AgeUnknown},
 		Refused{Reason: RefusedFull},
--- a/internal/feed/greeting.go
+++ b/internal/feed/greeting.go
@@ -3,6 +3,7 @@
 // receiveFromParent takes a message from the parent or from a candidate.
 func (n *Node) receiveFromParent(link *link, message Message) {
 	link.heard = n.now
+	n.upstream.received = watermark{known: true, at: n.now}
 	switch m := message.(type) {
 	case Refused, Goodbye:
 		n.endLink(link, Goodbye{})
--- a/internal/feed/log.go
+++ b/internal/feed/log.go
@@ -69,7 +69,7 @@
 
 // applySnapshot takes a part of a snapshot that ends at a position.
 func (l *kindLog) applySnapshot(entries []Change, at Position) {
-	if l.keeps {
+	if l.keeps && l.config.Latest {
 		for _, entry := range entries {
 			l.latest.set(entry)
 		}
--- a/internal/feed/message.go
+++ b/internal/feed/message.go
@@ -37,6 +37,9 @@
 	Stamp Stamp
 	// Age is how old the sender's own knowledge is.
 	Age time.Duration
+	// SinceReceived is how long ago a child last received anything from a parent, AgeUnknown if it never has: one that
+	// received nothing for a second may be sent a full burst.
+	SinceReceived time.Duration
 	// Positions are the sender's by kind.
 	Positions []Position
 }
--- a/internal/feed/node.go
+++ b/internal/feed/node.go
@@ -85,15 +85,16 @@
 	if now < n.now {
 		return
 	}
-	gap := now - n.now
-	n.now = now
-	if gap > n.config.HeartbeatEvery {
-		// It is this node that was stopped. Others may have spoken meanwhile: what they said is still to be read.
-		n.forgiveSilence(gap)
-	}
 	if n.left {
+		n.now = now
 		return
 	}
+	late := now - n.NextTick()
+	n.now = now
+	if late > n.config.HeartbeatEvery {
+		// It is this node that was stopped. Others may have spoken meanwhile: what they said is still to be read.
+		n.forgiveSilence(late)
+	}
 	n.tickUpstream()
 	n.tickChildren()
 	n.checkAge()
@@ -249,11 +250,11 @@
 }
 
 // forgiveSilence moves the times at which others were last heard by the time for which this node was stopped.
-func (n *Node) forgiveSilence(gap time.Duration) {
+func (n *Node) forgiveSilence(late time.Duration) {
 	for _, link := range n.upstream.links() {
-		link.heard += gap
+		link.heard += late
 	}
 	for _, child := range n.children.inOrder {
-		child.heard += gap
+		child.heard += late
 	}
 }
--- a/internal/feed/parent.go
+++ b/internal/feed/parent.go
@@ -47,6 +47,8 @@
 	// returnAt is when to look whether the preferred parent is back.
 	returnAt time.Duration
 	pingAt   time.Duration
+	// received tells when anything was last received from a parent.
+	received watermark
 }
 
 func newUpstream(config Config, now time.Duration) upstream {
@@ -95,7 +97,7 @@
 	}
 	if candidate := u.candidate; candidate != nil && n.now >= n.candidateDeadline(candidate) {
 		n.endLink(candidate, Goodbye{})
-		n.candidateGone(candidate)
+		n.candidateTimedOut(candidate)
 	}
 	if u.parent != nil && n.now >= u.pingAt {
 		n.ping()
@@ -173,16 +175,17 @@
 
 func (n *Node) hello(stamp Stamp, probe bool) Hello {
 	return Hello{
-		Version:   Version,
-		Cluster:   n.config.Cluster,
-		ID:        n.config.ID,
-		Role:      n.config.Role,
-		Kinds:     n.config.kindsChecksum(),
-		Epoch:     n.epoch,
-		Probe:     probe,
-		Stamp:     stamp,
-		Age:       n.age(),
-		Positions: n.positions(),
+		Version:       Version,
+		Cluster:       n.config.Cluster,
+		ID:            n.config.ID,
+		Role:          n.config.Role,
+		Kinds:         n.config.kindsChecksum(),
+		Epoch:         n.epoch,
+		Probe:         probe,
+		Stamp:         stamp,
+		Age:           n.age(),
+		SinceReceived: n.upstream.received.age(n.now),
+		Positions:     n.positions(),
 	}
 }
 
@@ -245,6 +248,17 @@
 	n.planSearch()
 }
 
+// candidateTimedOut goes on to the next address. An attempt at a connection that is given up has taken its time already, and
+// has reached nobody: the next one follows soon, so that a network that was cut is used again soon after it heals.
+func (n *Node) candidateTimedOut(candidate *link) {
+	if n.upstream.parent != nil || candidate.state != linkDialling {
+		n.candidateGone(candidate)
+		return
+	}
+	n.upstream.next = n.nextIndex(candidate.index)
+	n.upstream.dialAt = n.now + jitter(n.random, n.config.RetryMin)
+}
+
 // planNextParent plans an attempt at the address after that of a parent that is lost. The wait is from a moment on: from the
 // loss, or from the beginning of the attempt that has failed.
 func (n *Node) planNextParent(lost int, from time.Duration) {
