--- a/internal/feed/children.go
+++ b/internal/feed/children.go
@@ -159,6 +159,8 @@
 	for i, position := range hello.Positions {
 		child.cursors[i].position = position
 	}
+	// It may have waited for long: it isn't to wait for the next round too.
+	n.serveChild(child)
 	n.children.pending = true
 }
 
--- a/internal/feed/config.go
+++ b/internal/feed/config.go
@@ -35,7 +35,7 @@
 	DefaultBatchEvery          = 200 * time.Millisecond
 	DefaultHeartbeatEvery      = 500 * time.Millisecond
 	DefaultSilenceAfter        = 1500 * time.Millisecond
-	DefaultDialTimeout         = 500 * time.Millisecond
+	DefaultDialTimeout         = 400 * time.Millisecond
 	DefaultRetryMin            = 100 * time.Millisecond
 	DefaultRetryMax            = time.Second
 	DefaultRelayRetryMax       = 400 * time.Millisecond
--- a/internal/feed/receive.go
+++ b/internal/feed/receive.go
@@ -47,6 +47,10 @@
 		log.append(change, before)
 		n.emit(Applied{Change: change})
 	}
+	if len(changes) >= n.config.CoarseAfter {
+		// This node is catching up, and its children with it: they aren't to wait for the next round.
+		n.children.roundAt = n.now
+	}
 	n.applied(m.Echo, m.Age)
 	return true
 }
--- a/internal/feed/serve.go
+++ b/internal/feed/serve.go
@@ -56,6 +56,11 @@
 	return false
 }
 
+func (n *Node) serveChild(child *child) {
+	n.serveKinds(child, true)
+	n.serveKinds(child, false)
+}
+
 func (n *Node) serveKinds(child *child, latest bool) {
 	for i := range n.kinds {
 		if n.kinds[i].config.Latest != latest {
