--- /dev/null
+++ b/cmd/larchthread/scale_feed_test.go
@@ -0,0 +1,73 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"larchthread/internal/feed/feedscale"
+)
+
+// TestScaleFeedOfProcesses has hollow balancers follow real relays, of which one is killed and one falls silent.
+func TestScaleFeedOfProcesses(t *testing.T) {
+	options := feedscale.Options{Subscribers: 24, Relays: 4, Regions: 4, PurgesPerSecond: 20, SettingsPerSecond: 5,
+		SettingBytes: feedscale.DefaultSettingBytes, Duration: 4 * time.Second, Seed: 1, KillRelays: 1, FreezeRelays: 1,
+		Program: os.Args[0], Environment: []string{"LARCHTHREAD_SERVE=1"}, Directory: t.TempDir()}
+	result, err := feedscale.Run(context.Background(), options, func(line string) { t.Log(line) })
+	if err != nil {
+		t.Fatal(err)
+	}
+	var table bytes.Buffer
+	result.Table(&table)
+	t.Log("\n" + table.String())
+	if result.Failed() {
+		t.Error("changes were lost, or did not arrive")
+	}
+	if alive := options.Relays - options.KillRelays + 1; len(result.Processes) != alive || len(result.Faults) != 2 {
+		t.Errorf("%d processes were measured, want %d; faults: %+v", len(result.Processes), alive, result.Faults)
+	}
+	for _, kind := range []feedscale.Kind{feedscale.Settings, feedscale.Purges} {
+		if of := result.Kinds[kind]; of.Published == 0 || of.Failed > 0 || of.Everywhere.Count+of.Partial != of.Published {
+			t.Errorf("%v: %+v", kind, of)
+		}
+	}
+}
+
+// TestScaleFeedCommand has the command print what came of a small fleet, and write the report.
+func TestScaleFeedCommand(t *testing.T) {
+	report := filepath.Join(t.TempDir(), "report.html")
+	var output, progress bytes.Buffer
+	root := command()
+	root.SetOut(&output)
+	root.SetErr(&progress)
+	root.SetArgs([]string{"scale", "feed", "--in-process", "--balancers", "6", "--relays", "2", "--seconds", "1", "--html", report})
+	if err := root.Execute(); err != nil {
+		t.Fatalf("%v\n%s", err, &progress)
+	}
+	for _, part := range []string{"6 subscribers, 2 relays", "none lost, none twice, none out of order", "report: "} {
+		if !strings.Contains(output.String(), part) {
+			t.Errorf("no %q in:\n%s", part, &output)
+		}
+	}
+	if !strings.Contains(progress.String(), "all fresh") {
+		t.Errorf("progress: %s", &progress)
+	}
+	if text, err := os.ReadFile(report); err != nil || !strings.Contains(string(text), "<svg") {
+		t.Errorf("report: %v, %d bytes", err, len(text))
+	}
+}
+
+// TestScaleFeedRefusesOptions has options that make no sense end the command with its usual code.
+func TestScaleFeedRefusesOptions(t *testing.T) {
+	var progress bytes.Buffer
+	root := command()
+	root.SetErr(&progress)
+	root.SetArgs([]string{"scale", "feed", "--balancers", "0"})
+	if err := root.Execute(); err != exit(exitFound) || !strings.Contains(progress.String(), "at least one subscriber") {
+		t.Errorf("%v, said %q", err, &progress)
+	}
+}
--- a/internal/feed/feedscale/control.go
+++ b/internal/feed/feedscale/control.go
@@ -16,6 +16,8 @@
 	// killPublisher and killRelay end it at once. It says goodbye to nobody where it is a process of its own.
 	killPublisher() error
 	killRelay(relay int) error
+	// freezeRelay stops a relay without ending it: it falls silent, and its connections stay. Not all can do it.
+	freezeRelay(relay int) error
 	// usage tells what the processes have used so far, by name; it is empty where they share this process.
 	usage() (map[string]processUsage, error)
 	// close ends all.
--- a/internal/feed/feedscale/control_local.go
+++ b/internal/feed/feedscale/control_local.go
@@ -78,6 +78,11 @@
 	return server.Close()
 }
 
+// errOneProcess tells that relays of this process can't be frozen by themselves.
+var errOneProcess = errors.New("only a relay that is a process of its own can be frozen")
+
+func (c *localControl) freezeRelay(int) error { return errOneProcess }
+
 func (c *localControl) usage() (map[string]processUsage, error) { return nil, nil }
 
 func (c *localControl) close() error {
--- a/internal/feed/feedscale/control_processes.go
+++ b/internal/feed/feedscale/control_processes.go
@@ -11,6 +11,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"go.yaml.in/yaml/v3"
@@ -23,9 +24,10 @@
 
 // processControl runs the publisher and each relay as a process of the program.
 type processControl struct {
-	program   string
-	directory string
-	seed      uint64
+	program     string
+	environment []string
+	directory   string
+	seed        uint64
 
 	mutex     sync.Mutex
 	processes map[string]*controlProcess
@@ -40,8 +42,9 @@
 	mutex sync.Mutex // of one attempt to publish at a time
 }
 
-func newProcessControl(program, directory string, seed uint64) *processControl {
-	return &processControl{program: program, directory: directory, seed: seed, processes: map[string]*controlProcess{}}
+func newProcessControl(options Options, directory string) *processControl {
+	return &processControl{program: options.Program, environment: options.Environment, directory: directory, seed: options.Seed,
+		processes: map[string]*controlProcess{}}
 }
 
 // controlFile is the program's control file, as far as it is used here.
@@ -100,7 +103,7 @@
 	if err := os.WriteFile(path, text, 0o600); err != nil {
 		return err
 	}
-	process, err := startProcess(c.program, path)
+	process, err := startProcess(c.program, c.environment, path)
 	if err != nil {
 		return err
 	}
@@ -110,8 +113,9 @@
 	return process.awaitReady()
 }
 
-func startProcess(program, config string) (*controlProcess, error) {
+func startProcess(program string, environment []string, config string) (*controlProcess, error) {
 	command := exec.Command(program, "control", "--config", config)
+	command.Env = append(os.Environ(), environment...)
 	input, err := command.StdinPipe()
 	if err != nil {
 		return nil, err
@@ -211,6 +215,14 @@
 
 func (c *processControl) killRelay(relay int) error { return c.kill(relayName(relay)) }
 
+func (c *processControl) freezeRelay(relay int) error {
+	process := c.process(relayName(relay))
+	if process == nil {
+		return errNotRunning
+	}
+	return process.command.Process.Signal(syscall.SIGSTOP)
+}
+
 // kill ends a process as SIGKILL does, and forgets it.
 func (c *processControl) kill(name string) error {
 	c.mutex.Lock()
--- a/internal/feed/feedscale/faults.go
+++ b/internal/feed/feedscale/faults.go
@@ -57,6 +57,9 @@
 	if options.KillRelays > 0 {
 		faults = append(faults, plannedFault{fmt.Sprintf("%d relays killed", options.KillRelays), false, f.killRelays})
 	}
+	if options.FreezeRelays > 0 {
+		faults = append(faults, plannedFault{fmt.Sprintf("%d relays frozen", options.FreezeRelays), false, f.freezeRelays})
+	}
 	if options.CutSize > 0 {
 		text := fmt.Sprintf("a region of %d cut off for %v", options.CutSize, options.Cut)
 		faults = append(faults, plannedFault{text, true, f.cutRegion})
@@ -69,9 +72,18 @@
 
 // killRelays ends relays from the middle of the list, which are alone in their regions in a fleet of the default size.
 func (f *fleet) killRelays(context.Context) error {
-	first := len(f.relays) / 2
-	for i := range f.options.KillRelays {
-		if err := f.control.killRelay((first + i) % len(f.relays)); err != nil {
+	return f.strikeRelays(0, f.options.KillRelays, f.control.killRelay)
+}
+
+// freezeRelays freezes those that come behind them in the list.
+func (f *fleet) freezeRelays(context.Context) error {
+	return f.strikeRelays(f.options.KillRelays, f.options.FreezeRelays, f.control.freezeRelay)
+}
+
+func (f *fleet) strikeRelays(first, number int, strike func(relay int) error) error {
+	for i := range number {
+		relay := (len(f.relays)/2 + first + i) % len(f.relays)
+		if err := strike(relay); err != nil {
 			return err
 		}
 	}
--- a/internal/feed/feedscale/measures.go
+++ b/internal/feed/feedscale/measures.go
@@ -160,7 +160,7 @@
 
 // secondResults measures each second of the workload.
 func (f *fleet) secondResults(r *Result) []secondResult {
-	results := make([]secondResult, int((r.To-r.From)/time.Second))
+	results := make([]secondResult, int((r.To-r.From+time.Second-1)/time.Second))
 	for i := range results {
 		from := r.From + time.Duration(i)*time.Second
 		purges, _ := r.spreads.everywhere(Purges, r.Subscriber.Counted, from, from+time.Second)
--- a/internal/feed/feedscale/options.go
+++ b/internal/feed/feedscale/options.go
@@ -31,13 +31,15 @@
 	SettingBytes                 int
 	Duration                     time.Duration // of the workload
 	Seed                         uint64
-	Program                      string // the program to start the publisher and relays from; empty: in this process
-	Directory                    string // for the publisher's log and the configuration of processes
+	Program                      string   // the program to start the publisher and relays from; empty: in this process
+	Environment                  []string // more for its processes
+	Directory                    string   // for the publisher's log and the configuration of processes
 
-	KillRelays int           // relays killed a third into the workload
-	CutSize    int           // subscribers of the region that is cut off; 0: none is
-	Cut        time.Duration // for how long
-	RestartAll bool          // publisher and relays are killed at once, and started again
+	KillRelays   int           // relays killed in mid-run: their connections end at once
+	FreezeRelays int           // relays that fall silent in mid-run, as a machine does that fails: their connections stay
+	CutSize      int           // subscribers of the region that is cut off; 0: none is
+	Cut          time.Duration // for how long
+	RestartAll   bool          // publisher and relays are killed at once, and started again
 }
 
 // validate tells what makes the options unusable.
@@ -51,8 +53,10 @@
 		return errors.New("want rates that are not negative")
 	case o.SettingBytes < identityDigits:
 		return fmt.Errorf("want settings of at least %d bytes", identityDigits)
-	case o.KillRelays >= o.Relays:
-		return fmt.Errorf("want to kill fewer relays than the %d there are", o.Relays)
+	case o.KillRelays < 0 || o.FreezeRelays < 0 || o.KillRelays+o.FreezeRelays >= o.Relays:
+		return fmt.Errorf("want to kill and freeze fewer relays than the %d there are", o.Relays)
+	case o.FreezeRelays > 0 && o.Program == "":
+		return errOneProcess
 	case o.CutSize < 0 || o.CutSize > o.Subscribers:
 		return fmt.Errorf("want to cut off at most the %d subscribers there are", o.Subscribers)
 	case o.CutSize > 0 && (o.Cut <= 0 || min(o.Regions, o.Relays) < 2):
--- a/internal/feed/feedscale/report.go
+++ b/internal/feed/feedscale/report.go
@@ -113,13 +113,20 @@
 
 // render draws the plot, with a legend below.
 func (p plot) render() (template.HTML, error) {
-	right, top := 1.0, 1.0
+	var picture bytes.Buffer
+	if err := p.chart().Render(chart.SVG, &picture); err != nil {
+		return "", err
+	}
+	var legend []string
 	for _, line := range p.lines {
-		for i := range line.x {
-			right, top = max(right, line.x[i]), max(top, line.y[i])
-		}
+		color := line.color
+		legend = append(legend, fmt.Sprintf(`<span style="color:#%02x%02x%02x">%s</span>`, color.R, color.G, color.B, line.name))
 	}
-	top *= 1.05
+	return template.HTML(picture.String() + "<br>" + strings.Join(legend, ", ")), nil
+}
+
+func (p plot) chart() chart.Chart {
+	right, top := p.extent()
 	drawn := chart.Chart{Title: p.title, TitleStyle: chart.Style{FontSize: 11}, Width: plotWidth, Height: plotHeight,
 		Background: chart.Style{Padding: chart.Box{Top: 40, Left: 10, Right: 10, Bottom: 10}},
 		XAxis:      chart.XAxis{Name: p.xName, Range: &chart.ContinuousRange{Min: 0, Max: right}},
@@ -129,19 +136,29 @@
 		drawn.Series = append(drawn.Series, chart.ContinuousSeries{XValues: []float64{from, to}, YValues: []float64{top, top},
 			Style: chart.Style{StrokeColor: shade, FillColor: shade}})
 	}
-	var legend []string
 	for _, line := range p.lines {
 		if len(line.x) > 0 {
 			drawn.Series = append(drawn.Series, chart.ContinuousSeries{Name: line.name, XValues: line.x, YValues: line.y,
 				Style: chart.Style{StrokeColor: line.color, StrokeWidth: 2}})
 		}
-		legend = append(legend, fmt.Sprintf(`<span style="color:#%02x%02x%02x">%s</span>`, line.color.R, line.color.G, line.color.B, line.name))
 	}
-	var picture bytes.Buffer
-	if err := drawn.Render(chart.SVG, &picture); err != nil {
-		return "", err
+	return drawn
+}
+
+// topMargin is the room above the highest line.
+const topMargin = 1.05
+
+// extent is how far the lines reach on both axes.
+func (p plot) extent() (right, top float64) {
+	for _, line := range p.lines {
+		for i := range line.x {
+			right, top = max(right, line.x[i]), max(top, line.y[i])
+		}
 	}
-	return template.HTML(picture.String() + "<br>" + strings.Join(legend, ", ")), nil
+	if right == 0 {
+		right = 1
+	}
+	return right, max(top, 1) * topMargin
 }
 
 var page = template.Must(template.New("report").Parse(`<!doctype html>
--- a/internal/feed/feedscale/run.go
+++ b/internal/feed/feedscale/run.go
@@ -40,7 +40,7 @@
 	if options.Program == "" {
 		return newLocalControl(directory, options.Seed)
 	}
-	return newProcessControl(options.Program, directory, options.Seed)
+	return newProcessControl(options, directory)
 }
 
 // run starts everything, plays the workload and the faults, and sums up what came of it.
--- a/internal/feed/feedscale/run_test.go
+++ b/internal/feed/feedscale/run_test.go
@@ -107,6 +107,7 @@
 		"a negative rate":     func(o *Options) { o.PurgesPerSecond = -1 },
 		"too small a setting": func(o *Options) { o.SettingBytes = identityDigits - 1 },
 		"all relays killed":   func(o *Options) { o.KillRelays = o.Relays },
+		"frozen in process":   func(o *Options) { o.FreezeRelays = 1 },
 		"a cut without time":  func(o *Options) { o.CutSize = 1 },
 		"a cut to the end":    func(o *Options) { o.CutSize, o.Cut = 1, o.Duration },
 	} {
