--- a/cmd/larchthread/commands.go
+++ b/cmd/larchthread/commands.go
@@ -48,18 +48,19 @@
 	serving := &cobra.Command{Use: "serve", Short: "Serve, by the start file that RELAY_CONFIG names", Args: cobra.NoArgs, RunE: run,
 		Example: "  RELAY_CONFIG=/run/balancer/config.json larchthread serve --own deploy/own.yaml"}
 	serving.Flags().StringVar(&own, "own", "", "the installation's own file: where the inventory stands")
-	root.AddCommand(serving, inventoryCommand(), configCommand(), versionCommand(), trialCommand(), tryCommand())
+	root.AddCommand(serving, inventoryCommand(), configCommand(), versionCommand(), trialCommand(), tryCommand(), controlCommand())
 	root.AddCommand(scaleCommand())
 	return root
 }
 
 func configCommand() *cobra.Command {
-	c := &cobra.Command{Use: "config", Short: "Look at start files and own files", Args: cobra.NoArgs,
+	c := &cobra.Command{Use: "config", Short: "Look at start files, own files and control files", Args: cobra.NoArgs,
 		RunE: func(*cobra.Command, []string) error { return errors.New("want check") }}
 	c.AddCommand(&cobra.Command{Use: "check FILE...", Short: "Say whether files can be used, and every fault by its key",
 		Long: "Say whether files can be used, and every fault by its key. A file named .yaml or .yml is taken for an installation's\n" +
-			"own file, and the inventory that it names is looked at too; any other is taken for a start file.",
-		Args: cobra.MinimumNArgs(1), Example: "  larchthread config check /run/balancer/config.json deploy/own.yaml",
+			"own file, and the inventory that it names is looked at too, or for a control file where it has the key control;\n" +
+			"any other is taken for a start file.",
+		Args: cobra.MinimumNArgs(1), Example: "  larchthread config check /run/balancer/config.json deploy/own.yaml deploy/control.yaml",
 		RunE: func(c *cobra.Command, files []string) error { return check(c, files, checkConfig) }})
 	return c
 }
@@ -73,6 +74,9 @@
 		}
 		return fmt.Sprintf("a start file, listens on %v, categories: %d", told.Listen, len(told.Params.Categories)), nil
 	}
+	if text, err := os.ReadFile(file); err == nil && isControlFile(text) {
+		return checkControl(file)
+	}
 	own, err := params.ReadOwn(file)
 	switch {
 	case err != nil:
--- a/internal/feed/feednet/connection.go
+++ b/internal/feed/feednet/connection.go
@@ -1,7 +1,7 @@
 package feednet
 
 import (
-	"bufio"
+	"errors"
 	"net"
 	"sync"
 	"time"
@@ -14,15 +14,17 @@
 const (
 	helloTimeout  = 2 * time.Second  // from a connection's begin until its peer has sent the first message
 	writeTimeout  = 5 * time.Second  // for one write to be taken by the kernel
-	finishTimeout = time.Second      // from our last byte until the peer has closed the connection
+	finishTimeout = time.Second      // for what is queued to be written, and the peer to close the connection too
 	unackedMax    = 10 * time.Second // until the kernel gives up on bytes that are not acknowledged
 
 	maxQueuedBytes  = 1 << 20  // that wait to be written to one peer; beyond it the peer is disconnected
 	sendBufferSize  = 64 << 10 // of the kernel, for each connection
-	readBufferSize  = 2 << 10
-	childFrameLimit = 4 << 10 // children send short messages alone
+	childFrameLimit = 4 << 10  // children send short messages alone
 )
 
+// errNoHello is why a child is disconnected that begins with another message.
+var errNoHello = errors.New("the first message is not a hello")
+
 // connection is one connection to a peer. Its reader calls the handler; all other methods are safe for concurrent use.
 type connection struct {
 	peer    feed.PeerID
@@ -76,7 +78,7 @@
 	if c.dialled {
 		limit = feed.DefaultFrameLimit
 	}
-	decoder := feed.NewDecoder(bufio.NewReaderSize(c.socket, readBufferSize), limit)
+	decoder := feed.NewDecoder(c.socket, limit)
 	if err := c.socket.SetReadDeadline(time.Now().Add(helloTimeout)); err != nil {
 		return err
 	}
@@ -84,7 +86,12 @@
 	if err != nil {
 		return err
 	}
-	c.clearReadDeadline()
+	if _, isHello := message.(feed.Hello); !isHello && !c.dialled {
+		return errNoHello
+	}
+	if err := c.socket.SetReadDeadline(time.Time{}); err != nil {
+		return err
+	}
 	for {
 		handler.received(c.peer, message)
 		if message, err = decoder.Decode(); err != nil {
@@ -93,15 +100,6 @@
 	}
 }
 
-// clearReadDeadline takes the deadline away, unless finish has set one of its own.
-func (c *connection) clearReadDeadline() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if !c.finishing {
-		_ = c.socket.SetReadDeadline(time.Time{}) // fails on a closed socket alone, which the next read tells
-	}
-}
-
 // send queues a frame. It returns false where the peer is too far behind; the connection is then closed.
 func (c *connection) send(frame []byte) bool {
 	c.mu.Lock()
@@ -119,7 +117,8 @@
 	return true
 }
 
-// finish ends the connection in good order once what is queued has been written.
+// finish ends the connection in good order once what is queued has been written. It returns at once; within finishTimeout
+// the reader has ended.
 func (c *connection) finish() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -127,6 +126,7 @@
 		return
 	}
 	c.finishing = true
+	time.AfterFunc(finishTimeout, c.abort)
 	c.startWriter()
 }
 
@@ -184,13 +184,11 @@
 	return err
 }
 
-// closeWrite tells the peer that nothing more comes. The socket stays open until the peer closes it too or some time has
-// passed: closed with unread bytes, it would drop what is still under way. c.mu is held.
+// closeWrite tells the peer that nothing more comes. The socket stays open until the peer closes it too: closed with unread
+// bytes, it would drop what is still under way.
 func (c *connection) closeWrite() {
 	half, ok := c.socket.(interface{ CloseWrite() error })
 	if !ok || half.CloseWrite() != nil {
 		c.abort()
-		return
 	}
-	_ = c.socket.SetReadDeadline(time.Now().Add(finishTimeout)) // fails on a closed socket alone
 }
--- a/internal/feed/feednet/input.go
+++ b/internal/feed/feednet/input.go
@@ -11,6 +11,11 @@
 	handle(l *loop)
 }
 
+// discarder is an input that holds a connection, to be closed where the loop ends without handling it.
+type discarder interface {
+	discard()
+}
+
 // acceptedInput is a new connection from a child.
 type acceptedInput struct {
 	socket net.Conn
@@ -20,6 +25,10 @@
 	l.accept(in.socket)
 }
 
+func (in acceptedInput) discard() {
+	in.socket.Close()
+}
+
 // dialledInput is a new connection to a parent. Its reader runs already.
 type dialledInput struct {
 	conn *connection
@@ -35,6 +44,10 @@
 	l.node.PeerOpened(in.conn.peer, true)
 }
 
+func (in dialledInput) discard() {
+	in.conn.abort()
+}
+
 // dialFailedInput is an attempt to connect to a parent that has failed.
 type dialFailedInput struct {
 	peer    feed.PeerID
--- a/internal/feed/feednet/loop.go
+++ b/internal/feed/feednet/loop.go
@@ -29,6 +29,7 @@
 	dialling    feed.PeerID        // the attempt to connect that is under way; 0: none
 	cancelDial  context.CancelFunc // of the latest attempt
 	replies     []pendingReply     // to publishers, once the round's changes are on disk
+	round       []input            // reused from round to round
 	closing     bool
 }
 
@@ -68,9 +69,9 @@
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for !l.closing {
-		round := l.collect(timer)
+		l.collect(timer)
 		l.node.Tick(l.server.now()) // read after the messages: the age of knowledge must not be understated
-		for _, in := range round {
+		for _, in := range l.round {
 			in.handle(l)
 		}
 		if err := l.carryOut(l.node.TakeOutput()); err != nil {
@@ -82,23 +83,23 @@
 	l.end(l.closeLog())
 }
 
-// collect waits for an input or the node's next tick, and returns all inputs that are there.
-func (l *loop) collect(timer *time.Timer) []input {
-	var round []input
+// collect waits for an input or the node's next tick, and takes all inputs that are there as the next round.
+func (l *loop) collect(timer *time.Timer) {
+	clear(l.round)
+	l.round = l.round[:0]
 	select {
 	case in := <-l.server.inputs:
-		round = append(round, in)
+		l.round = append(l.round, in)
 	case <-timer.C:
 	}
-	for len(round) < maxRoundInputs {
+	for len(l.round) < maxRoundInputs {
 		select {
 		case in := <-l.server.inputs:
-			round = append(round, in)
+			l.round = append(l.round, in)
 		default:
-			return round
+			return
 		}
 	}
-	return round
 }
 
 // carryOut does what the node wants done. What has to be kept is on disk before anything is sent or acknowledged.
@@ -173,7 +174,8 @@
 	l.dialling = l.lastPeer
 	ctx, cancel := context.WithCancel(context.Background())
 	l.cancelDial = cancel
-	go l.server.dial(ctx, l.dialling, address)
+	peer := l.dialling
+	l.server.readers.Go(func() { l.server.dial(ctx, peer, address) })
 }
 
 // accept takes a connection from a child. Those that do not say hello make room for new ones.
@@ -189,7 +191,7 @@
 	l.connections[conn.peer] = conn
 	l.pending = append(l.pending, conn)
 	l.node.PeerOpened(conn.peer, false)
-	go conn.read(l.server)
+	l.server.readers.Go(func() { conn.read(l.server) })
 }
 
 // saidHello takes a connection off those that have not sent anything yet.
@@ -253,4 +255,19 @@
 	}
 	l.server.failure = err
 	close(l.server.done)
+	l.discardInputs()
+}
+
+// discardInputs closes connections that came too late for the last round.
+func (l *loop) discardInputs() {
+	for {
+		select {
+		case in := <-l.server.inputs:
+			if held, ok := in.(discarder); ok {
+				held.discard()
+			}
+		default:
+			return
+		}
+	}
 }
--- a/internal/feed/feednet/server.go
+++ b/internal/feed/feednet/server.go
@@ -6,6 +6,7 @@
 	"errors"
 	"log/slog"
 	"net"
+	"sync"
 	"time"
 
 	"larchthread/internal/feed"
@@ -37,8 +38,9 @@
 	started  time.Time
 	listener net.Listener // nil without Options.Listen
 	inputs   chan input
-	done     chan struct{} // closed when the loop has ended
-	failure  error         // why it ended; read once done is closed
+	readers  sync.WaitGroup // goroutines that connect to a parent or read from a peer
+	done     chan struct{}  // closed when the loop has ended
+	failure  error          // why it ended; read once done is closed
 }
 
 // Start starts a server. It returns once a publisher's log is read and the address is taken.
@@ -165,6 +167,7 @@
 func (s *Server) Close() error {
 	s.post(closeInput{})
 	<-s.done
+	s.readers.Wait()
 	return s.failure
 }
 
@@ -176,13 +179,17 @@
 	return ErrClosed
 }
 
-// post hands the loop an input. It returns false where the loop has ended.
+// post hands the loop an input. It returns false where the loop has ended; what it holds is then the caller's to close.
 func (s *Server) post(in input) bool {
 	select {
 	case s.inputs <- in:
-		return true
+	case <-s.done:
+	}
+	select {
 	case <-s.done:
 		return false
+	default:
+		return true
 	}
 }
 
--- a/internal/trial/link.go
+++ b/internal/trial/link.go
@@ -71,6 +71,15 @@
 	return l, nil
 }
 
+// OpenLink opens a link that belongs to no ground, from one process to another. It listens on ip, connects to what target
+// returns at the time, and is seen there as source. The seed is that of its jitter.
+func OpenLink(from, to, ip string, source net.IP, seed uint64, target func() string) (*Link, error) {
+	return newLink(from, to, ip, source, seed, target)
+}
+
+// Close ends the link and resets all its connections.
+func (l *Link) Close() { l.close() }
+
 // Address is what the balancer is told as the part's.
 func (l *Link) Address() string { return l.address }
 
