--- a/internal/feed/feedscale/report.go
+++ b/internal/feed/feedscale/report.go
@@ -80,9 +80,12 @@
 
 func (r *Result) changeLine(name string, color drawing.Color, spread spread) *line {
 	drawn := &line{name: fmt.Sprintf("%s (%s, due at %.1f s)", name, spread.kind, seconds(spread.change.Due-r.From)), color: color}
-	drawn.add(0, 0)
+	reached := 0.0
+	drawn.add(0, reached)
 	for i, delay := range spread.delays {
-		drawn.add(seconds(delay), 100*float64(i+1)/float64(len(spread.delays)))
+		drawn.add(seconds(delay), reached) // a step
+		reached = 100 * float64(i+1) / float64(len(spread.delays))
+		drawn.add(seconds(delay), reached)
 	}
 	return drawn
 }
