--- a/cmd/larchthread/control_fleet_test.go
+++ b/cmd/larchthread/control_fleet_test.go
@@ -11,6 +11,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -44,8 +45,8 @@
 	publisher *controlNode
 	relays    map[string]*controlNode
 	followers map[string]*controlNode
-	links     map[string]*trial.Link // to the publisher, by relay
-	checkers  map[string]*eventChecker
+	links     map[string]*trial.Link             // to the publisher, by relay
+	targets   map[string]*atomic.Pointer[string] // the publisher's address that a relay's link leads to
 	published *publishedChanges
 }
 
@@ -65,13 +66,17 @@
 	}
 	c := &controlTest{
 		t: t, directory: t.TempDir(), relays: make(map[string]*controlNode), followers: make(map[string]*controlNode),
-		links: make(map[string]*trial.Link), checkers: make(map[string]*eventChecker), published: newPublishedChanges(),
+		links: make(map[string]*trial.Link), targets: make(map[string]*atomic.Pointer[string]),
+		published: newPublishedChanges(),
 	}
 	c.publisher = c.newNode("publisher", freeAddress(), "role: publisher, epoch: 1, directory: "+c.directory)
 	c.publisher.start()
 	for n, name := range controlRelays {
+		target := &atomic.Pointer[string]{}
+		target.Store(&c.publisher.address)
+		c.targets[name] = target
 		link, err := trial.OpenLink(name, "publisher", "127.0.0.1", net.ParseIP("127.0.0.9"), uint64(n+1),
-			func() string { return c.publisher.address })
+			func() string { return *target.Load() })
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/cmd/larchthread/control_test.go
+++ b/cmd/larchthread/control_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"io"
 	"maps"
+	"os"
+	"path/filepath"
 	"strings"
 	"syscall"
 	"testing"
@@ -243,6 +245,47 @@
 	c.checkSettings()
 }
 
+// Another publisher with a higher epoch goes on from a copy of the log. The old one, back again, is refused by whoever knows
+// the new one, and can publish nothing more.
+func TestControlPublisherReplaced(t *testing.T) {
+	c := startControl(t)
+	c.publish(testChanges("first", 40))
+	c.waitCurrent()
+	old := c.publisher
+	old.kill()
+	directory := t.TempDir()
+	log, err := os.ReadFile(filepath.Join(c.directory, "changes.log"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := os.WriteFile(filepath.Join(directory, "changes.log"), log, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	c.publisher = c.newNode("second", freeAddress(), "role: publisher, epoch: 2, directory: "+directory)
+	c.publisher.start()
+	for _, target := range c.targets {
+		target.Store(&c.publisher.address)
+	}
+	c.publish(testChanges("second", 40))
+	c.waitCurrent()
+	c.targets["a"].Store(&old.address)
+	old.start()
+	c.links["a"].Cut(true)
+	c.links["a"].Cut(false)
+	old.waitFor("it is fenced", func(said []string) bool {
+		if _, err := io.WriteString(old.input, "purges never\n"); err != nil {
+			t.Fatal(err)
+		}
+		return strings.HasPrefix(said[len(said)-1], "error feed: a publisher with a higher epoch")
+	})
+	c.publish(testChanges("third", 40))
+	c.waitCurrent("f1", "f2", "f3", "f4", "onlyb")
+	c.targets["a"].Store(&c.publisher.address)
+	c.waitCurrent()
+	c.checkComplete("f1", "f2", "f3", "f4", "onlyb")
+	c.checkSettings()
+}
+
 // The publisher answers each line, also those that it can't use, and a second one does not start on its log.
 func TestControlPublisherLines(t *testing.T) {
 	c := &controlTest{t: t, directory: t.TempDir()}
