--- a/cmd/larchthread/scale.go
+++ b/cmd/larchthread/scale.go
@@ -22,11 +22,15 @@
 	asJSON := false
 	c := &cobra.Command{Use: "scale", Short: "Measure how costs grow with the size of the fleet (docs/CAPACITY.md)", Args: cobra.NoArgs,
 		RunE: func(*cobra.Command, []string) error {
-			return errors.New("want list, watch, decisions, connections or control")
+			return errors.New("want list, watch, decisions, connections, control or feed")
 		}}
-	c.PersistentFlags().BoolVar(&asJSON, "json", false, "print results as JSON")
-	c.AddCommand(scaleListCommand(&asJSON), scaleWatchCommand(&asJSON), scaleDecisionsCommand(&asJSON),
-		scaleConnectionsCommand(&asJSON), scaleControlCommand(&asJSON))
+	measurements := []*cobra.Command{scaleListCommand(&asJSON), scaleWatchCommand(&asJSON), scaleDecisionsCommand(&asJSON),
+		scaleConnectionsCommand(&asJSON), scaleControlCommand(&asJSON)}
+	for _, measurement := range measurements {
+		measurement.Flags().BoolVar(&asJSON, "json", false, "print the result as JSON")
+	}
+	c.AddCommand(measurements...)
+	c.AddCommand(scaleFeedCommand())
 	return c
 }
 
