--- a/internal/feed/parent.go
+++ b/internal/feed/parent.go
@@ -128,12 +128,14 @@
 	return min(next, u.dialAt)
 }
 
-// candidateDeadline returns when a candidate is given up.
+// candidateDeadline returns when a candidate is given up. A process that is frozen or overloaded may take a connection and
+// say nothing: the first is soon left for the next, but after each failure more time is given, up to that of a parent.
 func (n *Node) candidateDeadline(candidate *link) time.Duration {
 	if candidate.state == linkDialling {
 		return candidate.dialled + n.config.DialTimeout
 	}
-	return candidate.heard + n.config.SilenceAfter
+	patience := n.config.DialTimeout * time.Duration(max(n.upstream.retry.attempts, 1))
+	return candidate.heard + min(patience, n.config.SilenceAfter)
 }
 
 func (n *Node) dial(index int) {
--- a/internal/feed/parent_test.go
+++ b/internal/feed/parent_test.go
@@ -66,6 +66,30 @@
 	}
 }
 
+func TestCandidateThatSaysNothingIsLeftSoon(t *testing.T) {
+	node := mustNode(t, subscriberConfig(), nil)
+	node.Tick(0)
+	node.TakeOutput()
+	opened := PeerID(10)
+	for _, patience := range []time.Duration{
+		DefaultDialTimeout, DefaultDialTimeout, 2 * DefaultDialTimeout, 3 * DefaultDialTimeout, DefaultSilenceAfter,
+		DefaultSilenceAfter,
+	} {
+		opened++
+		node.PeerOpened(opened, true)
+		begun := node.now
+		for node.upstream.candidate != nil && node.upstream.candidate.peer == opened {
+			node.Tick(node.NextTick())
+		}
+		if waited := node.now - begun; waited != patience {
+			t.Errorf("left after %s, not %s", waited, patience)
+		}
+		for node.upstream.candidate == nil {
+			node.Tick(node.NextTick())
+		}
+	}
+}
+
 func TestConnectionThatComesTooLateIsClosed(t *testing.T) {
 	node := followingNode(t, subscriberConfig())
 	node.PeerOpened(otherPeer, true)
