--- a/internal/feed/feedscale/audit_test.go
+++ b/internal/feed/feedscale/audit_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 )
@@ -141,3 +142,18 @@
 		}
 	}
 }
+
+// TestResultWithFindingFails has a finding fail the run, and be told.
+func TestResultWithFindingFails(t *testing.T) {
+	planted := faithful()
+	planted.applied = slices.Delete(planted.applied, 1, 2)
+	result := &Result{Findings: findingsOf(planted)}
+	var table strings.Builder
+	result.Table(&table)
+	if want := "subscriber 0: purges 0000010000000001 at 1/1: lost"; !result.Failed() || !strings.Contains(table.String(), want) {
+		t.Errorf("failed: %v, want %q in:\n%s", result.Failed(), want, &table)
+	}
+	if (&Result{}).Failed() || !(&Result{Unsettled: errTimeout}).Failed() {
+		t.Error("a run fails where it is sound, or not where subscribers stay behind")
+	}
+}
