Change feed: the far-behind test wants sets of prefixes and no reset

Cause: the follower that is cut off knew nothing before, so it got one reset for all and the test saw no set. Change: changes come before the cut, and the test wants sets.

--- a/cmd/larchthread/control_checker_test.go
+++ b/cmd/larchthread/control_checker_test.go
@@ -72,6 +72,7 @@
 	seen      map[string]feed.Position          // by kind and text: no two changes of a test are alike
 	state     map[string]string                 // settings by key, quoted as they were printed
 	sets      int                               // of prefixes that have come
+	resets    int                               // that have come
 	fresh     bool
 	stales    int // how often it became stale
 }
@@ -165,6 +166,8 @@
 		return c.takeSnapshot(kind, first, last, rest)
 	case "set":
 		return c.takeSet(kind, first, last, rest)
+	case "reset":
+		c.resets++
 	}
 	return nil
 }
--- a/cmd/larchthread/control_test.go
+++ b/cmd/larchthread/control_test.go
@@ -164,13 +164,17 @@
 // More is published during a cut than a follower is sent one by one. What it gets instead covers all of it.
 func TestControlFarBehind(t *testing.T) {
 	c := startControl(t)
+	c.publish(testChanges("before", 40)) // who knows nothing gets a reset in place of sets
+	c.waitCurrent()
 	c.links["a"].Cut(true)
 	c.publish(testChanges("cut", 1200))
 	c.waitCurrent("f1", "f2", "f3", "f4", "onlyb")
 	c.links["a"].Cut(false)
 	c.waitCurrent()
 	c.checkSettings()
-	t.Logf("sets of prefixes at the follower that was cut off: %d", c.checker("onlya").sets)
+	if checker := c.checker("onlya"); checker.sets == 0 || checker.resets > 0 {
+		t.Errorf("the follower that was cut off got %d sets of prefixes, want some, and %d resets, want none", checker.sets, checker.resets)
+	}
 }
 
 // A relay is stopped and woken again, with changes meanwhile.
