Tests listen on their own part of loopback, so that no connection takes their port first

The test looked for a free port and closed it, and a connection of another test, on its way out of 127.0.0.1, got that port before the process under test listened. The program's own tests had an address of their own for that reason; those of takeover and transport and the process of larchthread scale had not.

Change: standin.FreeAddress for all; transport, which standin stands on, has the same in its tests. What the tests hold is as it was.

--- a/cmd/larchthread/fleet_test.go
+++ b/cmd/larchthread/fleet_test.go
@@ -73,15 +73,13 @@
 // oneName has the hosts x and x2 noted alike: which of them a key goes to first is of no matter.
 func (f *fleet) oneName() { f.Rename("x2:", "x:") }
 
-// freeAddress is an address that nobody has. It is this process's own part of loopback: on the usual one a connection that
-// is just being made may take the port before the program does.
+// freeAddress is an address that nobody has.
 func freeAddress() string {
-	l, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.2:0", os.Getpid()>>8&255, os.Getpid()&255))
+	address, err := standin.FreeAddress()
 	if err != nil {
 		panic(err)
 	}
-	defer l.Close()
-	return l.Addr().String()
+	return address.String()
 }
 
 const settings = `{"categories":[
--- a/internal/scale/process.go
+++ b/internal/scale/process.go
@@ -10,6 +10,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"larchthread/internal/standin"
 )
 
 const startLimit = 10 * time.Second
@@ -53,12 +55,11 @@
 }
 
 func (p *process) start(program string, env []string, form startForm) error {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listen, err := standin.FreeAddress()
 	if err != nil {
 		return err
 	}
-	p.listen = listener.Addr().String()
-	listener.Close()
+	p.listen = listen.String()
 	form.Listen = p.listen
 	text, err := json.Marshal(form)
 	if err != nil {
--- a/internal/takeover/takeover_test.go
+++ b/internal/takeover/takeover_test.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"fmt"
 	"log/slog"
-	"net"
 	"net/netip"
 	"strings"
 	"sync"
@@ -16,6 +15,7 @@
 	"larchthread/internal/params"
 	"larchthread/internal/protocol"
 	"larchthread/internal/routing"
+	"larchthread/internal/standin"
 	"larchthread/internal/transport"
 )
 
@@ -99,11 +99,10 @@
 
 // toldWith is what a balancer with so many categories is told.
 func toldWith(t *testing.T, categories int) *params.StartFile {
-	free, err := net.Listen("tcp", "127.0.0.1:0")
+	listen, err := standin.FreeAddress()
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer free.Close()
 	var rows []map[string]any
 	for i := range categories {
 		rows = append(rows, map[string]any{"name": fmt.Sprint("category", i), "targetLatencyUs": 1e5 + i, "repeat": "retryable"})
@@ -113,7 +112,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	startFile := &params.StartFile{Listen: free.Addr().(*net.TCPAddr).AddrPort(), MemoryMB: 192, Sockets: 1024}
+	startFile := &params.StartFile{Listen: listen, MemoryMB: 192, Sockets: 1024}
 	if startFile.Params, err = params.Read(text); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/transport/arrival_test.go
+++ b/internal/transport/arrival_test.go
@@ -1,9 +1,11 @@
 package transport
 
 import (
+	"fmt"
 	"log/slog"
 	"net"
 	"net/netip"
+	"os"
 	"testing"
 	"time"
 
@@ -37,7 +39,7 @@
 // record runs a loop whose clients' connections belong to r, and are not closed to make room, until the test is over.
 func record(t *testing.T, r *recorder, descriptors int) (*Loop, netip.AddrPort) {
 	t.Helper()
-	address := netip.MustParseAddrPort(unusedAddress(t))
+	address := unusedAddress()
 	loop, err := NewLoop(descriptors, 64<<20, slog.New(slog.DiscardHandler))
 	if err != nil {
 		t.Fatal(err)
@@ -65,14 +67,16 @@
 	return loop, address
 }
 
-func unusedAddress(t *testing.T) string {
-	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+// unusedAddress is an address that nobody has, in this process's own part of loopback: on the usual one a connection that is
+// just being made may take the port before the loop does.
+func unusedAddress() netip.AddrPort {
+	pid := os.Getpid()
+	listener, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.3:0", pid>>8&255, pid&255))
 	if err != nil {
-		t.Fatal(err)
+		panic(err)
 	}
 	defer listener.Close()
-	return listener.Addr().String()
+	return listener.Addr().(*net.TCPAddr).AddrPort()
 }
 
 func dialTest(t *testing.T, address netip.AddrPort) net.Conn {
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -41,12 +41,7 @@
 	if err != nil {
 		panic(err)
 	}
-	free, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		panic(err)
-	}
-	at := free.Addr().(*net.TCPAddr).AddrPort()
-	free.Close()
+	at := unusedAddress()
 	var notes []string
 	e := &echo{loop: l, note: func(form string, args ...any) { notes = append(notes, fmt.Sprintf(form, args...)) }}
 	if _, err := l.Listen("client", at, 0, func(c *Conn) { c.Owner, c.Use = e, func() Use { return Idle } }); err != nil {
