--- a/internal/feed/children.go
+++ b/internal/feed/children.go
@@ -167,13 +167,10 @@
 // refuseChild returns why the sender of a Hello can't be a child, or zero. A publisher that learns of a higher epoch from it
 // is fenced.
 func (n *Node) refuseChild(child *child, hello Hello) RefusalReason {
+	reason := n.mismatch(hello)
 	switch {
-	case hello.Version != Version:
-		return RefusedVersion
-	case hello.Cluster != n.config.Cluster:
-		return RefusedCluster
-	case hello.Kinds != n.config.kindsChecksum() || len(hello.Positions) != len(n.kinds):
-		return RefusedKinds
+	case reason != 0:
+		return reason
 	case !serves(n.config.Role, hello.Role):
 		return RefusedRole
 	}
--- a/internal/feed/greeting.go
+++ b/internal/feed/greeting.go
@@ -50,6 +50,20 @@
 
 // refuseParent returns why the sender of a Hello can't be a parent, or zero.
 func (n *Node) refuseParent(hello Hello) RefusalReason {
+	reason := n.mismatch(hello)
+	switch {
+	case reason != 0:
+		return reason
+	case !serves(hello.Role, n.config.Role):
+		return RefusedRole
+	case hello.Epoch < n.epoch:
+		return RefusedEpoch
+	}
+	return 0
+}
+
+// mismatch returns why the sender of a Hello can be neither parent nor child, or zero.
+func (n *Node) mismatch(hello Hello) RefusalReason {
 	switch {
 	case hello.Version != Version:
 		return RefusedVersion
@@ -57,10 +71,6 @@
 		return RefusedCluster
 	case hello.Kinds != n.config.kindsChecksum() || len(hello.Positions) != len(n.kinds):
 		return RefusedKinds
-	case !serves(hello.Role, n.config.Role):
-		return RefusedRole
-	case hello.Epoch < n.epoch:
-		return RefusedEpoch
 	}
 	return 0
 }
--- a/internal/feed/simulated_network_test.go
+++ b/internal/feed/simulated_network_test.go
@@ -13,7 +13,7 @@
 	random *rand.Rand
 	// publications is apart from random, so that fleets of any size have the same changes.
 	publications *rand.Rand
-	agenda       agenda
+	eventQueue   eventQueue
 	entered      uint64
 	nodes        []*simulatedNode
 	byName       map[string]*simulatedNode
@@ -87,15 +87,15 @@
 	action func()
 }
 
-type agenda []entry
+type eventQueue []entry
 
-func (a agenda) Len() int { return len(a) }
-func (a agenda) Less(i, j int) bool {
+func (a eventQueue) Len() int { return len(a) }
+func (a eventQueue) Less(i, j int) bool {
 	return a[i].at < a[j].at || a[i].at == a[j].at && a[i].number < a[j].number
 }
-func (a agenda) Swap(i, j int) { a[i], a[j] = a[j], a[i] }
-func (a *agenda) Push(x any)   { *a = append(*a, x.(entry)) }
-func (a *agenda) Pop() any {
+func (a eventQueue) Swap(i, j int) { a[i], a[j] = a[j], a[i] }
+func (a *eventQueue) Push(x any)   { *a = append(*a, x.(entry)) }
+func (a *eventQueue) Pop() any {
 	last := (*a)[len(*a)-1]
 	(*a)[len(*a)-1] = entry{}
 	*a = (*a)[:len(*a)-1]
@@ -104,7 +104,7 @@
 
 func (s *simulation) at(when time.Duration, action func()) {
 	s.entered++
-	heap.Push(&s.agenda, entry{at: max(when, s.now), number: s.entered, action: action})
+	heap.Push(&s.eventQueue, entry{at: max(when, s.now), number: s.entered, action: action})
 }
 
 func (s *simulation) after(wait time.Duration, action func()) {
@@ -112,8 +112,8 @@
 }
 
 func (s *simulation) runUntil(end time.Duration) {
-	for len(s.agenda) > 0 && s.agenda[0].at <= end {
-		next := heap.Pop(&s.agenda).(entry)
+	for len(s.eventQueue) > 0 && s.eventQueue[0].at <= end {
+		next := heap.Pop(&s.eventQueue).(entry)
 		s.now = next.at
 		next.action()
 	}
--- a/internal/feed/simulated_plan_test.go
+++ b/internal/feed/simulated_plan_test.go
@@ -190,7 +190,7 @@
 	return s
 }
 
-// enact enters a step's fault and its end into the agenda.
+// enact schedules a step's fault and its end.
 func (s *simulation) enact(step step) {
 	s.at(step.at, func() { s.begin(step) })
 	s.at(step.at+step.lasts, func() { s.end(step) })
@@ -245,7 +245,7 @@
 	s.start(sn)
 }
 
-// publishUntil enters publications into the agenda, at random times with a mean rate.
+// publishUntil schedules publications at random times with a mean rate.
 func (s *simulation) publishUntil(end time.Duration, kind Kind, perSecond float64) {
 	if perSecond == 0 {
 		return
