A publisher whose disk fails answers the line that was being published before it ends

Cause: runControl returned as soon as the server had ended, while the goroutine that reads lines had the error still to write; what stood queued for standard output was dropped too (control.go, runControl and publishLines). Change: the end waits for the line that is being published to be answered, then for the queued lines to be written, 5 s at most.

--- a/cmd/larchthread/control.go
+++ b/cmd/larchthread/control.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"encoding/binary"
+	"errors"
 	"fmt"
 	"io"
 	"log/slog"
@@ -12,6 +13,7 @@
 	"strings"
 	"sync"
 	"syscall"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/spf13/cobra"
@@ -24,6 +26,9 @@
 // ends with an error: it would have to leave out events, and its reader would not know.
 const eventLines = 1 << 16
 
+// lastLinesWait is for how long the end of the process waits for a reader of standard output.
+const lastLinesWait = 5 * time.Second
+
 // maxPublishLine is the longest line that a publisher reads.
 const maxPublishLine = 64 << 10
 
@@ -73,37 +78,55 @@
 		return err
 	}
 	lines.write(strings.TrimSpace("ready " + server.Address()))
+	publisher := &linePublisher{server: server, lines: lines}
 	if options.Feed.Role == feed.Publisher {
-		go publishLines(ctx, server, input, lines)
+		go publisher.run(ctx, input)
 	}
 	select {
 	case <-ctx.Done():
 	case <-server.Done():
 	case <-lines.failed:
 	}
-	if err := server.Close(); err != nil {
-		return err
-	}
-	return lines.close()
+	err = server.Close()
+	publisher.settle()
+	return errors.Join(err, lines.close())
+}
+
+// linePublisher publishes what comes on standard input, line by line, and answers each.
+type linePublisher struct {
+	server    *feednet.Server
+	lines     *lineWriter
+	answering sync.Mutex // held while a line is published, until its answer is queued
 }
 
-// publishLines publishes what comes on standard input, line by line, and answers each.
-func publishLines(ctx context.Context, server *feednet.Server, input io.Reader, lines *lineWriter) {
+func (p *linePublisher) run(ctx context.Context, input io.Reader) {
 	scanner := bufio.NewScanner(input)
 	scanner.Buffer(nil, maxPublishLine)
 	for scanner.Scan() {
-		position, err := publishLine(ctx, server, scanner.Text())
-		if err != nil {
-			lines.write(fmt.Sprintf("error %v", err))
-			continue
-		}
-		lines.write(fmt.Sprintf("ok %v", position))
+		p.publish(ctx, scanner.Text())
 	}
 	if err := scanner.Err(); err != nil {
-		lines.write(fmt.Sprintf("error %v", err))
+		p.lines.write(fmt.Sprintf("error %v", err))
 	}
 }
 
+func (p *linePublisher) publish(ctx context.Context, line string) {
+	p.answering.Lock()
+	defer p.answering.Unlock()
+	position, err := publishLine(ctx, p.server, line)
+	if err != nil {
+		p.lines.write(fmt.Sprintf("error %v", err))
+		return
+	}
+	p.lines.write(fmt.Sprintf("ok %v", position))
+}
+
+// settle returns once the line that was being published when the server ended has its answer.
+func (p *linePublisher) settle() {
+	p.answering.Lock()
+	defer p.answering.Unlock()
+}
+
 // publishLine publishes what a line says.
 func publishLine(ctx context.Context, server *feednet.Server, line string) (feed.Position, error) {
 	kind, rest, _ := strings.Cut(line, " ")
@@ -190,7 +213,11 @@
 	if err != nil {
 		return err
 	}
-	<-w.done
+	select {
+	case <-w.done:
+	case <-time.After(lastLinesWait):
+		return errors.New("standard output: its reader has not taken the last lines")
+	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	return w.err
