Tests: one function replaces the running process, for upgrades printed and checked

The test of a command passed on in pieces had a copy of upgrade that differed in how it told the end. What the tests hold is as before; Example_upgrade and its like, and TestTimeLeftOfCommandPassedOnInPieces, pass.

--- a/cmd/larchthread/fleet_test.go
+++ b/cmd/larchthread/fleet_test.go
@@ -17,7 +17,6 @@
 	"sync"
 	"sync/atomic"
 	"syscall"
-	"testing"
 	"time"
 
 	"larchthread/internal/standin"
@@ -167,22 +166,14 @@
 }
 
 // upgrade has a second process take the place of the running one, and prints how that ends.
-func (f *fleet) upgrade() {
-	old := f.process
-	f.process = f.beside()
-	old.Process.Signal(syscall.SIGTERM)
-	fmt.Println("the old one ends:", old.Wait())
-}
+func (f *fleet) upgrade() { fmt.Println("the old one ends:", f.replace()) }
 
-// upgradeInTest does the same, and fails where the running one ends badly.
-func (f *fleet) upgradeInTest(t *testing.T) {
-	t.Helper()
+// replace has a second process take the place of the running one, and returns how that ends.
+func (f *fleet) replace() error {
 	old := f.process
 	f.process = f.beside()
 	old.Process.Signal(syscall.SIGTERM)
-	if err := old.Wait(); err != nil {
-		t.Errorf("the old one ends: %v", err)
-	}
+	return old.Wait()
 }
 
 // await waits until a note has come so many times.
--- a/cmd/larchthread/time_left_passed_on_test.go
+++ b/cmd/larchthread/time_left_passed_on_test.go
@@ -19,7 +19,9 @@
 	c := startWithHosts(t, f, hit)
 	io.WriteString(c, "ms k 4 O1 Pc=put,d=1000\r\nab")
 	time.Sleep(quietAfter)
-	f.upgradeInTest(t)
+	if err := f.replace(); err != nil {
+		t.Errorf("the old one ends: %v", err)
+	}
 	time.Sleep(restBeforeLastByte)
 	if _, err := io.WriteString(c, "cd\r\n"); err != nil {
 		t.Fatal(err)
