Review: an upgrade loses requests of clients that always have one open

The old process passes a connection on only while nothing is open on it, and neither stops reading from the others nor closes them, up to SIGKILL.

--- /dev/null
+++ b/review/3/run.sh
@@ -0,0 +1,6 @@
+#!/bin/sh
+# Exit code 1: the rule was broken, 0: it held, 2: the case could not run. TROUBLE=0 leaves the disruption out.
+cd "$(dirname "$0")" || exit 2
+case=$(basename "$(pwd)")
+[ -x "../bin/case$case" ] && [ -x ../../bin/larchthread ] || exit 2
+exec "../bin/case$case"
