Stop the connect timer with the connecting status

Callers saw: a client whose long value waits behind an earlier answer gets no answer for it, and none for anything later on its connection, if the value's host connection is new and is reset meanwhile. With such clients the process did not end after SIGTERM.

Cause: hostConn.connectTimer ran on after the connection was established. When it fired, onConnectTimeout took any connection that was not open for one that had not come up. For a value in valueStream.remainder it ended the push as ConnectFailed and freed the stream; the balancer, told that the value was being streamed, settled the op without an answer.

Fix: Conn.LimitConnecting sets the timer, Conn.setStatus stops it when the connection leaves the connecting status, and its end comes through ConnHandler.Ended like any other. A late timer can't act on an established or closed connection. The other timers of a push and of a stream are already stopped where their state changes.

Example_longResetWhileWaiting failed before (the connection stayed open, read timeout) and passes 5 of 5 times. go test of cmd, routing and transport passes.

--- a/cmd/larchthread/long_test.go
+++ b/cmd/larchthread/long_test.go
@@ -202,3 +202,38 @@
 	// slow-reader 1
 	// push-timeout 1
 }
+
+// Guards against a client that is left without an answer: the connection of its long value, a new one, is reset
+// within the connect timeout, while the value still waits behind an earlier answer.
+func Example_longResetWhileWaiting() {
+	f := &fleet{settings: replaceSetting(`"connectTimeoutUs":50000`, `"connectTimeoutUs":200000`)}
+	l := standin.ListenLoopback()
+	f.Members = append(f.Members, standin.MemberJSON("a", l.Addr().String(), standin.KindHost, standin.InService))
+	f.Serve(l, func(c net.Conn) {
+		line, _ := bufio.NewReader(c).ReadString('\n')
+		words := strings.Fields(line)
+		if len(words) > 1 && words[1] == "cut" {
+			io.WriteString(c, "VA 100000 O2\r\n"+longValue[:50000])
+			time.Sleep(20 * time.Millisecond)
+			standin.ResetConn(c)
+			return
+		}
+		time.Sleep(300 * time.Millisecond) // the connect timeout is over before the value's turn
+		fmt.Fprintf(c, "VA 5 %s\r\nvalue\r\n", words[3])
+	})
+	f.start()
+	defer f.stop()
+	c := f.newClient()
+	c.sendAndPrint(2, "mg slow v O1 Pc=read,d=900\r\nmg cut v O2 Pc=read,d=900\r\n")
+	c.SetDeadline(time.Now().Add(2 * time.Second))
+	rest, err := io.ReadAll(c.reader)
+	fmt.Println("cut value whole:", len(rest) > 100000, "connection:", err)
+	c.Close()
+	f.stopAndPrintReasons("half-answer", "connect-timeout")
+	// Output:
+	// VA 5 O1
+	// value
+	// cut value whole: false connection: <nil>
+	// half-answer 1
+	// connect-timeout 0
+}
--- a/internal/routing/host_conn.go
+++ b/internal/routing/host_conn.go
@@ -12,17 +12,16 @@
 // hostConn is a connection to a host. It carries one push at a time: pushes don't wait for each other's
 // answers, and closing the connection cancels no other push.
 type hostConn struct {
-	router       *Router
-	host         *host
-	conn         *transport.Conn
-	reader       protocol.AnswerReader
-	push         *push
-	unsentValue  protocol.ValueWriter // the part of the push's value that is not written yet
-	stream       *valueStream         // of the value that answers the push, or nil
-	reused       bool                 // it has carried a push before
-	reusedEarly  bool                 // the push was assigned within duplicateAnswerWindow of the previous answer
-	gotInput     bool                 // input has arrived since the push was assigned
-	connectTimer transport.Timer      // limits connecting
+	router      *Router
+	host        *host
+	conn        *transport.Conn
+	reader      protocol.AnswerReader
+	push        *push
+	unsentValue protocol.ValueWriter // the part of the push's value that is not written yet
+	stream      *valueStream         // of the value that answers the push, or nil
+	reused      bool                 // it has carried a push before
+	reusedEarly bool                 // the push was assigned within duplicateAnswerWindow of the previous answer
+	gotInput    bool                 // input has arrived since the push was assigned
 }
 
 // acquireConn returns the idle connection that was used last, or opens a new one. For a host that has fallen
@@ -55,8 +54,7 @@
 		}
 		return transport.Idle
 	}
-	hc.connectTimer.Fire = hc.onConnectTimeout
-	r.loop.SetTimer(&hc.connectTimer, r.hosts.connectTimeout)
+	hc.conn.LimitConnecting(r.hosts.connectTimeout)
 	return hc
 }
 
@@ -132,15 +130,6 @@
 	}
 }
 
-// onConnectTimeout gives up a connection that has not been established in time.
-func (hc *hostConn) onConnectTimeout() {
-	if hc.conn.IsOpen() || hc.push == nil {
-		return
-	}
-	hc.host.silent = true
-	hc.fail(transport.ConnectTimeout, balance.ConnectFailed)
-}
-
 // fail closes the connection and ends its push with the given outcome.
 func (hc *hostConn) fail(reason transport.Reason, o balance.Outcome) {
 	p := hc.push
@@ -153,7 +142,6 @@
 
 // close closes the connection and frees its buffers. It does not end the push.
 func (hc *hostConn) close(reason transport.Reason) {
-	hc.router.loop.StopTimer(&hc.connectTimer)
 	if hc.stream != nil {
 		hc.stream.release()
 	}
@@ -195,6 +183,9 @@
 
 // Ended implements transport.ConnHandler: it ends the push with an outcome that tells whether it may have run.
 func (hc *hostConn) Ended(c *transport.Conn, reason transport.Reason) {
+	if reason == transport.ConnectTimeout {
+		hc.host.silent = true
+	}
 	switch {
 	case reason == transport.Evicted && hc.push != nil:
 		hc.push.cancel(reason)
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -58,6 +58,7 @@
 	unreadFrom     float64 // ms; earliest time at which input still in the socket can have arrived; 0 if unknown
 	waitingSince   float64 // ms; since when that input may wait because of this process; 0 if unknown
 	inputSince     float64 // ms; the same for the input in In
+	connectTimer   Timer   // ends a connection that is not established in time
 	halfCloseTimer Timer   // closes a half-closed connection
 	bytesRead      uint64
 	bytesWritten   uint64
@@ -72,11 +73,25 @@
 // IsOpen reports whether the connection is established and not closing.
 func (c *Conn) IsOpen() bool { return c.status == established }
 
-// setStatus is the only place that changes the status. A closed connection stays closed.
+// setStatus is the only place that changes the status. A closed connection stays closed. The connect timer stops
+// with the connecting status: later it would end what the connection has begun since.
 func (c *Conn) setStatus(to status) {
-	if c.status != closed {
-		c.status = to
+	if c.status == closed {
+		return
+	}
+	c.status = to
+	if to != connecting {
+		c.loop.StopTimer(&c.connectTimer)
+	}
+}
+
+// LimitConnecting ends the connection with ConnectTimeout unless it is established within timeout ms.
+func (c *Conn) LimitConnecting(timeout float64) {
+	if c.status != connecting {
+		return
 	}
+	c.connectTimer.Fire = func() { c.recordEnd(ConnectTimeout) }
+	c.loop.SetTimer(&c.connectTimer, timeout)
 }
 
 // Flush writes Out at the end of the round, or once the connection is established.
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -9,6 +9,8 @@
 	"regexp"
 	"strings"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // echoHandler echoes lines and records events.
@@ -138,6 +140,35 @@
 	// log connect-failed host
 }
 
+// Guards against a late connect timer: it ends a connection that does not come up, but not one that was
+// established and whose end, or whose later work, falls behind the timeout.
+func ExampleConn_LimitConnecting() {
+	full, _ := net.Listen("tcp", "127.0.0.1:0")
+	defer full.Close()
+	raw, _ := full.(*net.TCPListener).SyscallConn()
+	raw.Control(func(fd uintptr) { unix.Listen(int(fd), 0) })
+	filler, _ := net.Dial("tcp", full.Addr().String()) // the backlog is full now, so no other connection comes up
+	defer filler.Close()
+	open, _ := net.Listen("tcp", "127.0.0.1:0")
+	defer open.Close()
+	late, prompt := &dialHandler{make(chan Reason, 2)}, &dialHandler{make(chan Reason, 2)}
+	_, stop := serveEcho(func(l *Loop, _ netip.AddrPort) {
+		l.Dial("host", full.Addr().(*net.TCPAddr).AddrPort(), late).LimitConnecting(50)
+		l.Dial("host", open.Addr().(*net.TCPAddr).AddrPort(), prompt).LimitConnecting(50)
+	})
+	fmt.Println(<-late.ends)
+	peer, _ := open.Accept()
+	time.Sleep(100 * time.Millisecond)
+	peer.Close()
+	fmt.Println(<-prompt.ends)
+	fmt.Println(stop())
+	// Output:
+	// connect-timeout
+	// peer-closed
+	// log connect-timeout host
+	// log peer-closed host
+}
+
 // quietChecker calls IsQuiet before and after more input arrives that the loop has not collected.
 type quietChecker struct {
 	other chan net.Conn
