Reserve memory for long writes as they arrive, and limit their wait for it

Callers saw: while ten clients wrote 4 MiB each at 300 KB a second, writes of 85 KB by others were answered 7 to 12 s behind their last byte, with a TTL of 0.8 s.

Cause, in memoryBudget.admit: a value's whole length was reserved once 64 KiB had come, so nine slow writers held 36 of 38 MiB that they had not sent; the tenth waited and all others behind it, whether or not they fitted. The wait had no limit: reading was paused, the client's timer stopped, and the TTL was looked at only behind the value.

The origin got the late writes only as they were answered; 6 MB of 77 MB of buffers were filled when the first one came late.

Fix: memory is reserved one read ahead of what has arrived. All values leave room for the largest, out of which one after another gets all that it lacks, so that half-read values can't block each other. A write waits for half of its TTL at the most; then its value is discarded as it is read, and it is nacked behind its last byte. The connection stays.

Not taken: whole lengths, but passing those that fit; slow writers would hold what they have not sent. A nack at once: the twelve writes of Example_longWrites would be refused.

--- a/balance/limits.go
+++ b/balance/limits.go
@@ -74,6 +74,9 @@
 	return false, b.backoff(b.maxInputWait / inputWaitShare)
 }
 
+// RefusalBackoff returns the backoff in ms for an op of a category that the frontend refuses unseen.
+func (b *Balancer) RefusalBackoff(c *Category) float64 { return b.backoff(c.Target) }
+
 // StopAdmitting makes Admit refuse all further ops, as the process ends before one could be settled.
 func (b *Balancer) StopAdmitting() { b.admitShare, b.admitAdjustedAt = 0, math.Inf(1) }
 
--- a/cmd/larchthread/long_test.go
+++ b/cmd/larchthread/long_test.go
@@ -131,6 +131,85 @@
 	// CLIENT_ERROR ms: length "4194305", want 0 to 4194304
 }
 
+// startSlowWrites starts writes of 4 MiB by the given number of clients. Each sends the first bytes at once, and from
+// then on a few every 100 ms until the returned function is called.
+func (f *fleet) startSlowWrites(clients, firstBytes int) (stop func()) {
+	done := make(chan bool)
+	for i := range clients {
+		c := f.newClient()
+		head := fmt.Sprintf("ms k 4194304 Oslow%d Pc=put,d=900\r\n", i)
+		go func() {
+			defer c.Close()
+			io.WriteString(c, head+longValue[:firstBytes])
+			for {
+				select {
+				case <-done:
+					return
+				case <-time.After(100 * time.Millisecond):
+					io.WriteString(c, "0123456789")
+				}
+			}
+		}()
+	}
+	return func() { close(done) }
+}
+
+// writeAndPrint writes a value in two pieces and prints the answer's first line, and whether it came in time: within
+// the TTL of 900 ms and 500 ms from the last byte on.
+func (c *client) writeAndPrint(id string, size int) {
+	c.sendAndPrint(0, fmt.Sprintf("ms k %d O%s Pc=put,d=900\r\n%s", size, id, longValue[:70000]))
+	time.Sleep(50 * time.Millisecond)
+	sent := time.Now()
+	c.sendAndPrint(1, longValue[70000:size]+"\r\n")
+	fmt.Println("in time:", time.Since(sent) < 1400*time.Millisecond)
+}
+
+// Guards against writes that wait behind slow ones for memory that those have reserved, but not filled.
+func Example_longWritesBesideSlowOnes() {
+	f := &fleet{limits: `{"cores":1,"memory_mb":64,"sockets":512}`}
+	f.AddHost("a", hit)
+	f.AddOrigin(handleOrigin)
+	f.start()
+	defer f.stop()
+	stop := f.startSlowWrites(4, 100000)
+	defer stop()
+	time.Sleep(200 * time.Millisecond)
+	f.newClient().writeAndPrint("1", 85000)
+	f.newClient().writeAndPrint("2", 300000)
+	// Output:
+	// HD O1 creceipt
+	// in time: true
+	// HD O2 creceipt
+	// in time: true
+}
+
+// Guards against writes that wait for memory without a limit: where slow ones fill it, a write is nacked in time,
+// and its connection serves on.
+func Example_longWriteWithoutMemory() {
+	f := &fleet{limits: `{"cores":1,"memory_mb":64,"sockets":512}`}
+	f.AddHost("a", hit)
+	f.AddOrigin(handleOrigin)
+	f.start()
+	defer f.stop()
+	stop := f.startSlowWrites(4, 4000000)
+	time.Sleep(1500 * time.Millisecond) // one of them is refused, three fill the memory for long writes
+	c := f.newClient()
+	c.writeAndPrint("1", 1500000)
+	c.sendAndPrint(2, "mg k v O2 Pc=read,d=900\r\n")
+	stop()
+	time.Sleep(100 * time.Millisecond)
+	c.writeAndPrint("3", 1500000)
+	fmt.Println("within memory:", f.peakMemoryMB() < 64)
+	// Output:
+	// SERVER_ERROR busy ..
+	// in time: true
+	// VA 5 O2
+	// value
+	// HD O3 creceipt
+	// in time: true
+	// within memory: true
+}
+
 // A long value is passed on whole for as long as its host keeps sending, even past the op's TTL.
 func Example_longTrickle() {
 	f := &fleet{}
--- a/internal/protocol/command.go
+++ b/internal/protocol/command.go
@@ -25,6 +25,8 @@
 	maxHeadLines          = 64      // lines of an HTTP head
 	maxLoadValues         = 16      // values of a load report
 	maxBodyBytes          = 8 << 20 // fits a list of tens of thousands of hosts
+
+	lineEnd = "\r\n"
 )
 
 // Verb is the operation that a command asks for.
@@ -45,6 +47,7 @@
 	TTL      float64 // ms that the client waits for the answer
 	Attrs    []Attr  // from flag P, unparsed
 	Value    transport.Chain
+	NoValue  bool  // its value was discarded, see CommandReader.DiscardValue
 	Err      error // why the command can't be served, or nil; the commands after it can still be read
 
 	flags []string
@@ -57,6 +60,7 @@
 type CommandReader struct {
 	pending   *Command // write whose value is incomplete, or nil
 	valueSize int      // bytes of that value
+	discarded int      // bytes of that value that have been discarded
 	line      string   // line of that command
 }
 
@@ -72,9 +76,9 @@
 		if err != nil || c.Verb != Set {
 			return c, err
 		}
-		r.pending, r.valueSize, r.line = c, size, line
+		r.pending, r.valueSize, r.discarded, r.line = c, size, 0, line
 	}
-	value, complete, err := takeValue(in, r.valueSize)
+	value, complete, err := r.takePendingValue(in)
 	if !complete {
 		return nil, err
 	}
@@ -120,21 +124,64 @@
 	return line, complete, nil
 }
 
+// takePendingValue removes the value of the pending write from in once it is complete, or discards what has arrived.
+func (r *CommandReader) takePendingValue(in *transport.Chain) (value transport.Chain, complete bool, err error) {
+	if !r.pending.NoValue {
+		return takeValue(in, r.valueSize)
+	}
+	n := min(in.Len(), r.valueSize-r.discarded)
+	in.Drop(n)
+	r.discarded += n
+	if r.discarded < r.valueSize || in.Len() < len(lineEnd) {
+		return value, false, nil
+	}
+	err = takeLineEnd(in, r.valueSize)
+	return value, err == nil, err
+}
+
 // takeValue removes a value of size bytes and the line end after it from in once both are complete.
 func takeValue(in *transport.Chain, size int) (value transport.Chain, complete bool, err error) {
-	if in.Len() < size+2 {
+	if in.Len() < size+len(lineEnd) {
 		return value, false, nil
 	}
 	value = in.SplitFront(size)
-	end := in.SplitFront(2)
-	defer end.Free()
-	if string(end.Bytes()) != "\r\n" {
+	if err = takeLineEnd(in, size); err != nil {
 		value.Free()
-		return value, false, fmt.Errorf("no line end behind a value of %d bytes", size)
+		return value, false, err
 	}
 	return value, true, nil
 }
 
+// takeLineEnd removes the line end behind a value of size bytes from in.
+func takeLineEnd(in *transport.Chain, size int) error {
+	end := in.SplitFront(len(lineEnd))
+	defer end.Free()
+	if string(end.Bytes()) != lineEnd {
+		return fmt.Errorf("no line end behind a value of %d bytes", size)
+	}
+	return nil
+}
+
+// DiscardValue discards the value of the pending write: what in holds of it and what is still to come. Once its last
+// byte has arrived, Next returns the command with NoValue set and without its value.
+func (r *CommandReader) DiscardValue(in *transport.Chain) {
+	if r.pending != nil {
+		r.pending.NoValue = true
+		r.takePendingValue(in) // the value is incomplete, or Next would have returned it
+	}
+}
+
+// IsDiscarding tells whether the value of the pending write is being discarded.
+func (r *CommandReader) IsDiscarding() bool { return r.pending != nil && r.pending.NoValue }
+
+// PendingTTL returns the TTL in ms of the write whose value is incomplete; 0 if there is none or its line is invalid.
+func (r *CommandReader) PendingTTL() float64 {
+	if r.pending == nil {
+		return 0
+	}
+	return r.pending.TTL
+}
+
 // PendingLine returns the line, with its line end, of a write whose value is incomplete, or "" where there is none.
 // Bytes of the value are still in the connection's input.
 func (r *CommandReader) PendingLine() string {
--- a/internal/protocol/protocol_test.go
+++ b/internal/protocol/protocol_test.go
@@ -387,6 +387,45 @@
 	// 0 bytes held
 }
 
+// A value that is discarded in the middle takes no memory, and the commands around it are read as ever. Without its
+// line end the command is refused like any other.
+func ExampleCommandReader_DiscardValue() {
+	pool := &transport.Pool{}
+	in, r := pool.NewChain(), &CommandReader{}
+	next := func(piece string) {
+		in.WriteString(piece)
+		command, err := r.Next(&in)
+		switch {
+		case err != nil:
+			fmt.Println("error:", err)
+		case command == nil:
+			fmt.Println("incomplete, discarding:", r.IsDiscarding(), "TTL:", r.PendingTTL(), "buffered:", in.Len())
+		default:
+			fmt.Println(command.ID, "no value:", command.NoValue, "bytes:", command.Value.Len())
+		}
+	}
+	write := "ms k 10 O1 Pc=put,d=900\r\n"
+	next(write + "01234")
+	r.DiscardValue(&in)
+	next("567")
+	next("89\r")
+	next("\nmg k v O2 Pc=read,d=500\r\n")
+	next("")
+	next(write + "0123456789\r\n")
+	next(write + "01")
+	r.DiscardValue(&in)
+	next("234567890123")
+	// Output:
+	// incomplete, discarding: false TTL: 900 buffered: 5
+	// incomplete, discarding: true TTL: 900 buffered: 0
+	// incomplete, discarding: true TTL: 900 buffered: 1
+	// 1 no value: true bytes: 0
+	// 2 no value: false bytes: 0
+	// 1 no value: false bytes: 10
+	// incomplete, discarding: false TTL: 900 buffered: 2
+	// error: no line end behind a value of 10 bytes
+}
+
 // readRequest reads a request that arrives in pieces.
 func readRequest(pieces ...string) string {
 	var pool transport.Pool
--- a/internal/routing/client.go
+++ b/internal/routing/client.go
@@ -79,8 +79,7 @@
 	router        *Router
 	conn          *transport.Conn
 	decoder       protocol.CommandReader
-	reservedBytes int              // buffer bytes reserved for the large value being received
-	awaitsMemory  bool             // it waits for such a reservation
+	largeWrite    largeWrite       // the reservation for the large value being received
 	pipeline      []*op            // commands in order of arrival whose answers have not been forwarded
 	proven        bool             // at least one op has arrived
 	awaitsCommand bool             // the timer limits the rest of a command
@@ -228,8 +227,7 @@
 // backoff in ms.
 func (c *client) dispatch(command *protocol.Command, room bool, backoff float64) {
 	r := c.router
-	o := &op{client: c, command: command, reply: r.loop.Pool.NewChain(), reservedBytes: c.reservedBytes}
-	c.reservedBytes = 0
+	o := &op{client: c, command: command, reply: r.loop.Pool.NewChain(), reservedBytes: r.memory.complete(c)}
 	c.pipeline = append(c.pipeline, o)
 	switch category := r.configuration.categories[command.Category]; {
 	case command.Err != nil:
@@ -240,6 +238,10 @@
 		protocol.WriteClientError(o.output(), protocol.UnknownCategoryError(command))
 	case r.clients.openOps[command.ID] != nil: // hosts would treat the two as one op and reject both
 		protocol.WriteClientError(o.output(), protocol.DuplicateIDError(command))
+	case command.NoValue:
+		c.proven = true
+		r.counters.byCategory[category].Nacked++
+		protocol.WriteNack(o.output(), r.balancer.RefusalBackoff(category))
 	case !room:
 		r.counters.byCategory[category].Nacked++
 		protocol.WriteNack(o.output(), backoff)
@@ -272,7 +274,7 @@
 		}
 		o.forwardReply()
 		o.command.Value.Free()
-		r.memory.release(&o.reservedBytes)
+		r.memory.release(o.reservedBytes)
 		n++
 	}
 	c.pipeline = slices.Delete(c.pipeline, 0, n)
@@ -310,6 +312,7 @@
 	c.removed = true
 	r.loop.StopTimer(&c.timer)
 	r.clients.remove(c)
+	r.memory.cancel(c)
 	pipeline := c.pipeline
 	c.pipeline = nil
 	for _, o := range pipeline {
@@ -323,8 +326,6 @@
 		}
 		o.reply.Free()
 		o.command.Value.Free()
-		r.memory.release(&o.reservedBytes)
+		r.memory.release(o.reservedBytes)
 	}
-	r.memory.release(&c.reservedBytes)
-	r.memory.dequeue(c)
 }
--- a/internal/routing/memory.go
+++ b/internal/routing/memory.go
@@ -8,12 +8,23 @@
 )
 
 // memoryBudget limits the bytes in buffers and reserves part of them for large values of writes.
+//
+// Memory for a value is reserved as it arrives, so that a client that writes slowly holds little. All clients
+// together leave enough for the largest value that is being received; from that, one after another gets all it
+// still needs, so that partly received values never block each other.
 type memoryBudget struct {
 	pool       *transport.Pool
 	soleBytes  int       // limit while this is the only process of the instance
 	limitBytes int       // current limit
 	reserved   int       // for large values of writes
-	waiting    []*client // clients without a reservation, in order of arrival
+	receiving  []*client // clients that receive a large value, in order of arrival
+}
+
+// largeWrite is the reservation of a client that receives a large value.
+type largeWrite struct {
+	reservedBytes int             // buffer bytes reserved for the value
+	awaitsMemory  bool            // reading is paused until more is reserved
+	timer         transport.Timer // limits a wait for memory
 }
 
 // newMemoryBudget limits the pool to that many bytes.
@@ -30,61 +41,112 @@
 		m.limitBytes /= 2
 	}
 	m.pool.MaxBytes = m.limitBytes
+	m.admit()
 }
 
-// reserveMemory reports whether the client's input may be read on. For a large value it first reserves memory;
-// if there is too little, the client waits in a queue, since partly read values could otherwise block each other.
+// reserveMemory reports whether the client's input may be read on. For a large value, memory for the next read is
+// reserved first; if there is too little, the client waits.
 func (c *client) reserveMemory() bool {
 	n := c.decoder.PendingValueBytes()
-	if n <= protocol.MaxBufferedValueBytes || c.reservedBytes > 0 ||
-		c.conn.In.Len() <= protocol.MaxBufferedValueBytes { // a declared length alone reserves nothing
+	w := &c.largeWrite
+	switch {
+	case n <= protocol.MaxBufferedValueBytes || c.decoder.IsDiscarding():
+		return true
+	case w.reservedBytes == 0 && c.conn.In.Len() <= protocol.MaxBufferedValueBytes: // a declared length alone reserves nothing
 		return true
+	case w.awaitsMemory:
+		return false
+	case w.reservedBytes == 0:
+		c.router.memory.receiving = append(c.router.memory.receiving, c)
 	}
-	if !c.awaitsMemory {
-		c.router.memory.enqueue(c)
+	if m := &c.router.memory; m.reserve(c, m.largestReceived()) {
+		return true
 	}
-	return !c.awaitsMemory
+	w.awaitsMemory = true
+	w.timer.Fire = c.refuseLargeWrite
+	c.router.loop.SetTimer(&w.timer, min(c.decoder.PendingTTL()*memoryWaitShare, progressTimeout))
+	return false
 }
 
-// enqueue lets a client wait for a reservation.
-func (m *memoryBudget) enqueue(c *client) {
-	c.awaitsMemory = true
-	m.waiting = append(m.waiting, c)
-	m.admit()
+// refuseLargeWrite gives up a write that has waited too long for memory: its time may be running, as all of it may
+// have arrived. Its value is discarded, and the write is nacked once the last byte has been read.
+func (c *client) refuseLargeWrite() {
+	c.router.log.Info("no memory for a large write", "peer", c.conn.Peer(), "bytes", c.decoder.PendingValueBytes())
+	c.decoder.DiscardValue(&c.conn.In)
+	c.router.memory.cancel(c)
+	c.conn.SetPaused(false)
+	c.updateTimer(true)
+}
+
+// reserve reserves memory for the client's next read, or for all that is missing of its value. It returns false
+// if there is too little. largest is the size in bytes of the largest value that is being received.
+func (m *memoryBudget) reserve(c *client, largest int) bool {
+	w := &c.largeWrite
+	missing := c.decoder.PendingValueBytes() - w.reservedBytes
+	next := min(missing, c.conn.In.Len()+transport.MaxReadBytes-w.reservedBytes)
+	limit := int(float64(m.limitBytes) * largeWriteShare)
+	granted := 0
+	switch {
+	case next <= 0: // enough is reserved
+	case m.reserved+next <= limit-largest:
+		granted = next
+	case m.reserved+missing <= limit:
+		granted = missing
+	case m.reserved == w.reservedBytes: // alone: the largest value may exceed the share for large values
+		granted = missing
+	default:
+		return false
+	}
+	m.reserved += granted
+	w.reservedBytes += granted
+	return true
 }
 
-// dequeue removes a client from the queue.
-func (m *memoryBudget) dequeue(c *client) {
-	if !c.awaitsMemory {
-		return
+// largestReceived returns the size in bytes of the largest value that is being received.
+func (m *memoryBudget) largestReceived() (size int) {
+	for _, c := range m.receiving {
+		size = max(size, c.decoder.PendingValueBytes())
 	}
-	c.awaitsMemory = false
-	m.waiting = slices.DeleteFunc(m.waiting, func(x *client) bool { return x == c })
-	m.admit() // the next one may fit
+	return size
 }
 
-// admit grants reservations in order of arrival while there is room. A single one is always granted, as the
-// largest value may exceed the share for large values.
+// admit reserves memory for the waiting clients, in order of arrival, as far as there is room.
 func (m *memoryBudget) admit() {
-	for len(m.waiting) > 0 {
-		c := m.waiting[0]
-		n := c.decoder.PendingValueBytes()
-		if m.reserved > 0 && float64(m.reserved+n) > float64(m.limitBytes)*largeWriteShare {
-			return
+	largest := m.largestReceived()
+	for _, c := range slices.Clone(m.receiving) {
+		if c.largeWrite.awaitsMemory && m.reserve(c, largest) {
+			c.endMemoryWait()
+			c.conn.SetPaused(false)
+			c.updateTimer(true)
 		}
-		m.waiting = m.waiting[1:]
-		m.reserved += n
-		c.reservedBytes, c.awaitsMemory = n, false
-		c.conn.SetPaused(false)
-		c.updateTimer(true)
 	}
 }
 
-// release returns *n reserved bytes and sets *n to 0.
-func (m *memoryBudget) release(n *int) {
-	if *n > 0 {
-		m.reserved -= *n
-		*n = 0
+// endMemoryWait marks the client as no longer waiting for memory.
+func (c *client) endMemoryWait() {
+	c.largeWrite.awaitsMemory = false
+	c.router.loop.StopTimer(&c.largeWrite.timer)
+}
+
+// complete ends the client's reservation once its value has been received. It returns the bytes reserved, which are
+// to be released with the value.
+func (m *memoryBudget) complete(c *client) (reservedBytes int) {
+	if c.largeWrite.reservedBytes == 0 && !c.largeWrite.awaitsMemory {
+		return 0
+	}
+	c.endMemoryWait()
+	m.receiving = slices.DeleteFunc(m.receiving, func(x *client) bool { return x == c })
+	reservedBytes, c.largeWrite.reservedBytes = c.largeWrite.reservedBytes, 0
+	return reservedBytes
+}
+
+// cancel ends the client's reservation and releases its memory.
+func (m *memoryBudget) cancel(c *client) { m.release(m.complete(c)) }
+
+// release returns reserved bytes.
+func (m *memoryBudget) release(bytes int) {
+	if bytes > 0 {
+		m.reserved -= bytes
 		m.admit()
 	}
 }
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -28,6 +28,7 @@
 	maxUnsentBytes        = 1 << 20  // unsent answer bytes at which reading from a client stops
 	streamWindowBytes     = 64 << 10 // bytes of a streamed value that are buffered for the client
 	largeWriteShare       = 0.5      // share of the buffers that large values of writes may take together
+	memoryWaitShare       = 0.5      // share of its TTL for which a large write may wait for memory: a later nack counts as late
 	commandTimeout        = 2600.0   // ms for the rest of a command, or for the first op on a connection
 	idleClientDivisor     = 6        // at most 1 in 6 sockets may belong to idle clients
 	pendingInputGrace     = 10.0     // ms to deliver input that is already pending before a timeout is checked again
--- a/internal/routing/upgrade.go
+++ b/internal/routing/upgrade.go
@@ -124,7 +124,7 @@
 func (r *Router) handOverClients() {
 	for _, c := range slices.Clone(r.clients.all) {
 		unread := c.decoder.PendingLine()
-		if len(c.pipeline) > 0 || c.conn.Out.Len() > 0 || c.closeReason != "" || !c.conn.IsOpen() ||
+		if len(c.pipeline) > 0 || c.conn.Out.Len() > 0 || c.closeReason != "" || !c.conn.IsOpen() || c.decoder.IsDiscarding() ||
 			len(unread)+c.conn.In.Len() > maxPassedBytes {
 			continue
 		}
--- a/internal/transport/loop.go
+++ b/internal/transport/loop.go
@@ -24,8 +24,8 @@
 
 const (
 	BufferSize     = 16 << 10       // bytes of a buffer: most messages fit into one
+	MaxReadBytes   = 5 * BufferSize // bytes read from a connection in one round: the largest buffered value and its command line
 	maxFreeBuffers = 512            // 8 MB; further free buffers are left to the garbage collector
-	maxReadBytes   = 5 * BufferSize // bytes read from a connection in one round: the largest value and its command line
 
 	maxOversleep          = 50.0   // ms that a poll may exceed its timeout on a busy machine
 	pollValidity          = 0.25   // ms after a poll for which its result counts as current
--- a/internal/transport/receive.go
+++ b/internal/transport/receive.go
@@ -86,7 +86,7 @@
 	}
 }
 
-// read reads from the socket up to maxReadBytes, and records the input's arrival time.
+// read reads from the socket up to MaxReadBytes, and records the input's arrival time.
 func (c *Conn) read() {
 	waits := c.mustDeferRead()
 	if waits && c.unreadFrom == 0 && c.socketEmpty() { // later input must not count as having arrived now
@@ -103,7 +103,7 @@
 		c.ArrivedAt, c.inputSince = c.unreadFrom, c.waitingSince
 	}
 	c.unreadFrom, c.waitingSince = 0, 0
-	for got := 0; got < maxReadBytes; {
+	for got := 0; got < MaxReadBytes; {
 		b := c.In.tail()
 		n, err := unix.Read(c.fd, b.data[b.w:])
 		switch {
