Read no further from clients with open ops while they are handed over

Fix: while clients are handed over, one with open ops is not read, so that its pipeline runs empty and it is passed on; what it sends stays in the socket. A command of which more was read than a message holds is read to its end, no further (Conn.ReadLimit). A successor that dies leaves the clients to the old process, which reads on.

Not taken: closing such connections between two answers, for what is on its way.

--- a/internal/protocol/command.go
+++ b/internal/protocol/command.go
@@ -171,6 +171,14 @@
 	}
 }
 
+// MissingBytes returns how many bytes behind those in in complete the pending write; 0 or less if there are none.
+func (r *CommandReader) MissingBytes(in *transport.Chain) int {
+	if r.pending == nil {
+		return 0
+	}
+	return r.valueSize - r.discarded + len(lineEnd) - in.Len()
+}
+
 // IsDiscarding tells whether the value of the pending write is being discarded.
 func (r *CommandReader) IsDiscarding() bool { return r.pending != nil && r.pending.NoValue }
 
--- a/internal/routing/client.go
+++ b/internal/routing/client.go
@@ -162,7 +162,7 @@
 }
 
 // Received implements transport.ConnHandler: it reads and dispatches commands until the input, the client's
-// share of the round or its limits are used up.
+// share of the round or its limits are used up. In a hand-over it leaves them to the successor.
 func (c *client) Received(conn *transport.Conn) {
 	conn.LastUsed = c.router.loop.Now()
 	if vs := c.headStream(); vs != nil {
@@ -172,7 +172,8 @@
 		}
 	}
 	tookCommand := false
-	for c.closeReason == "" && len(c.pipeline) < maxPipelinedCommands && conn.Out.Len() < maxUnsentBytes {
+	for c.closeReason == "" && len(c.pipeline) < maxPipelinedCommands && conn.Out.Len() < maxUnsentBytes &&
+		!c.awaitsHandOver() {
 		room, backoff := c.router.balancer.Admit()
 		if !room && c.nackUnread(backoff) {
 			tookCommand = true
--- a/internal/routing/host_conn_test.go
+++ b/internal/routing/host_conn_test.go
@@ -61,7 +61,7 @@
 		fmt.Println(err, err2)
 		return
 	}
-	r.hosts.byID["b"].pushes = []*push{{state: pushWriting, hostConn: &hostConn{conn: listener.AdoptConn(pair[0], nil)}}}
+	r.hosts.byID["b"].pushes = []*push{{state: pushWriting, hostConn: &hostConn{conn: listener.AdoptConn(pair[0], nil, 0)}}}
 	apply(true, protocol.InService, "d")
 	for _, h := range r.hosts.byID {
 		h.goneSince = min(h.goneSince, 1) // long ago
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -115,7 +115,7 @@
 	r.balancer.ReportInputWait(r.loop.InputDelay())
 	r.applyReload()
 	r.applyInventory()
-	if r.shutdown.closing && r.handOver.successor != nil {
+	if r.isHandingOver() {
 		r.handOverClients()
 	}
 	cancelled := r.cancelledPushes
--- a/internal/routing/shutdown.go
+++ b/internal/routing/shutdown.go
@@ -51,7 +51,7 @@
 			c.closeGracefully(transport.ShuttingDown)
 		}
 	}
-	if now-r.shutdown.startedAt > shutdownNackAfter && r.handOver.successor == nil {
+	if now-r.shutdown.startedAt > shutdownNackAfter {
 		r.balancer.StopAdmitting()
 	}
 	if len(r.clients.all) == 0 && !r.loop.HasUnsent() {
--- a/internal/routing/upgrade.go
+++ b/internal/routing/upgrade.go
@@ -22,8 +22,8 @@
 // Successor is the process that takes over.
 type Successor interface {
 	// PassConnection hands over a client's connection with its unread input. proven tells whether an op has arrived
-	// on it. The descriptor is the successor's from then on.
-	PassConnection(fd int, unread []byte, proven bool)
+	// on it, waited for how many ms the input may have waited. The descriptor is the successor's from then on.
+	PassConnection(fd int, unread []byte, proven bool, waited float64)
 	// HasUnsent reports whether connections are still being handed over.
 	HasUnsent() bool
 }
@@ -61,9 +61,20 @@
 func (r *Router) SetSuccessor(s Successor) {
 	r.handOver.successor = s
 	r.clients.listener.SetSuspended(s != nil)
+	if s == nil {
+		r.resumeClients()
+	}
 	r.loop.SkipWait()
 }
 
+// resumeClients reads on from the clients that were to be handed over.
+func (r *Router) resumeClients() {
+	for _, c := range r.clients.all {
+		c.conn.ReadLimit = 0
+		r.loop.ScheduleReceive(c.conn)
+	}
+}
+
 // KnownHosts returns what another process needs to know about hosts: the current list, the ids of all past and
 // present cache hosts, and the banned ids.
 func (r *Router) KnownHosts() (l *protocol.HostList, past, banned []string) {
@@ -112,24 +123,49 @@
 	r.banAll(banned)
 }
 
-// AdoptClient takes over a client's connection from another process, with its unread input and whether an op
-// has arrived on it.
-func (r *Router) AdoptClient(fd int, unread []byte, proven bool) {
-	c := r.clients.listener.AdoptConn(fd, unread).Handler.(*client)
+// AdoptClient takes over a client's connection from another process, with its unread input, whether an op has
+// arrived on it, and for how many ms its input may have waited.
+func (r *Router) AdoptClient(fd int, unread []byte, proven bool, waited float64) {
+	c := r.clients.listener.AdoptConn(fd, unread, waited).Handler.(*client)
 	c.proven = proven
 	c.updateTimer(false)
 }
 
-// handOverClients hands over the client connections that have no open op and no unsent answer.
+// isHandingOver reports whether clients are being handed over to the successor.
+func (r *Router) isHandingOver() bool { return r.shutdown.closing && r.handOver.successor != nil }
+
+// handOverClients hands over the clients that have no open op and no unsent answer. From the others nothing more is
+// read than the rest of a command that is too long to be handed over, or a client that always has an op open would
+// stay, with its ops, until this process is killed.
 func (r *Router) handOverClients() {
 	for _, c := range slices.Clone(r.clients.all) {
-		unread := c.decoder.PendingLine()
-		if len(c.pipeline) > 0 || c.conn.Out.Len() > 0 || c.closeReason != "" || !c.conn.IsOpen() || c.decoder.IsDiscarding() ||
-			len(unread)+c.conn.In.Len() > maxPassedBytes {
-			continue
+		switch {
+		case c.closeReason != "" || !c.conn.IsOpen():
+		case !c.fitsHandOver():
+			c.conn.ReadLimit = max(1, c.decoder.MissingBytes(&c.conn.In))
+		case len(c.pipeline) == 0 && c.conn.Out.Len() == 0:
+			c.handOver()
+		case len(c.pipeline) == 0 && r.loop.Now()-c.conn.LastUsed > progressTimeout:
+			c.closeNow(transport.SlowReader)
+		default:
+			c.conn.SetPaused(true)
+			c.updateTimer(false)
 		}
-		c.deregister()
-		fd, in := c.conn.Detach()
-		r.handOver.successor.PassConnection(fd, append([]byte(unread), in...), c.proven)
 	}
 }
+
+// handOver hands the client over to the successor.
+func (c *client) handOver() {
+	unread := []byte(c.decoder.PendingLine())
+	c.deregister()
+	fd, in, waited := c.conn.Detach()
+	c.router.handOver.successor.PassConnection(fd, append(unread, in...), c.proven, waited)
+}
+
+// fitsHandOver reports whether the client's unprocessed input can be handed over.
+func (c *client) fitsHandOver() bool {
+	return !c.decoder.IsDiscarding() && len(c.decoder.PendingLine())+c.conn.In.Len() <= maxPassedBytes
+}
+
+// awaitsHandOver reports whether the client's unprocessed input is left to the successor.
+func (c *client) awaitsHandOver() bool { return c.router.isHandingOver() && c.fitsHandOver() }
--- a/internal/takeover/message.go
+++ b/internal/takeover/message.go
@@ -27,7 +27,7 @@
 	kindPast     messageKind = "past"    // Past, Banned
 	kindLearned  messageKind = "learned" // Learned
 	kindListener messageKind = "door"    // Sockets, and the listening socket's descriptor
-	kindClient   messageKind = "client"  // Unread, Proven, and the connection's descriptor
+	kindClient   messageKind = "client"  // Unread, Proven, Waited, and the connection's descriptor
 )
 
 // Kinds of messages from either process.
@@ -49,6 +49,7 @@
 	Sockets int                `json:"sockets,omitempty"` // number of sockets that the new process may open
 	Unread  []byte             `json:"unread,omitempty"`  // bytes received on the connection that are not processed yet
 	Proven  bool               `json:"proven,omitempty"`  // an op has arrived on the connection
+	Waited  float64            `json:"waited,omitempty"`  // ms that its unprocessed input may have waited
 	ID      string             `json:"id,omitempty"`      // host of the ban
 	Out     bool               `json:"out,omitempty"`     // true to ban the host, false to put it back
 	Number  int                `json:"number,omitempty"`  // number of a ban, repeated in the answer
--- a/internal/takeover/predecessor.go
+++ b/internal/takeover/predecessor.go
@@ -36,7 +36,7 @@
 		p.takeOver(fd, m.Sockets)
 		return
 	case m.Kind == kindClient && fd >= 0 && p.replaced:
-		p.router.AdoptClient(fd, m.Unread, m.Proven)
+		p.router.AdoptClient(fd, m.Unread, m.Proven, m.Waited)
 		_, maxSockets := p.loop.SocketUsage()
 		p.loop.SetMaxSockets(maxSockets + 1)
 		return
--- a/internal/takeover/successor.go
+++ b/internal/takeover/successor.go
@@ -91,7 +91,7 @@
 	s.acceptSuccessors()
 	for _, u := range unsent {
 		if m := s.decode(u); u.FD >= 0 && m.Kind == kindClient {
-			s.router.AdoptClient(u.FD, m.Unread, m.Proven)
+			s.router.AdoptClient(u.FD, m.Unread, m.Proven, m.Waited)
 		} else if u.FD >= 0 {
 			unix.Close(u.FD)
 		}
@@ -104,8 +104,8 @@
 }
 
 // PassConnection implements routing.Successor.
-func (s *successor) PassConnection(fd int, unread []byte, proven bool) {
-	send(s.channel, message{Kind: kindClient, Unread: unread, Proven: proven}, fd)
+func (s *successor) PassConnection(fd int, unread []byte, proven bool, waited float64) {
+	send(s.channel, message{Kind: kindClient, Unread: unread, Proven: proven, Waited: waited}, fd)
 	_, maxSockets := s.loop.SocketUsage()
 	s.loop.SetMaxSockets(maxSockets - 1)
 }
--- a/internal/transport/arrival_test.go
+++ b/internal/transport/arrival_test.go
@@ -189,7 +189,7 @@
 	r.onReceive = func(c *Conn) {
 		if !adopted {
 			adopted = true
-			c.listener.AdoptConn(descriptor, []byte("part of a command"))
+			c.listener.AdoptConn(descriptor, []byte("part of a command"), 0)
 		}
 	}
 	loop, address := startRecording(t, r, 256)
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -42,6 +42,7 @@
 	LastUsed      float64              // ms
 	CreatedAt     float64              // ms
 	ArrivedAt     float64              // ms; earliest time at which the last byte of a command in In can have arrived
+	ReadLimit     int                  // bytes that the next read may take at the most; 0: MaxReadBytes
 
 	loop           *Loop
 	listener       *Listener // that accepted it, or nil
@@ -119,16 +120,16 @@
 	c.logEnd(reason)
 }
 
-// Detach removes an open connection from the loop. It returns the descriptor and the input that has not been
-// consumed. The handler gets no more events.
-func (c *Conn) Detach() (fd int, unread []byte) {
-	fd, unread = c.fd, c.In.Bytes()
+// Detach removes an open connection from the loop. It returns the descriptor, the input that has not been consumed,
+// and for how many ms that input, or input still in the socket, may have waited. The handler gets no more events.
+func (c *Conn) Detach() (fd int, unread []byte, waited float64) {
+	fd, unread, waited = c.fd, c.In.Bytes(), c.inputWait()
 	// Closing the descriptor would not suffice, as the socket stays open in the other process.
 	unix.EpollCtl(c.loop.epoll, unix.EPOLL_CTL_DEL, fd, nil)
 	c.loop.conns[fd] = nil
 	c.Close(HandedOver)
 	c.fd = -1
-	return fd, unread
+	return fd, unread, waited
 }
 
 // HalfClose writes the pending output, then closes the connection once the peer has closed it or a timeout has
--- a/internal/transport/listener.go
+++ b/internal/transport/listener.go
@@ -141,12 +141,13 @@
 	ln.reserved = slices.DeleteFunc(ln.reserved, func(g *Conn) bool { return g == c })
 }
 
-// AdoptConn takes over a connection from another process, with the input that it had read but not consumed.
-func (ln *Listener) AdoptConn(fd int, unread []byte) *Conn {
+// AdoptConn takes over a connection from another process, with the input that it had read but not consumed. That input,
+// and what is in the socket, may have waited there for the given ms.
+func (ln *Listener) AdoptConn(fd int, unread []byte, waited float64) *Conn {
 	unix.SetNonblock(fd, true)
 	from, _ := unix.Getpeername(fd)
 	c := ln.addConn(fd, from)
-	c.ArrivedAt = ln.loop.conservativeArrival()
+	c.ArrivedAt = ln.loop.conservativeArrival() - waited
 	if !c.socketEmpty() {
 		c.unreadFrom = c.ArrivedAt
 	}
--- a/internal/transport/receive.go
+++ b/internal/transport/receive.go
@@ -86,7 +86,19 @@
 	}
 }
 
-// read reads from the socket up to MaxReadBytes, and records the input's arrival time.
+// inputWait returns for how many ms input that has not been delivered, or is still in the socket, may have waited.
+func (c *Conn) inputWait() float64 {
+	earliest := c.loop.now
+	if c.unreadFrom > 0 && !c.socketEmpty() {
+		earliest = min(earliest, c.unreadFrom)
+	}
+	if c.hasNewInput && c.In.Len() > 0 {
+		earliest = min(earliest, c.ArrivedAt)
+	}
+	return c.loop.now - earliest
+}
+
+// read reads from the socket up to MaxReadBytes or ReadLimit, and records the input's arrival time.
 func (c *Conn) read() {
 	waits := c.mustDeferRead()
 	if waits && c.unreadFrom == 0 && c.socketEmpty() { // later input must not count as having arrived now
@@ -103,9 +115,13 @@
 		c.ArrivedAt, c.inputSince = c.unreadFrom, c.waitingSince
 	}
 	c.unreadFrom, c.waitingSince = 0, 0
-	for got := 0; got < MaxReadBytes; {
+	limit := MaxReadBytes
+	if c.ReadLimit > 0 {
+		limit = min(limit, c.ReadLimit)
+	}
+	for got := 0; got < limit; {
 		b := c.In.tail()
-		n, err := unix.Read(c.fd, b.data[b.w:])
+		n, err := unix.Read(c.fd, b.data[b.w:min(BufferSize, b.w+limit-got)])
 		switch {
 		case err == unix.EINTR:
 			continue
