Answer clients whose commands wait unread while the buffers are full

Fix: undelivered input is not stalled. A write of which more stands in the socket is refused in place of closed: its value is discarded as it is read, and it is nacked behind its last byte. DiscardValue may now meet a value that has arrived whole.

Tried and undone: refusing every such write. Example_halfSent, which asks that clients that stop halfway be closed, failed by it.

--- a/cmd/larchthread/resource_limits_test.go
+++ b/cmd/larchthread/resource_limits_test.go
@@ -204,3 +204,67 @@
 	// VA 5 Ofirst
 	// value
 }
+
+// Guards against ops that are lost where buffers run out: clients were closed of whose commands not all had been read,
+// though all had been sent.
+func Example_floodOfWholeCommands() {
+	f := &fleet{limits: `{"cores":1,"memory_mb":64,"sockets":1024}`}
+	f.AddHost("a", hit)
+	f.AddOrigin(handleOrigin)
+	f.start()
+	defer f.stop()
+	long := f.newClient()
+	long.sendAndPrint(0, "ms k 4194304 Olong Pc=put,d=900\r\n"+longValue[:4000000])
+	time.Sleep(300 * time.Millisecond)
+	const writers, readers, readsEach = 450, 50, 900
+	var clients []*client
+	f.whileStopped(func() { // together more than the buffers hold
+		for i := range writers {
+			c := f.newClient()
+			clients = append(clients, c)
+			go io.WriteString(c, fmt.Sprintf("ms k 65000 Ow%d Pc=put,d=900\r\n%s\r\n", i, longValue[:65000]))
+		}
+		for i := range readers {
+			c := f.newClient()
+			clients = append(clients, c)
+			var commands strings.Builder
+			for n := range readsEach {
+				fmt.Fprintf(&commands, "mg %060d v Or%d-%d Pc=read,d=900\r\n", n, i, n)
+			}
+			go io.WriteString(c, commands.String())
+		}
+		go io.WriteString(long, longValue[4000000:]+"\r\n")
+	})
+	var all sync.WaitGroup
+	var answers atomic.Int32
+	readAnswers := func(c *client, want int) {
+		for n := 0; n < want; {
+			line, err := c.reader.ReadString('\n')
+			if err != nil {
+				return
+			}
+			if line != "value\r\n" && line != "fetched\r\n" { // the line behind a VA
+				answers.Add(1)
+				n++
+			}
+		}
+	}
+	for i, c := range clients {
+		all.Go(func() {
+			if i < writers {
+				readAnswers(c, 1)
+			} else {
+				readAnswers(c, readsEach)
+			}
+		})
+	}
+	answer, _ := long.reader.ReadString('\n')
+	fmt.Println("long write answered:", answer != "")
+	all.Wait()
+	fmt.Println("unanswered:", writers+readers*readsEach-int(answers.Load()))
+	fmt.Println("within memory:", f.peakMemoryMB() < 64)
+	// Output:
+	// long write answered: true
+	// unanswered: 0
+	// within memory: true
+}
--- a/internal/protocol/command.go
+++ b/internal/protocol/command.go
@@ -129,9 +129,7 @@
 	if !r.pending.NoValue {
 		return takeValue(in, r.valueSize)
 	}
-	n := min(in.Len(), r.valueSize-r.discarded)
-	in.Drop(n)
-	r.discarded += n
+	r.discardArrived(in)
 	if r.discarded < r.valueSize || in.Len() < len(lineEnd) {
 		return value, false, nil
 	}
@@ -167,10 +165,17 @@
 func (r *CommandReader) DiscardValue(in *transport.Chain) {
 	if r.pending != nil {
 		r.pending.NoValue = true
-		r.takePendingValue(in) // the value is incomplete, or Next would have returned it
+		r.discardArrived(in)
 	}
 }
 
+// discardArrived removes from in what has arrived of the value that is being discarded.
+func (r *CommandReader) discardArrived(in *transport.Chain) {
+	n := min(in.Len(), r.valueSize-r.discarded)
+	in.Drop(n)
+	r.discarded += n
+}
+
 // MissingBytes returns how many bytes behind those in in complete the pending write; 0 or less if there are none.
 func (r *CommandReader) MissingBytes(in *transport.Chain) int {
 	if r.pending == nil {
--- a/internal/protocol/protocol_test.go
+++ b/internal/protocol/protocol_test.go
@@ -413,6 +413,10 @@
 	next("")
 	next(write + "0123456789\r\n")
 	next(write + "01")
+	in.WriteString("23456789\r\n") // all of it has arrived
+	r.DiscardValue(&in)
+	next("")
+	next(write + "01")
 	r.DiscardValue(&in)
 	next("234567890123")
 	// Output:
@@ -423,6 +427,8 @@
 	// 2 no value: false bytes: 0
 	// 1 no value: false bytes: 10
 	// incomplete, discarding: false TTL: 900 buffered: 2
+	// 1 no value: true bytes: 0
+	// incomplete, discarding: false TTL: 900 buffered: 2
 	// error: no line end behind a value of 10 bytes
 }
 
--- a/internal/routing/memory.go
+++ b/internal/routing/memory.go
@@ -63,15 +63,15 @@
 		return true
 	}
 	w.awaitsMemory = true
-	w.timer.Fire = c.refuseLargeWrite
+	w.timer.Fire = c.refuseWrite
 	c.router.loop.SetTimer(&w.timer, min(c.decoder.PendingTTL()*memoryWaitShare, progressTimeout))
 	return false
 }
 
-// refuseLargeWrite gives up a write that has waited too long for memory: its time may be running, as all of it may
-// have arrived. Its value is discarded, and the write is nacked once the last byte has been read.
-func (c *client) refuseLargeWrite() {
-	c.router.log.Info("no memory for a large write", "peer", c.conn.Peer(), "bytes", c.decoder.PendingValueBytes())
+// refuseWrite gives up the write that is being received, for which there is no memory. Its time may be running, as all
+// of it may have arrived; so its value is discarded, and the write is nacked once the last byte has been read.
+func (c *client) refuseWrite() {
+	c.router.log.Info("no memory for a write", "peer", c.conn.Peer(), "bytes", c.decoder.PendingValueBytes())
 	c.decoder.DiscardValue(&c.conn.In)
 	c.router.memory.cancel(c)
 	c.conn.SetPaused(false)
@@ -152,16 +152,17 @@
 }
 
 // stalledBytes returns the buffered bytes that only the client can release: unread answers, and input of an
-// incomplete command.
+// incomplete command. Input that has not been delivered, or is being discarded, is released by this process.
 func (c *client) stalledBytes() int {
 	n := c.conn.Out.Len()
-	if len(c.pipeline) == 0 {
+	if len(c.pipeline) == 0 && !c.conn.HasUndelivered() && !c.decoder.IsDiscarding() {
 		n += c.conn.In.Len()
 	}
 	return n
 }
 
-// evictForMemory closes the clients that hold the most stalled bytes while the buffer limit is exceeded.
+// evictForMemory closes the clients that hold the most stalled bytes while the buffer limit is exceeded. A write is
+// refused instead if more of it may stand in the socket: its client may have sent all of it.
 func (r *Router) evictForMemory() {
 	for r.loop.Pool.IsFull() {
 		var worst *client
@@ -170,13 +171,15 @@
 				worst = c
 			}
 		}
-		if worst == nil {
+		switch {
+		case worst == nil:
 			return
+		case worst.conn.Out.Len() > 0:
+			worst.closeNow(transport.SlowReader)
+		case worst.decoder.HasPending() && worst.conn.HasUnread():
+			worst.refuseWrite()
+		default:
+			worst.closeNow(transport.IncompleteCommand)
 		}
-		reason := transport.SlowReader
-		if worst.conn.Out.Len() == 0 {
-			reason = transport.IncompleteCommand
-		}
-		worst.closeNow(reason)
 	}
 }
--- a/internal/transport/receive.go
+++ b/internal/transport/receive.go
@@ -26,6 +26,12 @@
 	return !c.socketEmpty()
 }
 
+// HasUndelivered reports whether In holds input that has not been delivered yet.
+func (c *Conn) HasUndelivered() bool { return c.hasNewInput }
+
+// HasUnread reports whether the socket has input, or the end of the stream, that has not been read.
+func (c *Conn) HasUnread() bool { return !c.socketEmpty() }
+
 // IsAtEOF reports whether the peer has closed the connection and all its input is consumed.
 func (c *Conn) IsAtEOF() bool {
 	n, err := c.peek()
