Comments: put back reasons that the rewording dropped

Back are reasons, numbers and faults that the old comments held and that are still true, in today's names; nothing else was added.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -33,19 +33,19 @@
 	errorRetryShare      = 0.1 // share of ops that are retried all the same, to notice when that changes
 
 	// Hot keys.
-	keyBuckets       = 1024   // of ops counted by key
-	keyCountHalfLife = 5000.0 // ms after which the counts are halved
+	keyBuckets       = 1024   // of ops counted by key; few of an instance's keys share one
+	keyCountHalfLife = 5000.0 // ms after which the counts are halved: a key stays hot for some seconds
 
 	// Concurrency limits. "Of all balancers" values are divided by the number of balancers.
 	limitRecoveryTime = 14000.0 // ms in which a limit without outcomes rises from 0 to 1
-	originSilenceTime = 200.0   // ms without an outcome after which the origin's limit rises by itself
+	originSilenceTime = 200.0   // ms without an outcome, a fetch's time, until the origin's limit rises alone
 	originMinLimit    = 2.0     // fetches of all balancers
 
 	// Slow start.
 	pushRateWindow = 2000.0 // ms over which pushRate is averaged
 
 	// Subscription to the host list.
-	listTimeout = 3000.0 // ms after which an unanswered call counts as failed
+	listTimeout = 3000.0 // ms after which an unanswered call counts as failed; its turn takes a second or so
 
 	maxTenantTokens = 8.0 // ops that a tenant may be ahead of its share, to absorb bursts
 )
@@ -216,7 +216,8 @@
 }
 
 // sweep updates what depends on all hosts: warm-up, push rate, hot keys, failure rates and idle connections.
-// span is the time since the last sweep, in ms.
+// span is the time since the last sweep, in ms. With a sweep at each tick, a thousand balancers took more CPU
+// for it than for their ops.
 func (b *Balancer) sweep(span float64) {
 	b.lastSweep = b.now
 	warmSize := b.totalSize
@@ -289,7 +290,7 @@
 		op.flows[1] = &op.Tenant.flow
 	}
 	op.giveUpAt = b.settleBy(op)
-	if op.giveUpAt <= b.now { // too late for any push
+	if op.giveUpAt <= b.now { // too late for any push, and it could be lost before the timer fires again
 		b.giveUp(op)
 		return
 	}
@@ -319,7 +320,8 @@
 }
 
 // StreamingStarted tells that the answer to p has begun to flow to the client. The host's work is done: the
-// push no longer counts as in flight there or at the limiter, and those who wait for its fetch go on.
+// push no longer counts as in flight there or at the limiter, and those who wait for its fetch go on: a slow
+// reader must not hold a place.
 func (b *Balancer) StreamingStarted(p *Push) {
 	if op := p.Op; op.state < stateStreaming {
 		op.streamingPush = p
@@ -374,6 +376,7 @@
 	fromSoundHost := isError && !b.isSuspect(h)
 	confirmed := fromSoundHost && op.errorHost != nil && op.errorHost != h // by a second host: the op is bad
 	// Where second hosts mostly confirm errors, the op is not retried, except for a few to keep the rate known.
+	// That also denies a retry to some ops of hosts that are turning bad.
 	presumed := fromSoundHost && op.errorHost == nil && b.errorRepeatRate > errorRepeatThreshold &&
 		b.rng.uniform() > errorRetryShare
 	if isError {
--- a/balance/cycle.go
+++ b/balance/cycle.go
@@ -32,7 +32,7 @@
 }
 
 // update gives each host as many points as pointCount returns for it. Only points of hosts whose count has
-// changed are hashed and sorted.
+// changed are hashed and sorted: a thousand balancers that sorted all points took most of their CPU for it.
 func (c *cycle) update(hosts []*Host, pointCount func(*Host) int) {
 	anyRemoved := false
 	var added []point
--- a/balance/fetch.go
+++ b/balance/fetch.go
@@ -33,7 +33,7 @@
 	op.fetch = nil
 	delete(b.fetches, op.Key)
 	waiters := slices.DeleteFunc(f.waiters, func(w *Op) bool { return w.state != stateQueued })
-	if !served { // as one fetch, the waiters keep their joint priority
+	if !served { // as one fetch, the waiters keep their joint priority; alone, each would be shed from the queue
 		for len(waiters) > 0 {
 			next := waiters[0]
 			waiters = waiters[1:]
--- a/balance/limits.go
+++ b/balance/limits.go
@@ -52,7 +52,8 @@
 
 // ReportInputWait tells how many ms the input of this round may have waited. When it waits longer than
 // maxInputWait, this process is overloaded, and Admit accepts a smaller share of the ops, so that those still
-// meet their targets.
+// meet their targets; beyond what one core can do, the wait would grow for ever. Whatever slows the process
+// is treated alike, so after a long stall some ops are refused needlessly.
 func (b *Balancer) ReportInputWait(wait float64) {
 	if b.now < b.admitAdjustedAt+b.maxInputWait/2 {
 		return
@@ -66,7 +67,8 @@
 }
 
 // Admit tells, at random, whether this process has the capacity for one more op. An op that is not admitted
-// is to be nacked, without parsing it where possible; it may be repeated after backoff ms.
+// is to be nacked, without parsing it where possible, since that takes the core from those admitted. It may
+// be repeated after backoff ms.
 func (b *Balancer) Admit() (admitted bool, backoff float64) {
 	if b.admitShare == 1 || b.rng.uniform() < b.admitShare {
 		return true, 0
--- a/balance/membership.go
+++ b/balance/membership.go
@@ -12,17 +12,19 @@
 	pointsPerHost = 100 // points on the cycle of a host of usual size; shares differ by about a tenth
 
 	// Concurrency limits. "Of all balancers" values are divided by the number of balancers.
-	fleetMinPerHost       = 2.0  // least limit of all balancers, in pushes per host
-	fleetInitialPerHost   = 16.0 // initial limit of all balancers, in pushes per host
-	originInitialPerHost  = 1.5  // initial limit of all balancers, in fetches per host
-	originMinInitialLimit = 4.0  // fetches of this balancer, at the least
+	fleetMinPerHost      = 2.0  // least limit of all balancers, in pushes per host
+	fleetInitialPerHost  = 16.0 // initial limit of all balancers, in pushes per host
+	originInitialPerHost = 1.5  // initial limit of all balancers, in fetches per host
+	// Fetches of this balancer, at the least: its own ops tell nothing of those of the others.
+	originMinInitialLimit = 4.0
 
 	// Slow start.
 	coldBudgetShare = 0.5 // of a cold host's crashing load; two full budgets can fall into one OverloadTime
 
 	// Subscription to the host list.
-	listRetryDelay  = 500.0  // ms, first wait after a failed call, plus jitter of as much; doubled once
-	listRetryWindow = 4500.0 // ms within which the next call follows a failed one
+	listRetryDelay = 500.0 // ms, first wait after a failed call, plus jitter of as much; doubled once
+	// ms within which the next call follows a failed one: changes bind after 6 s, 1.5 of them for an answer.
+	listRetryWindow = 4500.0
 )
 
 // subscribe subscribes to the host list.
@@ -32,7 +34,8 @@
 }
 
 // HostListFailed tells that a call for the host list failed or the subscription ended. The next call follows
-// after a jittered wait, which is short enough to meet listRetryWindow.
+// after a jittered wait, so that not all balancers call together. The wait is short enough to meet
+// listRetryWindow, since discovery may have been back from just after the failed call on.
 func (b *Balancer) HostListFailed() {
 	left := listRetryWindow
 	if b.listPending {
@@ -82,7 +85,8 @@
 }
 
 // SetBanned takes a cache host out of use by an operator's order, or puts it back, whatever the list says. It
-// resets the host's health, but not its cold budget, which a short ban would refill.
+// resets the host's health, because the host is restarted during a ban, but not its cold budget, which a
+// short ban would refill.
 func (b *Balancer) SetBanned(h *Host, banned bool) {
 	h.Banned = banned
 	h.resetHealth()
@@ -105,7 +109,8 @@
 		}
 	}
 	if b.sizeUnit == 0 && len(b.readyHosts) > 0 {
-		// The mean size, rounded to a power of two: the same at balancers whose lists differ slightly.
+		// Sizes have no unit. The mean, rounded to a power of two, is the same at balancers whose lists
+		// differ slightly.
 		b.sizeUnit = math.Exp2(math.Round(math.Log2(b.totalSize / float64(len(b.readyHosts)))))
 	}
 	b.cycle.update(all, func(h *Host) int {
--- a/balance/outcome.go
+++ b/balance/outcome.go
@@ -9,7 +9,7 @@
 
 const (
 	// Slow hosts.
-	overloadedSlowdown = 4.0 // slowdown that an Overloaded outcome counts as
+	overloadedSlowdown = 4.0 // slowdown that an Overloaded outcome counts as: a full host is a crowded one
 
 	// Share of the keys that ignore zones.
 	zoneBusyMargin = 0.1  // by how much busier than others the own zone's hosts must be for it to grow
@@ -18,22 +18,24 @@
 	crossZoneDecay = 0.01 // change by an answer
 
 	// Concurrency limits.
-	fleetCongestionGoal   = 0.5   // latency over target above which the fleet's limit is decreased
+	// Latency over target above which the fleet's limit is decreased: most answers are just in time then.
+	fleetCongestionGoal   = 0.5
 	originCongestionGoal  = 0.3   // the same for the origin, whose latency adds to that of a miss
 	limitDecrease         = 0.85  // factor
-	fewOutcomesWeight     = 0.5   // EWMA weight at limits below 1, where outcomes are rare
+	fewOutcomesWeight     = 0.5   // EWMA weight at limits below 1, where outcomes are rare: two of them tell
 	originFullDecrease    = 0.5   // factor while the origin has answered nobody for a target
-	originFullCongestion  = 2.0   // congestion that a fetch counts as then
+	originFullCongestion  = 2.0   // congestion that a fetch counts as then, since few outcomes tell of it
 	limitDecreaseInterval = 100.0 // ms between two decreases, so that the first can take effect
 	randomShedCongestion  = 0.5   // congestion above which a limit may fall below 1
 
 	// Idle connections.
 	idleTimeoutDecrease = 0.8 // factor after a failed connect
-	idleTimeoutIncrease = 1.2 // factor after a successful one: balances out at about four failures in ten
+	// Factor after a successful connect: balances out at about four failures in ten, as a handshake costs more.
+	idleTimeoutIncrease = 1.2
 
 	// Backoff from hosts whose connection limit is reached.
 	baseConnBackoff = 1000.0 // ms
-	maxConnBackoff  = 8000.0 // ms
+	maxConnBackoff  = 8000.0 // ms; places come free as others close idle connections
 )
 
 // recordBusy records a host's reported share of core time in use. Where the own zone's hosts are busier than
@@ -56,7 +58,7 @@
 	op, h, lim := p.Op, p.Host, p.limiter
 	c, failed, suspect, weight := op.Category, false, b.isSuspect(h), failureWeight
 	smallGroup := float64(b.GroupSize) <= smallGroupSize // each balancer sees enough by itself
-	// Overloaded does not count here: a full fleet turns much away, which is no measure of its capacity.
+	// Overloaded does not count here: a full fleet turns half of all away, which is no measure of its capacity.
 	if (o == Served || o == CacheMiss) && !h.IsOrigin && b.warmth(h) == 1 {
 		b.warmAnswers++
 	}
@@ -113,7 +115,7 @@
 		if !h.IsOrigin {
 			b.idleTimeout = math.Max(b.idleTimeout*idleTimeoutDecrease, tickInterval)
 		}
-	case ConnLimited: // keep keys in the own zone: with fewer hosts to reach, fewer connections are needed
+	case ConnLimited: // keep keys in the own zone: a key that is asked at fewer hosts meets the same connections
 		h.connOpen, h.connUnproven = h.connOpen && !h.connUnproven, false
 		h.connBackoff = math.Min(math.Max(h.connBackoff*2, baseConnBackoff), maxConnBackoff)
 		h.connBackoffUntil = b.now + h.connBackoff*(0.5+b.rng.uniform())
--- a/balance/outlier.go
+++ b/balance/outlier.go
@@ -9,11 +9,11 @@
 	suspectThreshold     = 0.25   // failure rate above which a host is suspect: one failure is enough
 	failureWeight        = 0.3    // EWMA weight of a failure; just above suspectThreshold
 	baseEjectTime        = 250.0  // ms, a first ejection; about as long as a short stall
-	maxEjectTime         = 4000.0 // ms
+	maxEjectTime         = 4000.0 // ms; a host that has recovered is tried again no later than this
 	ejectConnectMultiple = 20.0   // longest ejection after a failed connect, in multiples of its duration
 
 	// Bounds without a floor, after a host in use went down: the floor may have overloaded it.
-	noFloorTime = 60000.0 // ms
+	noFloorTime = 60000.0 // ms, for a wave of restarts
 	inUseTime   = 15000.0 // ms since its last answer for which a host counts as in use; lists can be that late
 )
 
@@ -36,7 +36,7 @@
 }
 
 // isSuspect tells whether a host fails clearly more often than the median host. It is relative because a
-// fleet in which most hosts fail now and then has to serve on.
+// fleet in which most hosts fail now and then has to serve on: the few that never fail could not take it all.
 func (b *Balancer) isSuspect(h *Host) bool { return h.failRate > suspectThreshold+b.medianFailRate }
 
 // recordFailure records a failure of a host and ejects it if that makes it suspect. latency is the time until
--- a/balance/push.go
+++ b/balance/push.go
@@ -15,8 +15,8 @@
 
 // route starts op's next push: to the origin for the writes of a cache-aside fleet, otherwise to a host on
 // the cycle. In a cache-aside fleet, an op joins or leads a fetch from the origin instead if its key is being
-// fetched, for its last push, or if none of the listed hosts is usable. An op that may not be pushed, or has
-// no time left for it, is given up.
+// fetched, as a push could only miss, for its last push, or if none of the listed hosts is usable, as it
+// would only wait until it is late. An op that may not be pushed, or has no time left for it, is given up.
 func (b *Balancer) route(op *Op) {
 	switch f := b.fetches[op.Key]; {
 	case !b.mayPush(op) || b.now+op.Category.avgLatency/2 > op.Deadline || b.isThrottled(op):
--- a/balance/retry.go
+++ b/balance/retry.go
@@ -6,7 +6,7 @@
 
 const (
 	// Hedging.
-	hedgeRecheckFactor = 0.5 // recheckFactor for hedges
+	hedgeRecheckFactor = 0.5 // recheckFactor for hedges, where the host answers others and the op may be heavy
 
 	// Checks of pushes that are late.
 	recheckFactor     = 1.0 // wait for a second check, in multiples of the time that the push is out
--- a/balance/walk.go
+++ b/balance/walk.go
@@ -9,13 +9,15 @@
 
 const (
 	// Consistent hashing with bounded loads.
-	boundFactor = 1.5 // 1+ε
+	boundFactor = 1.5 // 1+ε; the example factor of the talk on bounded loads
 	boundFloor  = 2   // pushes; least bound
 
-	maxEjectedShare = 0.8 // share of hosts ejected above which ejections are ignored
+	maxEjectedShare = 0.8 // share of hosts ejected above which ejections are ignored, as evidence in doubt
 
 	// Slow hosts.
-	smallGroupSize = 3.0  // balancers; in a larger group, each sees too little of a host's load itself
+	// Balancers at which a slowdown of 2 counts twice; in a larger group, each sees too little of a host's
+	// load itself.
+	smallGroupSize = 3.0
 	slowdownGain   = 2.0  // how strongly excess slowdown moves keys away from a host
 	slowdownSlack  = 0.25 // slowdown above the fleet's average that chance explains
 
@@ -43,9 +45,11 @@
 			}
 		case h.slowdown > 1:
 			// The load from other balancers shows in the host's latency alone: the more balancers there are,
-			// the more a slowdown counts.
+			// the more a slowdown counts. With a dozen, the floor of two pushes each would let two dozen
+			// crowd a host before any of them saw it full.
 			load *= 1 + (h.slowdown-1)*float64(b.GroupSize)/smallGroupSize
-			// With many balancers even one push from each is too many, so pushes are spaced out.
+			// With a hundred balancers even one push from each is too many, so pushes are spaced out: a push
+			// counts on for a while after it has ended.
 			excessGroups := math.Max(0, float64(b.GroupSize)/smallGroupSize-1)
 			if b.now < h.lastPush+
 				(h.slowdown-b.avgSlowdown-slowdownSlack)*excessGroups*b.fleetLimiter.avgLatency {
@@ -71,7 +75,8 @@
 		skip = int(b.rng.uniform() * spread)
 	}
 	var fallback, lastResort *Host
-	left := len(b.readyHosts) // hosts not seen yet: each is judged once, though it has many points
+	// Hosts not seen yet: each is judged once, since in a full fleet its other points cost too much.
+	left := len(b.readyHosts)
 	for i := 0; i < len(b.cycle.points) && left > 0; i++ {
 		p := b.cycle.points[(from+i)%len(b.cycle.points)]
 		h := b.cycle.hosts[p.hostIndex]
--- a/internal/routing/client.go
+++ b/internal/routing/client.go
@@ -25,7 +25,7 @@
 	command       *protocol.Command
 	deadline      float64         // ms; the client waits until then
 	reply         transport.Chain // answer that waits for its turn
-	shortReply    []byte          // the same, copied out of its pooled buffer where it is short
+	shortReply    []byte          // the same, copied out where it is short: a pooled buffer for each would take most of the memory
 	trailingNacks []byte          // nacks for the commands right after it that were rejected unread
 	stream        *valueStream    // of its large answer, or nil
 	reservedBytes int             // buffer bytes reserved for its large value
--- a/internal/routing/host_conn.go
+++ b/internal/routing/host_conn.go
@@ -288,7 +288,8 @@
 }
 
 // withdraw stops using a host: it closes its idle connections and cancels the pushes that have not begun to be
-// written. The others may complete.
+// written: a connection that is still coming up may be established long after the drain's grace. The others may
+// complete.
 func (h *host) withdraw() {
 	h.closeIdle(transport.HostGone)
 	for _, p := range slices.Clone(h.pushes) {
--- a/internal/routing/memory.go
+++ b/internal/routing/memory.go
@@ -161,8 +161,9 @@
 	return n
 }
 
-// evictForMemory closes the clients that hold the most stalled bytes while the buffer limit is exceeded. A write is
-// refused instead if more of it may stand in the socket: its client may have sent all of it.
+// evictForMemory closes the clients that hold the most stalled bytes while the buffer limit is exceeded: over the
+// limit of memory, all would be lost. A write is refused instead if more of it may stand in the socket: its client
+// may have sent all of it.
 func (r *Router) evictForMemory() {
 	for r.loop.Pool.IsFull() {
 		var worst *client
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -20,32 +20,32 @@
 
 const (
 	duplicateAnswerWindow = 20.0     // ms after an answer within which a second answer to the same push may arrive
-	idleTimeoutShare      = 0.9      // share of the hosts' idle timeout for which connections are reused
-	defaultConnectTimeout = 250.0    // ms; applies where the start file sets no connect timeout
+	idleTimeoutShare      = 0.9      // share of the hosts' idle timeout for which connections are reused: a push takes a while to arrive
+	defaultConnectTimeout = 250.0    // ms; applies where the start file sets no connect timeout: some round trips and one lost packet
 	bufferMemoryShare     = 0.4      // share of memory for buffers; the heap and the garbage collector use the rest
-	maxPipelinedCommands  = 256      // unanswered commands on a connection at which reading from it stops
+	maxPipelinedCommands  = 256      // unanswered commands on a connection at which reading from it stops: well over what a client needs
 	maxUnpooledBytes      = 1 << 10  // bytes of a queued answer that are copied out of its pooled buffer
-	maxUnsentBytes        = 1 << 20  // unsent answer bytes at which reading from a client stops
-	streamWindowBytes     = 64 << 10 // bytes of a streamed value that are buffered for the client
+	maxUnsentBytes        = 1 << 20  // unsent answer bytes at which reading from a client stops: a dozen of the largest buffered values
+	streamWindowBytes     = 64 << 10 // bytes of a streamed value that are buffered for the client: as many as of the largest buffered value
 	largeWriteShare       = 0.5      // share of the buffers that large values of writes may take together
 	memoryWaitShare       = 0.5      // share of its TTL for which a large write may wait for memory: a later nack counts as late
-	commandTimeout        = 2600.0   // ms for the rest of a command, or for the first op on a connection
-	idleClientDivisor     = 6        // at most 1 in 6 sockets may belong to idle clients
+	commandTimeout        = 2600.0   // ms for the rest of a command, or for the first op on a connection: a slow client may take 2 s for a line
+	idleClientDivisor     = 6        // at most 1 in 6 sockets may belong to idle clients; usual clients hold a third in all
 	pendingInputGrace     = 10.0     // ms to deliver input that is already pending before a timeout is checked again
 	clientIdleTimeout     = 2100.0   // ms that an idle client connection is kept; clients expect at least 2 s
-	maxPastHosts          = 4096     // ids of former hosts that operators may still name
+	maxPastHosts          = 4096     // ids of former hosts that operators may still name: some days of replacements, in little memory
 	goneHostRetention     = 20000.0  // ms that a removed host is remembered, in case a list dropped it by mistake
 	progressTimeout       = 5000.0   // ms without progress after which an exchange is abandoned; longer than any TTL
 
 	firstWatchWait   = 1      // ms that the first request of a watch waits: its answer confirms the watch
-	watchWait        = 2000   // ms that each later request waits
+	watchWait        = 2000   // ms that each later request waits: repeating it costs discovery little, and a dead connection shows soon
 	watchSlack       = 1000.0 // ms beyond the wait until a request counts as lost
-	fullListInterval = 4000.0 // ms between two requests for the full list
+	fullListInterval = 4000.0 // ms between two requests for the full list: what it tells binds after 6 s
 
 	shutdownLinger            = 450.0 // ms after the shutdown request for which connections stay open: new ones may still arrive
 	shutdownSweepInterval     = 10.0  // ms between two passes over the connections to close
-	shutdownFirstCommandGrace = 100.0 // ms that a new connection stays open to deliver its first command
-	shutdownNackAfter         = 600.0 // ms after which new ops are nacked
+	shutdownFirstCommandGrace = 100.0 // ms that a new connection stays open to deliver its first command: many round trips
+	shutdownNackAfter         = 600.0 // ms after which new ops are nacked: the process may be killed 700 ms beyond the longest TTL
 	shutdownCloseGrace        = 250.0 // ms between the last client's end and exit, so that sockets close in order
 )
 
--- a/internal/routing/time_left.go
+++ b/internal/routing/time_left.go
@@ -10,8 +10,9 @@
 func (p *push) timeLeft(now float64) float64 { return min(p.expiresAt, p.op.deadline) - now }
 
 // splitTimeLeft divides the time left, in ms, into remaining, which the host is told, and sending, in which the
-// command has to be written. Small commands are written at once, so both get all of it; for larger ones the
-// time is shared, as the throughput is not known.
+// command has to be written. The host begins the command with its last byte, so it is told what remains then.
+// Small commands are written at once, so both get all of it; for larger ones the time is shared, as the
+// throughput is not known.
 func (p *push) splitTimeLeft(now float64) (remaining, sending float64) {
 	left := p.timeLeft(now)
 	if p.op.command.Value.Len() <= immediateWriteBytes {
--- a/internal/transport/loop.go
+++ b/internal/transport/loop.go
@@ -29,21 +29,21 @@
 
 	maxOversleep          = 50.0   // ms that a poll may exceed its timeout on a busy machine
 	pollValidity          = 0.25   // ms after a poll for which its result counts as current
-	clientTimeSlice       = 0.5    // ms of a round for requests of clients
+	clientTimeSlice       = 0.5    // ms of a round for requests of clients: about a hundred
 	minEventCapacity      = 512    // lowest capacity for events of one poll
 	maxAccepts            = 256    // connections accepted per listener in one round, so that open ones are served in between
 	backlog               = 4096   // connections that the kernel queues between two rounds
 	halfCloseWriteTimeout = 5000.0 // ms to write the last answers to a slow reader; longer than any TTL
-	halfClosePeerTimeout  = 200.0  // ms for the peer to close after this side's end
-	controlRetryDelay     = 2.0    // ms until messages that the other process had no room for are sent again
+	halfClosePeerTimeout  = 200.0  // ms for the peer to close after this side's end: many round trips
+	controlRetryDelay     = 2.0    // ms until messages that the other process had no room for are sent again; it reads in each round
 	acceptRetryDelay      = 5.0    // ms until accepting is tried again when no connection could be evicted
 
-	ReservedDescriptors = 32    // descriptors for the runtime, the log, operators' connections and upgrades
-	silentGrace         = 10.0  // ms to send a first byte before a connection of a reserve may be evicted
+	ReservedDescriptors = 32    // descriptors for the runtime, the log, operators' connections and upgrades: about 25, and some to spare
+	silentGrace         = 10.0  // ms to send a first byte before a connection of a reserve may be evicted; longer, a thousand silent ones keep others out
 	unprovenGrace       = 100.0 // ms that a new client has for its first command before it may be evicted
-	unprovenDivisor     = 4     // above 1 in 4 sockets, unproven clients have no grace period
+	unprovenDivisor     = 4     // above 1 in 4 sockets, unproven clients have no grace period; usual ones hold a third in all
 
-	dialReserveDivisor = 8        // 1 in 8 sockets is kept for outgoing connections
+	dialReserveDivisor = 8        // 1 in 8 sockets is kept for outgoing connections: some to each host
 	kernelMemoryShare  = 0.2      // share of memory for the kernel's buffers of all sockets
 	minKernelBuffer    = 16 << 10 // bytes: with less, each value takes many rounds
 )
