Limit the progress of a long value only while it is its turn

Fix: valueStream.limitProgress sets the timer for the value whose turn it is, and for one that waits while its host sends nothing; only the former can end as slow-reader.

Measured: Example_longReadBehindSlowOne failed before (closed after 3.2 MB of the first value) and passes; the other tests of long values pass.

--- a/cmd/larchthread/long_test.go
+++ b/cmd/larchthread/long_test.go
@@ -316,3 +316,32 @@
 	// half-answer 1
 	// connect-timeout 0
 }
+
+// Guards against a client that is closed as a slow reader while it reads one long value slowly, but steadily: a second one
+// that waits for its turn makes no progress meanwhile.
+func Example_longReadBehindSlowOne() {
+	f := &fleet{}
+	f.AddHost("a", func(words []string) string {
+		return fmt.Sprintf("VA %d O{id}\r\n%s\r\n", len(longValue), longValue)
+	})
+	f.start()
+	defer f.stop()
+	c := f.newClient()
+	c.SetDeadline(time.Now().Add(20 * time.Second))
+	c.sendAndPrint(0, "mg first v O1 Pc=read,d=900\r\nmg second v O2 Pc=read,d=900\r\n")
+	head, _ := c.reader.ReadString('\n')
+	var got strings.Builder
+	for got.Len() < len(longValue)+len("\r\n") { // 7 s
+		n, err := io.CopyN(&got, c.reader, min(60000, int64(len(longValue)+len("\r\n")-got.Len())))
+		if err != nil {
+			fmt.Println("after bytes:", got.Len()+int(n), err)
+			break
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	fmt.Println(strings.TrimSpace(head), got.String() == longValue+"\r\n")
+	fmt.Println("second value whole:", c.readValue(longValue, ""))
+	// Output:
+	// VA 4194304 O1 true
+	// second value whole: true
+}
--- a/internal/routing/value_stream.go
+++ b/internal/routing/value_stream.go
@@ -41,7 +41,7 @@
 // advance forwards the available input, up to the window. Nothing is forwarded until the op is next in the queue.
 func (vs *valueStream) advance() {
 	c, hc := vs.op.client, vs.hostConn
-	if c.pipeline[0] == vs.op {
+	if vs.isNext() {
 		if !vs.started {
 			vs.started = true
 			protocol.WriteStreamHeader(&c.conn.Out, vs.op.command, vs.answer)
@@ -64,8 +64,22 @@
 			return
 		}
 	}
-	hc.router.loop.SetTimer(&vs.progressTimer, progressTimeout)
 	hc.conn.SetPaused(hc.conn.In.Len() > 0)
+	vs.limitProgress()
+}
+
+// isNext reports whether the op is the first in the client's queue, so that its answer may be written.
+func (vs *valueStream) isNext() bool { return vs.op.client.pipeline[0] == vs.op }
+
+// limitProgress restarts the time in which the client or the host has to make progress. A value that has input and
+// waits for its turn depends on neither: those before it have limits of their own.
+func (vs *valueStream) limitProgress() {
+	loop := vs.hostConn.router.loop
+	if !vs.isNext() && vs.source().Len() > 0 {
+		loop.StopTimer(&vs.progressTimer)
+		return
+	}
+	loop.SetTimer(&vs.progressTimer, progressTimeout)
 }
 
 // complete ends the stream after its last byte.
@@ -95,7 +109,7 @@
 
 // onStall ends a stream that has made no progress: either the client does not read or the host does not send.
 func (vs *valueStream) onStall() {
-	if vs.source().Len() > 0 || vs.op.client.conn.Out.Len() > 0 {
+	if vs.isNext() && (vs.source().Len() > 0 || vs.op.client.conn.Out.Len() > 0) {
 		vs.op.client.closeNow(transport.SlowReader)
 		return
 	}
