Dead-letter a long value that is reset before a byte of it was passed on

Its op and those behind it are lost.

Cause: a value that waits for its turn was treated as one that is being passed on. valueStream.abort closed the client in either case, and hostEnded kept the part that had come for a turn at which it could only break off.

Fix: where the host's connection ends and the value can't become whole, a stream of which nothing was passed on ends at once and its op is dead-lettered, which is allowed for an op that may have run. What has begun is cut as before.

Not taken: another push; the balancer holds the op for settled but for its stream.

--- a/internal/routing/value_stream.go
+++ b/internal/routing/value_stream.go
@@ -100,10 +100,14 @@
 }
 
 // hostEnded handles the end of the host's connection. Input received before is still forwarded at the client's
-// pace.
+// pace, unless nothing of an incomplete value has been forwarded yet.
 func (vs *valueStream) hostEnded(reason transport.Reason) {
 	vs.remainder.MoveFrom(&vs.hostConn.conn.In)
 	vs.hostClosed = true
+	if !vs.started && vs.remainder.Len() < vs.answer.StreamSize {
+		vs.abort(reason, balance.ConnBroken)
+		return
+	}
 	vs.advance()
 }
 
@@ -116,16 +120,22 @@
 	vs.abort(transport.PushTimeout, balance.TimedOut)
 }
 
-// abort ends an incomplete stream. It closes the client's connection in the middle of the answer, since the
-// client has no other way to notice.
+// abort ends an incomplete stream. If nothing of the value has been forwarded, the op is dead-lettered. Otherwise
+// abort closes the client's connection in the middle of the answer, since the client has no other way to notice.
 func (vs *valueStream) abort(reason transport.Reason, o balance.Outcome) {
-	hc, p, c := vs.hostConn, vs.hostConn.push, vs.op.client
+	hc, p, op := vs.hostConn, vs.hostConn.push, vs.op
 	hc.close(reason)
 	p.setState(pushEnded)
-	hc.router.counters.byCategory[vs.op.Category].DeadLettered++
-	vs.op.setState(opAnswered)
+	hc.router.counters.byCategory[op.Category].DeadLettered++
+	if !vs.started {
+		protocol.WriteDeadLetter(op.output())
+		op.client.completeOp(op)
+		hc.router.reportEnd(p, o)
+		return
+	}
+	op.setState(opAnswered)
 	hc.router.reportEnd(p, o)
-	c.closeNow(transport.IncompleteAnswer)
+	op.client.closeNow(transport.IncompleteAnswer)
 }
 
 // release detaches the stream from its op and connection and frees its buffers.
