Time limits of clients go by what they read of their answers

Fix: with unsent answers a client is idle only after 5 s without progress, and the time of an idle one counts from the last byte written. The limit of a half-closed connection starts anew with each part that its peer reads, unless all buffers are full.

--- a/cmd/larchthread/clients_test.go
+++ b/cmd/larchthread/clients_test.go
@@ -302,3 +302,35 @@
 	// served: true
 	// closed some: true 300
 }
+
+// Guards against answers that are cut off while their client reads them slowly, but steadily: its connection counted as
+// idle with answers unsent, and all of them had to be read within one limit.
+func Example_steadySlowReader() {
+	f := &fleet{}
+	f.AddHost("a", func(words []string) string {
+		return "VA 60000 O{id}\r\n" + longValue[:60000] + "\r\n"
+	})
+	f.start()
+	defer f.stop()
+	c := f.newClient()
+	c.Conn.(*net.TCPConn).SetReadBuffer(8 << 10)
+	c.SetDeadline(time.Now().Add(30 * time.Second))
+	const reads = 6 // about 10 s
+	for i := range reads {
+		c.sendAndPrint(0, fmt.Sprintf("mg k v O%d Pc=read,d=900\r\n", i))
+		time.Sleep(10 * time.Millisecond)
+	}
+	whole := 0
+	for range reads {
+		time.Sleep(750 * time.Millisecond)
+		if c.readValue(longValue[:60000], "") {
+			whole++
+		}
+	}
+	fmt.Println("answers whole:", whole)
+	time.Sleep(time.Second) // less than idle clients have
+	c.sendAndPrint(1, "mn\r\n")
+	// Output:
+	// answers whole: 6
+	// MN
+}
--- a/internal/routing/client.go
+++ b/internal/routing/client.go
@@ -138,8 +138,10 @@
 	}
 }
 
-// onTimeout closes a connection whose time is over, with an error answer if part of a command has arrived.
+// onTimeout closes a connection whose time is over, with an error answer if part of a command has arrived. A client
+// that still reads answers is not idle; it has progressTimeout for each part of them.
 func (c *client) onTimeout() {
+	idleTime := c.router.loop.Now() - c.conn.LastUsed
 	switch {
 	case c.conn.HasPendingInput(): // the pending input may be the rest or a first op
 		c.router.loop.SetTimer(&c.timer, pendingInputGrace)
@@ -147,6 +149,10 @@
 		c.closeReason = transport.IncompleteCommand
 		c.conn.SetPaused(true)
 		c.dispatch(&protocol.Command{Err: protocol.ErrIncomplete}, true, 0)
+	case c.conn.Out.Len() > 0 && idleTime < progressTimeout: // the client is reading its answers, slowly
+		c.router.loop.SetTimer(&c.timer, progressTimeout-idleTime)
+	case c.proven && idleTime < clientIdleTimeout: // it has read the last one only now
+		c.router.loop.SetTimer(&c.timer, clientIdleTimeout-idleTime)
 	case c.proven:
 		c.closeGracefully(transport.IdleTimeout)
 	default:
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -133,7 +133,8 @@
 }
 
 // HalfClose writes the pending output, then closes the connection once the peer has closed it or a timeout has
-// passed. An immediate close with unread input would discard output in transit. The handler gets no more
+// passed. The peer has halfCloseWriteTimeout for each part of the output that it reads, and for all of it where memory
+// is full, since nothing else could free that output. An immediate close with unread input would discard output in transit. The handler gets no more
 // events.
 func (c *Conn) HalfClose(reason Reason) {
 	if c.status != established {
@@ -295,9 +296,13 @@
 	if c.paused && c.Out.Len() == 0 { // reading was paused because of the unsent output
 		c.loop.ScheduleReceive(c)
 	}
-	if c.status == halfClosing && c.Out.Len() == 0 {
+	switch {
+	case c.status != halfClosing:
+	case c.Out.Len() == 0:
 		unix.Shutdown(c.fd, unix.SHUT_WR)
 		c.loop.SetTimer(&c.halfCloseTimer, halfClosePeerTimeout)
+	case c.Out.Len() < before && !c.loop.Pool.IsFull(): // the peer is reading, slowly
+		c.loop.SetTimer(&c.halfCloseTimer, halfCloseWriteTimeout)
 	}
 	c.updateEvents()
 }
