Tests: an address is given to one process only

Traced: standin.FreeAddress takes a free port and lets go of it, and the system may offer it again. 56 of 1,000 sets of 30 calls have an address twice. The second process of the two can't listen, and the test's discovery, which waits for thirty calls, has 29 until balancers call anew after 3 s.

FreeAddress gives each address once. TestFreeAddressIsGivenOnce failed before and passes 3 of 3 times. No test asks less.

--- a/internal/standin/address.go
+++ b/internal/standin/address.go
@@ -5,17 +5,26 @@
 	"net"
 	"net/netip"
 	"os"
+	"sync"
 )
 
-// FreeAddress returns an unused loopback address on which a program can listen later. It uses an IP address of this process's
-// own, because an outgoing connection from 127.0.0.1 could take the port in the meantime.
+// returned holds the addresses that FreeAddress has returned: the system may offer a port again before it is used.
+var returned sync.Map
+
+// FreeAddress returns an unused loopback address on which a program can listen later, another one with each call. It uses an
+// IP address of this process's own, because an outgoing connection from 127.0.0.1 could take the port in the meantime.
 func FreeAddress() (netip.AddrPort, error) {
-	listener, err := net.Listen("tcp", ownLoopback()+":0")
-	if err != nil {
-		return netip.AddrPort{}, err
+	for {
+		listener, err := net.Listen("tcp", ownLoopback()+":0")
+		if err != nil {
+			return netip.AddrPort{}, err
+		}
+		defer listener.Close() // only at the end, so that the system offers another port if this one is known
+		address := listener.Addr().(*net.TCPAddr).AddrPort()
+		if _, known := returned.LoadOrStore(address, true); !known {
+			return address, nil
+		}
 	}
-	defer listener.Close()
-	return listener.Addr().(*net.TCPAddr).AddrPort(), nil
 }
 
 // ownLoopback returns a loopback IP address derived from the process id.
