--- a/review/rig2/platform.go
+++ b/review/rig2/platform.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -35,6 +36,7 @@
 // discovery stands in for discovery.
 type discovery struct {
 	address string
+	server  *http.Server
 
 	mu       sync.Mutex
 	revision int
@@ -53,10 +55,46 @@
 	for _, m := range members {
 		d.changed[m.ID] = 1
 	}
-	go http.Serve(l, d)
+	d.server = &http.Server{Handler: d, ConnContext: resetAtEnd}
+	go d.server.Serve(l)
 	return d, nil
 }
 
+// resetAtEnd has the end of a connection be a reset.
+func resetAtEnd(ctx context.Context, conn net.Conn) context.Context {
+	conn.(*net.TCPConn).SetLinger(0)
+	return ctx
+}
+
+// outage takes discovery down for some time: open connections are reset, new ones are refused.
+func (d *discovery) outage(r *rig, lasts time.Duration) error {
+	r.note("discovery: down")
+	d.server.Close()
+	time.Sleep(lasts)
+	l, err := net.Listen("tcp", d.address)
+	if err != nil {
+		return err
+	}
+	d.server = &http.Server{Handler: d, ConnContext: resetAtEnd}
+	go d.server.Serve(l)
+	r.note("discovery: back")
+	return nil
+}
+
+// setPhase changes the phase of a member.
+func (d *discovery) setPhase(id, phase string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.revision++
+	for i := range d.members {
+		if d.members[i].ID == id {
+			d.members[i].Phase, d.changed[id] = phase, d.revision
+		}
+	}
+	close(d.news)
+	d.news = make(chan struct{})
+}
+
 // whole returns the whole list.
 func (d *discovery) whole() list {
 	d.mu.Lock()
--- a/review/rig2/rig.go
+++ b/review/rig2/rig.go
@@ -23,6 +23,7 @@
 	"full-table":   fullTable,
 	"repeat-queue": repeatQueue,
 	"order":        order,
+	"drain":        drain,
 	"slow-readers": slowReaders,
 }
 
