--- a/review/rig2/platform.go
+++ b/review/rig2/platform.go
@@ -145,7 +145,7 @@
 type verdict struct {
 	after  time.Duration
 	answer string
-	reset  bool // in place of an answer
+	breaks time.Duration // behind the answer the connection is reset; 0 for not at all
 }
 
 // host stands in for a cache host: commands on a connection are answered in order, those on several side by side.
@@ -203,11 +203,12 @@
 		c.arrived = h.rig.ms()
 		v := h.serve(h, c)
 		time.Sleep(v.after)
-		if v.reset {
-			conn.(*net.TCPConn).SetLinger(0)
+		if _, err := io.WriteString(conn, v.answer); err != nil {
 			return
 		}
-		if _, err := io.WriteString(conn, v.answer); err != nil {
+		if v.breaks > 0 {
+			time.Sleep(v.breaks)
+			conn.(*net.TCPConn).SetLinger(0)
 			return
 		}
 	}
--- a/review/rig2/rig.go
+++ b/review/rig2/rig.go
@@ -24,6 +24,9 @@
 	"repeat-queue": repeatQueue,
 	"order":        order,
 	"drain":        drain,
+	"broken-value": brokenValue,
+	"memory":       heavy,
+	"pipeline":     pipeline,
 	"slow-readers": slowReaders,
 }
 
