--- a/review/rig2/memory.go
+++ b/review/rig2/memory.go
@@ -16,13 +16,13 @@
 )
 
 const (
-	heavyMemory  = 128 // MB
+	heavyMemory  = 192 // MB
 	heavySockets = 1024
 	heavyClients = 60
 	heavyAtOnce  = 250       // commands: a write, and reads behind it
 	heavyBytes   = 60 * 1000 // of a value, under 64 KiB
 	heavyKeys    = 500
-	heavyRounds  = 8
+	heavyRounds  = 5
 	heavyPause   = 3 * time.Second // between two rounds of a client
 	heavyWork    = 10 * time.Millisecond
 	heavyOrigin  = 60 * time.Millisecond // for a write
