--- a/review/rig2/rig.go
+++ b/review/rig2/rig.go
@@ -23,6 +23,7 @@
 	"full-table":   fullTable,
 	"repeat-queue": repeatQueue,
 	"order":        order,
+	"tail":         tail,
 	"drain":        drain,
 	"broken-value": brokenValue,
 	"memory":       heavy,
