--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,4 +1,7 @@
 #!/bin/sh
-# Builds every stand-in that the scripts of the second review start. Needs Go, and nothing beyond its standard library.
-cd "$(dirname "$0")/.." || exit 2
-mkdir -p bin && exec go build -o bin/review-rig2 ./review/rig2
+# Builds what the cases of the second review start, beside the programs of the deploy file.
+set -e
+cd "$(dirname "$0")/.."
+for case in 6 7 8 9 10; do
+  go build -o "review/bin/case$case" "./review/$case"
+done
--- a/review/rig2/fulltable.go
+++ b/review/rig2/fulltable.go
@@ -1,4 +1,4 @@
-package main
+package rig2
 
 import (
 	"bufio"
@@ -19,10 +19,10 @@
 	fullTableHosts = 4
 )
 
-// fullTable fills the balancer's descriptors with connections that say nothing and leave together, while other clients
+// FullTable fills the balancer's descriptors with connections that say nothing and leave together, while other clients
 // come on new connections and ask once. It counts the requests that were read and whose connection was closed with no
 // answer.
-func fullTable(r *rig) (int, error) {
+func FullTable(r *rig) (int, error) {
 	var members []member
 	for i := range fullTableHosts {
 		h, err := newHost(r, fmt.Sprint("box-", i), func(_ *host, c command) verdict {
@@ -41,7 +41,7 @@
 	if err != nil {
 		return 0, err
 	}
-	p, err := r.start("n0", startFile("n0", listen, "", d, 192, 256,
+	p, err := r.start("n0", startFile("n0", listen, d, 192, 256,
 		settings(3, 3, category("log-read", "retryable", 150, 600, 2, 0))), r.dir)
 	if err != nil {
 		return 0, err
--- a/review/rig2/memory.go
+++ b/review/rig2/memory.go
@@ -1,4 +1,4 @@
-package main
+package rig2
 
 import (
 	"bufio"
@@ -30,9 +30,9 @@
 	heavyLook    = 5 * time.Millisecond  // between two looks of the platform at the memory
 )
 
-// heavy has clients send a write and many reads at once while the origin is slow, and kills the balancer, as the
+// Memory has clients send a write and many reads at once while the origin is slow, and kills the balancer, as the
 // platform does, once it holds more memory than it may. It counts these kills.
-func heavy(r *rig) (int, error) {
+func Memory(r *rig) (int, error) {
 	text := strings.Repeat("x", heavyBytes)
 	origin, err := newOrigin(func(w http.ResponseWriter, q *http.Request) {
 		io.Copy(io.Discard, q.Body)
@@ -64,7 +64,7 @@
 	if err != nil {
 		return 0, err
 	}
-	p, err := r.start("n0", startFile("n0", listen, "", d, heavyMemory, heavySockets,
+	p, err := r.start("n0", startFile("n0", listen, d, heavyMemory, heavySockets,
 		settings(3, 3, category("route-lookup", "retryable", 600, 1200, 3, 0), category("redirect", "dedup", 1500, 3000, 10, 2000))), r.dir)
 	if err != nil {
 		return 0, err
--- a/review/rig2/pipeline.go
+++ b/review/rig2/pipeline.go
@@ -1,4 +1,4 @@
-package main
+package rig2
 
 import (
 	"bufio"
@@ -21,9 +21,9 @@
 	pipePause   = 2 * time.Second // between two rounds of a client
 )
 
-// pipeline has clients send many commands at once and read the answers at full speed, and counts the commands whose
+// Pipeline has clients send many commands at once and read the answers at full speed, and counts the commands whose
 // connection ends before their answer has come.
-func pipeline(r *rig) (int, error) {
+func Pipeline(r *rig) (int, error) {
 	text := strings.Repeat("x", pipeBytes)
 	var members []member
 	for i := range 12 {
@@ -43,7 +43,7 @@
 	if err != nil {
 		return 0, err
 	}
-	p, err := r.start("n0", startFile("n0", listen, "", d, pipeMemory, pipeSockets,
+	p, err := r.start("n0", startFile("n0", listen, d, pipeMemory, pipeSockets,
 		settings(3, 3, category("log-read", "retryable", 150, 600, 2, 0))), r.dir)
 	if err != nil {
 		return 0, err
--- a/review/rig2/platform.go
+++ b/review/rig2/platform.go
@@ -1,8 +1,7 @@
-package main
+package rig2
 
 import (
 	"bufio"
-	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -10,7 +9,6 @@
 	"net/http"
 	"strconv"
 	"strings"
-	"sync"
 	"time"
 )
 
@@ -33,16 +31,11 @@
 	Members  []member `json:"members"`
 }
 
-// discovery stands in for discovery.
+// discovery stands in for discovery. Its list stays as it is.
 type discovery struct {
 	address string
-	server  *http.Server
 
-	mu       sync.Mutex
-	revision int
-	members  []member
-	changed  map[string]int // the revision at which each entry changed last
-	news     chan struct{}  // closed with the next change
+	members []member
 }
 
 // newDiscovery starts a discovery that lists the members.
@@ -51,83 +44,25 @@
 	if err != nil {
 		return nil, err
 	}
-	d := &discovery{address: l.Addr().String(), revision: 1, members: members, changed: map[string]int{}, news: make(chan struct{})}
-	for _, m := range members {
-		d.changed[m.ID] = 1
-	}
-	d.server = &http.Server{Handler: d, ConnContext: resetAtEnd}
-	go d.server.Serve(l)
+	d := &discovery{address: l.Addr().String(), members: members}
+	go http.Serve(l, d)
 	return d, nil
 }
 
-// resetAtEnd has the end of a connection be a reset.
-func resetAtEnd(ctx context.Context, conn net.Conn) context.Context {
-	conn.(*net.TCPConn).SetLinger(0)
-	return ctx
-}
-
-// outage takes discovery down for some time: open connections are reset, new ones are refused.
-func (d *discovery) outage(r *rig, lasts time.Duration) error {
-	r.note("discovery: down")
-	d.server.Close()
-	time.Sleep(lasts)
-	l, err := net.Listen("tcp", d.address)
-	if err != nil {
-		return err
-	}
-	d.server = &http.Server{Handler: d, ConnContext: resetAtEnd}
-	go d.server.Serve(l)
-	r.note("discovery: back")
-	return nil
-}
-
-// setPhase changes the phase of a member.
-func (d *discovery) setPhase(id, phase string) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.revision++
-	for i := range d.members {
-		if d.members[i].ID == id {
-			d.members[i].Phase, d.changed[id] = phase, d.revision
-		}
-	}
-	close(d.news)
-	d.news = make(chan struct{})
-}
-
 // whole returns the whole list.
-func (d *discovery) whole() list {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return list{d.revision, true, append([]member{}, d.members...)}
-}
+func (d *discovery) whole() list { return list{1, true, d.members} }
 
-// ServeHTTP answers a call for the list, or a watch.
+// ServeHTTP answers a call for the list, or a watch, which is told that nothing has changed.
 func (d *discovery) ServeHTTP(w http.ResponseWriter, q *http.Request) {
-	index, err := strconv.Atoi(q.FormValue("index"))
 	answer := d.whole()
-	if err == nil {
+	if index, err := strconv.Atoi(q.FormValue("index")); err == nil && index == answer.Revision {
 		wait, _ := strconv.Atoi(q.FormValue("wait"))
-		d.mu.Lock()
-		news, current := d.news, d.revision
-		d.mu.Unlock()
-		if current == index {
-			select {
-			case <-news:
-			case <-time.After(time.Duration(wait) * time.Millisecond):
-			case <-q.Context().Done():
-				return
-			}
-		}
-		answer = list{Members: []member{}}
-		d.mu.Lock()
-		answer.Revision = d.revision
-		for _, m := range d.members {
-			if d.changed[m.ID] > index {
-				answer.Members = append(answer.Members, m)
-			}
+		select {
+		case <-time.After(time.Duration(wait) * time.Millisecond):
+		case <-q.Context().Done():
+			return
 		}
-		d.mu.Unlock()
+		answer.Complete, answer.Members = false, []member{}
 	}
 	text, _ := json.Marshal(answer)
 	w.Header().Set("Content-Type", "application/json")
@@ -145,7 +80,6 @@
 type verdict struct {
 	after  time.Duration
 	answer string
-	breaks time.Duration // behind the answer the connection is reset; 0 for not at all
 }
 
 // host stands in for a cache host: commands on a connection are answered in order, those on several side by side.
@@ -206,11 +140,6 @@
 		if _, err := io.WriteString(conn, v.answer); err != nil {
 			return
 		}
-		if v.breaks > 0 {
-			time.Sleep(v.breaks)
-			conn.(*net.TCPConn).SetLinger(0)
-			return
-		}
 	}
 }
 
--- a/review/rig2/repeatqueue.go
+++ b/review/rig2/repeatqueue.go
@@ -1,4 +1,4 @@
-package main
+package rig2
 
 import (
 	"bufio"
@@ -82,9 +82,9 @@
 	return loses
 }
 
-// repeatQueue loses answers of the origin to deduplicated writes, under load, and counts the repeats that come when
+// RepeatQueue loses answers of the origin to deduplicated writes, under load, and counts the repeats that come when
 // their mark is forgotten.
-func repeatQueue(r *rig) (int, error) {
+func RepeatQueue(r *rig) (int, error) {
 	o := &slowOrigin{rig: r, places: make(chan struct{}, originPlaces), random: rand.New(rand.NewSource(1)),
 		attempts: map[string][]attempt{}}
 	origin, err := newOrigin(o.ServeHTTP)
@@ -112,7 +112,7 @@
 	told := settings(3, 3, category("route-lookup", "retryable", 600, 1200, 3, 0),
 		category("redirect", "dedup", 1500, 3000, 10, repeatWindow))
 	told["benefitBy"] = "request"
-	p, err := r.start("n0", startFile("n0", listen, "", d, 192, 1024, told), r.dir)
+	p, err := r.start("n0", startFile("n0", listen, d, 192, 1024, told), r.dir)
 	if err != nil {
 		return 0, err
 	}
--- a/review/rig2/tail.go
+++ b/review/rig2/tail.go
@@ -1,4 +1,4 @@
-package main
+package rig2
 
 import (
 	"bufio"
@@ -23,9 +23,9 @@
 	tailFor     = 24 * time.Second
 )
 
-// tail has clients read answers slowly and send their next command before they have read all of one. It counts the
+// Tail has clients read answers slowly and send their next command before they have read all of one. It counts the
 // answers that the balancer cut off.
-func tail(r *rig) (int, error) {
+func Tail(r *rig) (int, error) {
 	text := strings.Repeat("x", tailBytes)
 	var members []member
 	for i := range 6 {
@@ -45,7 +45,7 @@
 	if err != nil {
 		return 0, err
 	}
-	p, err := r.start("n0", startFile("n0", listen, "", d, 192, tailSockets,
+	p, err := r.start("n0", startFile("n0", listen, d, 192, tailSockets,
 		settings(3, 3, category("stav-batoziny", "retryable", 300, 750, 1, 0))), r.dir)
 	if err != nil {
 		return 0, err
