--- a/review/rig2/memory.go
+++ b/review/rig2/memory.go
@@ -16,7 +16,7 @@
 )
 
 const (
-	heavyMemory  = 192 // MB
+	heavyMemory  = 144 // MB
 	heavySockets = 1024
 	heavyClients = 60
 	heavyAtOnce  = 250       // commands: a write, and reads behind it
