--- a/review/rig2/fulltable.go
+++ b/review/rig2/fulltable.go
@@ -15,6 +15,7 @@
 	crowdSize      = 300 // idle connections of the crowd
 	crowdStays     = 150 * time.Millisecond
 	usualClients   = 32
+	usualPause     = 25 * time.Millisecond
 	fullTableFor   = 60 * time.Second
 	fullTableHosts = 4
 )
@@ -70,7 +71,7 @@
 					unread.Add(1)
 					r.note("client %d: %s: %q %v", i, id, line, err)
 				}
-				time.Sleep(2 * time.Millisecond)
+				time.Sleep(usualPause)
 			}
 		})
 	}
--- a/review/rig2/memory.go
+++ b/review/rig2/memory.go
@@ -18,12 +18,12 @@
 const (
 	heavyMemory  = 144 // MB
 	heavySockets = 1024
-	heavyClients = 60
+	heavyClients = 40
 	heavyAtOnce  = 250       // commands: a write, and reads behind it
 	heavyBytes   = 60 * 1000 // of a value, under 64 KiB
 	heavyKeys    = 500
-	heavyRounds  = 5
-	heavyPause   = 3 * time.Second // between two rounds of a client
+	heavyRounds  = 3
+	heavyPause   = 8 * time.Second // between two rounds of a client
 	heavyWork    = 10 * time.Millisecond
 	heavyOrigin  = 60 * time.Millisecond // for a write
 	heavySlower  = 8                     // times that the origin is slower
--- a/review/rig2/pipeline.go
+++ b/review/rig2/pipeline.go
@@ -17,8 +17,8 @@
 	pipeAtOnce  = 100       // commands
 	pipeBytes   = 60 * 1000 // of a value, under 64 KiB
 	pipeKeys    = 500
-	pipeRounds  = 12
-	pipePause   = 2 * time.Second // between two rounds of a client
+	pipeRounds  = 6
+	pipePause   = 5 * time.Second // between two rounds of a client
 )
 
 // Pipeline has clients send many commands at once and read the answers at full speed, and counts the commands whose
--- a/review/rig2/repeatqueue.go
+++ b/review/rig2/repeatqueue.go
@@ -15,13 +15,15 @@
 const (
 	repeatWindow  = 400.0 // ms for which a repeat is dropped
 	repeatSlack   = 50.0  // ms by which each time limit is longer on sockets
-	repeatFor     = 84 * time.Second
+	repeatFor     = 43 * time.Second
+	resetsFrom    = 5000.0  // ms since the run began
+	resetsTo      = 40000.0 // ms
 	originPlaces  = 4
 	originWork    = 60 * time.Millisecond
 	resetShare    = 0.35
 	writeShare    = 0.25 // of the reads that boxes lack
-	burstEvery    = 14 * time.Second
-	burstFor      = 7 * time.Second
+	burstEvery    = 11 * time.Second
+	burstFor      = 8 * time.Second
 	readsEvery    = 39 * time.Millisecond
 	repeatClients = 60
 )
@@ -69,7 +71,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	at, before := o.rig.ms(), o.attempts[id]
-	loses := o.rig.trouble && len(before) == 0 && o.random.Float64() < resetShare
+	loses := o.rig.trouble && at > resetsFrom && at < resetsTo && len(before) == 0 && o.random.Float64() < resetShare
 	o.attempts[id] = append(before, attempt{at, true})
 	if len(before) > 0 {
 		behind := at - before[0].at
--- a/review/rig2/tail.go
+++ b/review/rig2/tail.go
@@ -20,11 +20,12 @@
 	tailPause   = 180 * time.Millisecond // between two pieces that a client reads
 	tailNext    = 60 << 10               // bytes of an answer that are left when the next command is sent, at the most
 	tailRest    = time.Second            // of a client that reads at full speed, behind each answer
-	tailFor     = 24 * time.Second
+	tailSlow    = 12                     // clients that read slowly; one in seven
+	tailFor     = 30 * time.Second
 )
 
-// Tail has clients read answers slowly and send their next command before they have read all of one. It counts the
-// answers that the balancer cut off.
+// Tail has some clients read answers slowly. All send their next command before they have read all of an answer. It
+// counts the answers that the balancer cut off.
 func Tail(r *rig) (int, error) {
 	text := strings.Repeat("x", tailBytes)
 	var members []member
@@ -60,7 +61,7 @@
 			random := rand.New(rand.NewSource(int64(i)))
 			time.Sleep(time.Duration(random.Int63n(int64(tailRest))))
 			for n := 0; time.Now().Before(t.end); n++ {
-				t.read(fmt.Sprintf("t%dn%d", i, n), i, random)
+				t.read(fmt.Sprintf("t%dn%d", i, n), i, r.trouble && i < tailSlow, random)
 			}
 		})
 	}
@@ -82,7 +83,7 @@
 }
 
 // read asks for values on one connection, one after another, until the connection ends.
-func (t *tailReaders) read(name string, client int, random *rand.Rand) {
+func (t *tailReaders) read(name string, client int, slow bool, random *rand.Rand) {
 	conn, err := net.Dial("tcp", t.listen)
 	if err != nil {
 		t.rig.note("client %d: %v", client, err)
@@ -90,7 +91,7 @@
 		return
 	}
 	defer conn.Close()
-	if t.rig.trouble {
+	if slow {
 		conn.(*net.TCPConn).SetReadBuffer(tailPiece)
 	}
 	in, sent := bufio.NewReaderSize(conn, 256), 0
@@ -115,7 +116,7 @@
 		left, asked := tailBytes+2, false
 		early := random.Intn(tailNext)
 		for left > 0 {
-			if t.rig.trouble {
+			if slow {
 				time.Sleep(tailPause)
 			}
 			n, err := io.CopyN(io.Discard, in, int64(min(left, tailPiece)))
@@ -131,7 +132,7 @@
 			}
 		}
 		t.whole.Add(1)
-		if !t.rig.trouble {
+		if !slow {
 			time.Sleep(tailRest)
 		}
 		if !asked {
