--- a/review/rig2/fulltable.go
+++ b/review/rig2/fulltable.go
@@ -13,7 +13,7 @@
 
 const (
 	crowdSize      = 300 // idle connections of the crowd
-	crowdStays     = 150 * time.Millisecond
+	crowdStays     = 60 * time.Millisecond
 	usualClients   = 32
 	usualPause     = 25 * time.Millisecond
 	fullTableFor   = 60 * time.Second
--- a/review/rig2/pipeline.go
+++ b/review/rig2/pipeline.go
@@ -18,7 +18,8 @@
 	pipeBytes   = 60 * 1000 // of a value, under 64 KiB
 	pipeKeys    = 500
 	pipeRounds  = 6
-	pipePause   = 5 * time.Second // between two rounds of a client
+	pipePause   = 5 * time.Second      // between two rounds of a client
+	pipeApart   = 8 * time.Millisecond // between the rounds of two clients
 )
 
 // Pipeline has clients send many commands at once and read the answers at full speed, and counts the commands whose
@@ -59,7 +60,7 @@
 	var served, refused, failed, lost atomic.Int64
 	for i := range pipeClients {
 		all.Go(func() {
-			time.Sleep(time.Duration(i) * pipePause / pipeClients / 4)
+			time.Sleep(time.Duration(i) * pipeApart)
 			for n := range pipeRounds {
 				next := time.Now().Add(pipePause)
 				conn, err := net.Dial("tcp", listen)
--- a/review/rig2/rig.go
+++ b/review/rig2/rig.go
@@ -10,6 +10,7 @@
 	"net"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -40,12 +41,16 @@
 	defer os.RemoveAll(dir)
 	r := &rig{file: file, dir: dir, began: time.Now(), trouble: os.Getenv("TROUBLE") != "0"}
 	defer r.endAll()
-	time.AfterFunc(115*time.Second, func() {
-		r.note("the case takes too long")
+	giveUp := func(why string) {
+		r.note("given up: %s", why)
 		r.endAll()
 		os.RemoveAll(dir)
 		os.Exit(2)
-	})
+	}
+	time.AfterFunc(115*time.Second, func() { giveUp("the case takes too long") })
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
+	go func() { giveUp((<-stop).String()) }()
 	broken, err := play(r)
 	switch {
 	case err != nil:
