Review, case 7: many commands at once as the one disruption, with room on both sides

Case 9 lasts longer, the records of cases 7 and 10 have each connection, and case 6 keeps the errors of its clients apart.

--- a/review/rig2/fulltable.go
+++ b/review/rig2/fulltable.go
@@ -16,7 +16,7 @@
 	crowdStays     = 60 * time.Millisecond
 	usualClients   = 32
 	usualPause     = 25 * time.Millisecond
-	fullTableFor   = 60 * time.Second
+	fullTableFor   = 90 * time.Second
 	fullTableHosts = 4
 )
 
--- a/review/rig2/memory.go
+++ b/review/rig2/memory.go
@@ -16,7 +16,7 @@
 )
 
 const (
-	heavyMemory  = 144 // MB
+	heavyMemory  = 64 // MB
 	heavySockets = 1024
 	heavyClients = 40
 	heavyAtOnce  = 250       // commands: a write, and reads behind it
@@ -24,23 +24,18 @@
 	heavyKeys    = 500
 	heavyRounds  = 3
 	heavyPause   = 8 * time.Second // between two rounds of a client
-	heavyWork    = 10 * time.Millisecond
-	heavyOrigin  = 60 * time.Millisecond // for a write
-	heavySlower  = 8                     // times that the origin is slower
-	heavyLook    = 5 * time.Millisecond  // between two looks of the platform at the memory
+	heavyWork    = 2 * time.Millisecond
+	heavyOrigin  = 250 * time.Millisecond // for a write
+	heavyLook    = 5 * time.Millisecond   // between two looks of the platform at the memory
 )
 
-// Memory has clients send a write and many reads at once while the origin is slow, and kills the balancer, as the
-// platform does, once it holds more memory than it may. It counts these kills.
+// Memory has clients send a write and many reads at once, and kills the balancer, as the platform does, once it holds
+// more memory than it may. It counts these kills. Without the disruption the same commands are sent one after another.
 func Memory(r *rig) (int, error) {
 	text := strings.Repeat("x", heavyBytes)
 	origin, err := newOrigin(func(w http.ResponseWriter, q *http.Request) {
 		io.Copy(io.Discard, q.Body)
-		work := heavyOrigin
-		if r.trouble {
-			work *= heavySlower
-		}
-		time.Sleep(work)
+		time.Sleep(heavyOrigin)
 		io.WriteString(w, "r1")
 	})
 	if err != nil {
@@ -74,47 +69,57 @@
 	}
 	stop, killed := make(chan struct{}), make(chan bool, 1)
 	go func() { killed <- r.boundMemory(p, heavyMemory, stop) }()
+	atOnce := 1
+	if r.trouble {
+		atOnce = heavyAtOnce
+	}
 	var all sync.WaitGroup
 	var served, refused, failed, lost atomic.Int64
 	for i := range heavyClients {
 		all.Go(func() {
 			time.Sleep(time.Duration(i) * time.Millisecond)
-			for n := range heavyRounds {
+			for n := 0; n < heavyRounds && !p.hasEnded(); n++ {
 				next := time.Now().Add(heavyPause)
 				conn, err := net.Dial("tcp", listen)
 				if err != nil {
 					return
 				}
-				in := bufio.NewReader(conn)
-				var commands strings.Builder
-				fmt.Fprintf(&commands, "ms u:w%d 5 Ow%dn%d Pc=redirect,d=3000,k=m%dn%d\r\nhello\r\n", i, i, n, i, n)
-				for j := range heavyAtOnce - 1 {
-					fmt.Fprintf(&commands, "mg u:k%d v Op%dn%dj%d Pc=route-lookup,d=1200\r\n", (i*31+j)%500, i, n, j)
-				}
-				conn.SetDeadline(time.Now().Add(5 * time.Second))
-				conn.Write([]byte(commands.String()))
-				for j := range heavyAtOnce {
-					var line string
-					if line, err = readAnswer(in); err != nil {
-						lost.Add(int64(heavyAtOnce - j))
-						break
+				in, answers := bufio.NewReader(conn), 0
+				for first := 0; first < heavyAtOnce && err == nil; first += atOnce {
+					var commands strings.Builder
+					for j := first; j < first+atOnce; j++ {
+						commands.WriteString(heavyCommand(i, n, j))
 					}
-					switch {
-					case strings.HasPrefix(line, "VA "), strings.HasPrefix(line, "HD "):
-						served.Add(1)
-					case strings.HasPrefix(line, "SERVER_ERROR busy"):
-						refused.Add(1)
-					default:
-						failed.Add(1)
+					conn.SetDeadline(time.Now().Add(5 * time.Second))
+					conn.Write([]byte(commands.String()))
+					for j := range atOnce {
+						var line string
+						if line, err = readAnswer(in); err != nil {
+							lost.Add(int64(heavyAtOnce - first - j))
+							break
+						}
+						answers++
+						switch {
+						case strings.HasPrefix(line, "VA "), strings.HasPrefix(line, "HD "):
+							served.Add(1)
+						case strings.HasPrefix(line, "SERVER_ERROR busy"):
+							refused.Add(1)
+						default:
+							failed.Add(1)
+						}
 					}
 				}
 				conn.Close()
-				time.Sleep(time.Until(next))
+				r.note("client %d: round %d: a write and %d reads sent, %d at once; %d answers, %v", i, n, heavyAtOnce-1, atOnce, answers, err)
+				select {
+				case <-p.ended:
+				case <-time.After(time.Until(next)):
+				}
 			}
 		})
 	}
 	all.Wait()
-	r.note("served %d, refused %d, failed %d, lost %d", served.Load(), refused.Load(), failed.Load(), lost.Load())
+	r.note("served %d, refused %d, failed %d, not answered %d", served.Load(), refused.Load(), failed.Load(), lost.Load())
 	close(stop)
 	switch {
 	case <-killed:
@@ -125,6 +130,14 @@
 	return 0, nil
 }
 
+// heavyCommand returns a command of a client in one of its rounds: first a write, then reads.
+func heavyCommand(client, round, n int) string {
+	if n == 0 {
+		return fmt.Sprintf("ms u:w%d 5 Ow%dn%d Pc=redirect,d=3000,k=m%dn%d\r\nhello\r\n", client, client, round, client, round)
+	}
+	return fmt.Sprintf("mg u:k%d v Op%dn%dj%d Pc=route-lookup,d=1200\r\n", (client*31+n)%heavyKeys, client, round, n)
+}
+
 // boundMemory kills a balancer once it holds more memory than it may, the pages of files left out, and tells whether
 // it did.
 func (r *rig) boundMemory(p *process, limit int, stop chan struct{}) bool {
--- a/review/rig2/pipeline.go
+++ b/review/rig2/pipeline.go
@@ -69,7 +69,7 @@
 					time.Sleep(time.Until(next))
 					continue
 				}
-				in := bufio.NewReader(conn)
+				in, answers := bufio.NewReader(conn), 0
 				for first := 0; first < pipeAtOnce && err == nil; first += atOnce {
 					var commands strings.Builder
 					for j := first; j < first+atOnce; j++ {
@@ -85,6 +85,7 @@
 							lost.Add(int64(atOnce - j))
 							break
 						}
+						answers++
 						switch {
 						case strings.HasPrefix(line, "VA "):
 							served.Add(1)
@@ -96,6 +97,7 @@
 					}
 				}
 				conn.Close()
+				r.note("client %d: round %d: %d reads sent, %d at once; %d answers", i, n, pipeAtOnce, atOnce, answers)
 				time.Sleep(time.Until(next))
 			}
 		})
--- a/review/rig2/repeatqueue.go
+++ b/review/rig2/repeatqueue.go
@@ -127,6 +127,7 @@
 		all.Go(func() {
 			var conn net.Conn
 			var in *bufio.Reader
+			var err error
 			for text := range work {
 				if conn == nil {
 					if conn, err = net.Dial("tcp", listen); err != nil {
