Count the memory of commands and of their answers before a command is read

Cause, one for both: every command that has been read is dispatched, and nothing bounds what the answers take that wait for their turn or for their client. As the pool was full, Router.evictForMemory closed the client with the most unsent output, whether it read or not. Lines and short answers that wait were counted nowhere.

Change: memoryBudget counts buffers, open commands and the expected answers. A command behind others waits unread for room; a first one is nacked where there is none. Clients that stall are closed a little before the limit, those that read slowly only over it. A client that is held back and reads nothing for 5 s is closed: it was kept for good. A command keeps its line in place of a list of its fields.

Example_slowReader asked that a client is closed that reads nothing, as memory was full; memory no longer fills up there, so it now asks that another client gets its whole value, and that those clients are closed all the same, for 5 s of stalling.

--- a/balance/limits.go
+++ b/balance/limits.go
@@ -73,7 +73,13 @@
 	if b.admitShare == 1 || b.rng.uniform() < b.admitShare {
 		return true, 0
 	}
-	return false, b.backoff(b.maxInputWait / inputWaitShare)
+	return false, b.AdmissionBackoff()
+}
+
+// AdmissionBackoff returns the backoff in ms for an op of unknown category that is refused because this
+// process lacks capacity.
+func (b *Balancer) AdmissionBackoff() float64 {
+	return b.backoff(b.maxInputWait / inputWaitShare)
 }
 
 // RefusalBackoff returns the backoff in ms for an op of a category that the frontend refuses unseen.
--- a/cmd/larchthread/clients_test.go
+++ b/cmd/larchthread/clients_test.go
@@ -272,14 +272,14 @@
 	c := f.newClient()
 	c.sendAndPrint(1, "mn\r\n")
 	io.WriteString(c, "mg k v O2 Pc=read,d=500\r\n")
-	line, err := c.reader.ReadString('\n')
-	fmt.Println(len(line) > 0, err)
+	fmt.Println("served:", c.readValue(strings.Repeat("x", 60000), "mg k v O3 Pc=read,d=500\r\n"))
+	time.Sleep(5500 * time.Millisecond) // longer than a client may read nothing
 	f.stop()
-	fmt.Println("closed some:", strings.Count(f.log.String(), "reason=slow-reader") > 0)
+	fmt.Println("closed most:", f.endReasons()["slow-reader"] > 20)
 	// Output:
 	// MN
-	// true <nil>
-	// closed some: true
+	// served: true
+	// closed most: true
 }
 
 // Clients that send half of a large command cost other clients neither memory nor service.
--- a/internal/protocol/answer.go
+++ b/internal/protocol/answer.go
@@ -150,12 +150,11 @@
 
 // parseAnswer parses the line of an answer. It returns the size of the value that follows in bytes.
 func parseAnswer(line string) (*Answer, int, error) {
-	fields := splitFields(line)
-	if len(fields) == 0 {
+	word, flags := cutField(line)
+	a, size := &Answer{}, 0
+	switch word {
+	case "":
 		return nil, 0, fmt.Errorf("an empty line")
-	}
-	a, size, flags := &Answer{}, 0, fields[1:]
-	switch fields[0] {
 	case "VA":
 		var err error
 		if size, flags, err = takeLength("VA", flags); err != nil {
@@ -168,7 +167,7 @@
 		a.Kind = Miss
 	case "SERVER_ERROR":
 		a.Kind = Failure
-		if len(flags) > 0 && flags[0] == "busy" {
+		if reason, _ := cutField(flags); reason == "busy" {
 			a.Kind = Busy
 		}
 		return a, 0, nil
@@ -176,9 +175,9 @@
 		a.Kind, a.ErrorText = ClientError, line
 		return a, 0, nil
 	default:
-		return nil, 0, fmt.Errorf("unknown answer %q", truncate(fields[0]))
+		return nil, 0, fmt.Errorf("unknown answer %q", truncate(word))
 	}
-	for _, f := range flags {
+	for f := range fields(flags) {
 		switch f[0] {
 		case 'O':
 			a.ID = f[1:]
--- a/internal/protocol/command.go
+++ b/internal/protocol/command.go
@@ -8,7 +8,7 @@
 	"bytes"
 	"errors"
 	"fmt"
-	"slices"
+	"iter"
 	"strconv"
 	"strings"
 
@@ -21,7 +21,6 @@
 	maxLineBytes          = 4 << 10 // fits a key, an id and the attributes
 	maxKeyBytes           = 250     // limit of memcache
 	maxTTL                = 1e9     // ms, about eleven days: more is an error of the client
-	usualAttrs            = 4       // attributes of a command that take no second allocation
 	maxHeadLines          = 64      // lines of an HTTP head
 	maxLoadValues         = 16      // values of a load report
 	maxBodyBytes          = 8 << 20 // fits a list of tens of thousands of hosts
@@ -45,15 +44,16 @@
 	ID       string // from flag O
 	Category string
 	TTL      float64 // ms that the client waits for the answer
-	Attrs    []Attr  // from flag P, unparsed
 	Value    transport.Chain
 	NoValue  bool  // its value was discarded, see CommandReader.DiscardValue
 	Err      error // why the command can't be served, or nil; the commands after it can still be read
 
-	flags []string
+	LineBytes int // bytes of its line, which it keeps in memory
+
+	flags string // the part of the line behind the key and the length
 }
 
-// Attr is a named attribute of a command or a value of a load report.
+// Attr is a named value of a load report.
 type Attr struct{ Name, Value string }
 
 // CommandReader parses commands from the bytes of one connection.
@@ -219,12 +219,11 @@
 // has its Err set. An error is returned only where the length of the value is invalid, as the bytes after the line
 // can't be read then.
 func parseCommand(line string) (*Command, int, error) {
-	fields := splitFields(line)
-	if len(fields) == 0 {
+	verb, rest := cutField(line)
+	c, size := &Command{LineBytes: len(line)}, 0
+	switch verb {
+	case "":
 		return &Command{Err: errors.New("an empty line")}, 0, nil
-	}
-	c, size, args := &Command{}, 0, fields[1:]
-	switch fields[0] {
 	case "mn":
 		c.Verb = Ping
 		return c, 0, nil
@@ -233,31 +232,30 @@
 	case "ms":
 		c.Verb = Set
 	default:
-		return &Command{Err: fmt.Errorf("unknown command %q", truncate(fields[0]))}, 0, nil
-	}
-	if len(args) > 0 {
-		c.Key, args = args[0], args[1:]
+		return &Command{Err: fmt.Errorf("unknown command %q", truncate(verb))}, 0, nil
 	}
+	c.Key, c.flags = cutField(rest)
 	if c.Verb == Set {
 		var err error
-		if size, args, err = takeLength("ms", args); err != nil {
+		if size, c.flags, err = takeLength("ms", c.flags); err != nil {
 			return nil, 0, err
 		}
 	}
-	c.flags = args
 	c.Err = c.parseFlags()
 	return c, size, nil
 }
 
-// takeLength parses the value's length, which is the first of args, and returns the other args. Errors begin with verb.
-func takeLength(verb string, args []string) (size int, rest []string, err error) {
-	if len(args) == 0 {
-		return 0, nil, fmt.Errorf("%s: no length", verb)
+// takeLength parses the value's length, which is the first field of a line, and returns the rest of the line. Errors
+// begin with verb.
+func takeLength(verb, line string) (size int, rest string, err error) {
+	length, rest := cutField(line)
+	if length == "" {
+		return 0, "", fmt.Errorf("%s: no length", verb)
 	}
-	if size, err = parseDigits(args[0], maxValueBytes); err != nil {
-		return 0, nil, fmt.Errorf("%s: length %q, want 0 to %d", verb, truncate(args[0]), maxValueBytes)
+	if size, err = parseDigits(length, maxValueBytes); err != nil {
+		return 0, "", fmt.Errorf("%s: length %q, want 0 to %d", verb, truncate(length), maxValueBytes)
 	}
-	return size, args[1:], nil
+	return size, rest, nil
 }
 
 // parseDigits parses a number from 0 to limit. It accepts digits only: a sign or a base prefix may mean something else
@@ -273,17 +271,31 @@
 	return n, nil
 }
 
-// splitFields splits a line at its blanks.
-func splitFields(line string) []string {
-	return strings.FieldsFunc(line, func(r rune) bool { return r == ' ' })
+// cutField returns the first field of a line, which ends at a blank, and the rest of the line. The field is empty where
+// the line has none.
+func cutField(line string) (field, rest string) {
+	field, rest, _ = strings.Cut(strings.TrimLeft(line, " "), " ")
+	return field, rest
+}
+
+// fields returns the fields of a line one after another. No list of them is made: it would take many times the line's
+// memory where fields are short.
+func fields(line string) iter.Seq[string] {
+	return strings.FieldsFuncSeq(line, func(r rune) bool { return r == ' ' })
 }
 
 // parseFlags sets the fields of the command from its flags, and returns what is missing or invalid.
 func (c *Command) parseFlags() error {
-	if !isToken(c.Key) || slices.ContainsFunc(c.flags, func(f string) bool { return !isToken(f) }) {
-		return errors.New("a control character in the line")
+	if !isToken(c.Key) {
+		return errControlCharacter
 	}
-	for _, f := range c.flags {
+	for f := range fields(c.flags) {
+		if !isToken(f) {
+			return errControlCharacter
+		}
+	}
+	hasAttrs := false
+	for f := range fields(c.flags) {
 		switch f[0] {
 		case 'O':
 			if c.ID != "" {
@@ -291,26 +303,12 @@
 			}
 			c.ID = f[1:]
 		case 'P':
-			if c.Attrs != nil {
+			if hasAttrs {
 				return errors.New("P: twice")
 			}
-			c.Attrs = make([]Attr, 0, usualAttrs)
-			for pair := range strings.SplitSeq(f[1:], ",") {
-				name, value, _ := strings.Cut(pair, "=")
-				c.Attrs = append(c.Attrs, Attr{name, value})
-				switch name {
-				case "c":
-					if c.Category != "" {
-						return errors.New("c: twice")
-					}
-					c.Category = value
-				case "d":
-					ms, err := strconv.ParseFloat(value, 64)
-					if err != nil || strings.Trim(value, "0123456789.") != "" || ms > maxTTL || c.TTL > 0 {
-						return fmt.Errorf("d: %q, want milliseconds", truncate(value))
-					}
-					c.TTL = ms
-				}
+			hasAttrs = true
+			if err := c.parseAttrs(f[1:]); err != nil {
+				return err
 			}
 		}
 	}
@@ -329,24 +327,61 @@
 	return nil
 }
 
+// errControlCharacter is the error of a line with a control character, or with a field that is too long.
+var errControlCharacter = errors.New("a control character in the line")
+
+// parseAttrs sets the category and the TTL from the attributes.
+func (c *Command) parseAttrs(attrs string) error {
+	for pair := range strings.SplitSeq(attrs, ",") {
+		name, value, _ := strings.Cut(pair, "=")
+		switch name {
+		case "c":
+			if c.Category != "" {
+				return errors.New("c: twice")
+			}
+			c.Category = value
+		case "d":
+			ms, err := strconv.ParseFloat(value, 64)
+			if err != nil || strings.Trim(value, "0123456789.") != "" || ms > maxTTL || c.TTL > 0 {
+				return fmt.Errorf("d: %q, want milliseconds", truncate(value))
+			}
+			c.TTL = ms
+		}
+	}
+	return nil
+}
+
 // truncate limits text that is quoted in an error to 40 bytes.
 func truncate(s string) string { return s[:min(len(s), 40)] }
 
 // writeAttrs writes the attributes, with d in place of the client's own value of d.
-func (c *Command) writeAttrs(out *transport.Chain, d int) {
+func writeAttrs(out *transport.Chain, attrs string, d int) {
 	var digits [20]byte
-	for i, a := range c.Attrs {
-		if i > 0 {
+	first := true
+	for pair := range strings.SplitSeq(attrs, ",") {
+		if !first {
 			out.WriteString(",")
 		}
-		out.WriteString(a.Name)
+		first = false
+		name, value, _ := strings.Cut(pair, "=")
+		out.WriteString(name)
 		out.WriteString("=")
-		if a.Name == "d" {
+		if name == "d" {
 			out.Write(strconv.AppendInt(digits[:0], int64(d), 10))
 		} else {
-			out.WriteString(a.Value)
+			out.WriteString(value)
+		}
+	}
+}
+
+// attrs returns the attributes of the command, from its flag P.
+func (c *Command) attrs() string {
+	for f := range fields(c.flags) {
+		if f[0] == 'P' {
+			return f[1:]
 		}
 	}
+	return ""
 }
 
 // ValueWriter copies a command's value to a connection piece by piece, so that a long value is not held in memory
@@ -383,10 +418,10 @@
 		out.WriteString("mg ")
 		out.WriteString(c.Key)
 	}
-	for _, f := range c.flags {
+	for f := range fields(c.flags) {
 		if f[0] == 'P' {
 			out.WriteString(" P")
-			c.writeAttrs(out, d)
+			writeAttrs(out, f[1:], d)
 		} else {
 			out.WriteString(" ")
 			out.WriteString(f)
--- a/internal/protocol/http.go
+++ b/internal/protocol/http.go
@@ -312,7 +312,7 @@
 	}
 	fmt.Fprintf(out, "%s /%s HTTP/1.1\r\nHost: %s\r\nX-Request-ID: %s\r\nX-Attrs: ", method,
 		url.PathEscape(c.Key), host, c.ID)
-	c.writeAttrs(out, d)
+	writeAttrs(out, c.attrs(), d)
 	if c.Verb == Set {
 		fmt.Fprintf(out, "\r\nContent-Length: %d", c.Value.Len())
 	}
--- a/internal/routing/client.go
+++ b/internal/routing/client.go
@@ -29,6 +29,9 @@
 	trailingNacks []byte          // nacks for the commands right after it that were rejected unread
 	stream        *valueStream    // of its large answer, or nil
 	reservedBytes int             // buffer bytes reserved for its large value
+	heapBytes     int             // bytes outside buffers that are counted for it
+	queuedBytes   int             // answer bytes in buffers that wait for its turn
+	expectsAnswer bool            // memory is counted for an answer that has not arrived
 	pushes        []*push         // those that have not ended
 	firstPush     [1]*push        // backing array of pushes: most ops have one
 	state         opState
@@ -41,6 +44,7 @@
 		return
 	}
 	o.state = to
+	o.client.router.memory.endExpected(o)
 	for _, p := range slices.Clone(o.pushes) {
 		p.cancelUnsent()
 	}
@@ -66,12 +70,27 @@
 	out.Write(o.trailingNacks)
 }
 
+// release frees the op's buffers and the memory that is counted for it.
+func (o *op) release() {
+	c := o.client
+	o.reply.Free()
+	o.command.Value.Free()
+	c.queuedBytes -= o.queuedBytes
+	o.queuedBytes = 0
+	c.router.memory.discharge(o)
+	c.router.memory.release(o.reservedBytes)
+	o.reservedBytes = 0
+}
+
 // compactReply copies a short queued answer out of its pooled buffer and releases the buffer.
 func (o *op) compactReply() {
 	if n := o.reply.Len(); n > 0 && n <= maxUnpooledBytes {
 		o.shortReply = o.reply.Bytes()
 		o.reply.Free()
+		o.client.router.memory.charge(o, n)
 	}
+	o.queuedBytes = o.reply.Len()
+	o.client.queuedBytes += o.queuedBytes
 }
 
 // client is a connection from a client. Its answers are sent in the order of its commands.
@@ -81,7 +100,9 @@
 	decoder       protocol.CommandReader
 	largeWrite    largeWrite       // the reservation for the large value being received
 	pipeline      []*op            // commands in order of arrival whose answers have not been forwarded
+	queuedBytes   int              // answer bytes in buffers that wait for the answers before them
 	proven        bool             // at least one op has arrived
+	held          bool             // its further commands are not read until earlier ones are answered
 	awaitsCommand bool             // the timer limits the rest of a command
 	removed       bool             // it has been deregistered
 	idleElement   *list.Element    // its element in the list of idle clients, or nil
@@ -125,6 +146,9 @@
 	c.router.clients.idle.remove(c)
 	switch {
 	case c.removed || !c.proven && !c.decoder.HasPending() || c.closeReason != "":
+	case c.held && c.conn.Out.Len() > 0:
+		c.awaitsCommand = false
+		c.router.loop.SetTimer(&c.timer, progressTimeout)
 	case c.conn.IsPaused() || !c.hasPartialCommand() && len(c.pipeline) > 0: // progress depends on this process
 		c.awaitsCommand = false
 		c.router.loop.StopTimer(&c.timer)
@@ -143,6 +167,10 @@
 func (c *client) onTimeout() {
 	idleTime := c.router.loop.Now() - c.conn.LastUsed
 	switch {
+	case c.held && c.conn.WriteBlockedFor() >= progressTimeout:
+		c.closeNow(transport.SlowReader)
+	case c.held: // it has read something meanwhile
+		c.router.loop.SetTimer(&c.timer, progressTimeout-c.conn.WriteBlockedFor())
 	case c.conn.HasPendingInput(): // the pending input may be the rest or a first op
 		c.router.loop.SetTimer(&c.timer, pendingInputGrace)
 	case c.hasPartialCommand():
@@ -178,9 +206,9 @@
 		}
 	}
 	tookCommand := false
-	for c.closeReason == "" && len(c.pipeline) < maxPipelinedCommands && conn.Out.Len() < maxUnsentBytes &&
-		!c.awaitsHandOver() {
-		room, backoff := c.router.balancer.Admit()
+	c.held = false
+	for c.closeReason == "" && c.mayTakeCommand() && !c.awaitsHandOver() {
+		room, backoff := c.admit()
 		if !room && c.nackUnread(backoff) {
 			tookCommand = true
 			continue
@@ -204,10 +232,21 @@
 			return
 		}
 	}
+	c.held = true
 	conn.SetPaused(true)
 	c.updateTimer(tookCommand)
 }
 
+// admit reports whether there is room for one more op, else after which time in ms it may be repeated: whether this
+// process has the time for it, and the memory for its answer.
+func (c *client) admit() (room bool, backoff float64) {
+	room, backoff = c.router.balancer.Admit()
+	if room && !c.router.memory.hasRoomForAnswer() {
+		return false, c.router.balancer.AdmissionBackoff()
+	}
+	return room, backoff
+}
+
 // nackUnread nacks the next command without reading its value, and reports whether it could. The nack is queued
 // behind the answer of the last open command.
 func (c *client) nackUnread(backoff float64) bool {
@@ -222,7 +261,10 @@
 	c.router.counters.byCategory[category].Nacked++
 	c.proven = true
 	if last >= 0 {
-		c.pipeline[last].trailingNacks = protocol.AppendNack(c.pipeline[last].trailingNacks, backoff)
+		o := c.pipeline[last]
+		before := len(o.trailingNacks)
+		o.trailingNacks = protocol.AppendNack(o.trailingNacks, backoff)
+		c.router.memory.charge(o, len(o.trailingNacks)-before)
 		return true
 	}
 	protocol.WriteNack(&c.conn.Out, backoff)
@@ -236,6 +278,7 @@
 	r := c.router
 	o := &op{client: c, command: command, reply: r.loop.Pool.NewChain(), reservedBytes: r.memory.complete(c)}
 	c.pipeline = append(c.pipeline, o)
+	r.memory.charge(o, openCommandBytes+command.LineBytes)
 	switch category := r.configuration.categories[command.Category]; {
 	case command.Err != nil:
 		protocol.WriteClientError(o.output(), command.Err)
@@ -258,6 +301,9 @@
 		o.deadline = c.conn.ArrivedAt + command.TTL
 		o.Op = balance.Op{Ref: o, Category: category, Key: command.Key, Deadline: o.deadline,
 			IsWrite: command.Verb == protocol.Set}
+		if !o.IsWrite {
+			r.memory.expectAnswer(o)
+		}
 		r.balancer.OpArrived(&o.Op)
 		return
 	}
@@ -273,15 +319,13 @@
 	o.setState(opAnswered)
 	o.compactReply()
 	r := c.router
-	wasFull := len(c.pipeline) >= maxPipelinedCommands
 	n := 0
 	for _, o := range c.pipeline {
 		if o.state == opOpen {
 			break
 		}
 		o.forwardReply()
-		o.command.Value.Free()
-		r.memory.release(o.reservedBytes)
+		o.release()
 		n++
 	}
 	c.pipeline = slices.Delete(c.pipeline, 0, n)
@@ -296,7 +340,7 @@
 		case r.shutdown.closing && r.handOver.successor == nil && c.betweenCommands():
 			// A client that never pauses would otherwise keep its connection until the process is killed.
 			c.closeGracefully(transport.ShuttingDown)
-		case wasFull: // read the commands that arrived meanwhile
+		case c.conn.IsPaused(): // perhaps for want of room: read the commands that arrived meanwhile
 			r.loop.ScheduleReceive(c.conn)
 		default:
 			c.updateTimer(false)
@@ -331,8 +375,6 @@
 			// Nobody reads the stream, so it ends even where cancelling pushes is not allowed.
 			o.stream.hostConn.push.cancel(transport.Cancelled)
 		}
-		o.reply.Free()
-		o.command.Value.Free()
-		r.memory.release(o.reservedBytes)
+		o.release()
 	}
 }
--- a/internal/routing/host_conn.go
+++ b/internal/routing/host_conn.go
@@ -246,6 +246,7 @@
 	if a.Kind == protocol.Value || a.Kind == protocol.Stored {
 		if op.state == opOpen && op.stream == nil {
 			hc.router.counters.byCategory[op.Category].Acked++
+			hc.router.memory.recordAnswer(a.Value.Len())
 			protocol.WriteAnswer(op.output(), op.command, a)
 			op.client.completeOp(op)
 		}
--- a/internal/routing/memory.go
+++ b/internal/routing/memory.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 
+	"larchthread/internal/protocol"
 	"larchthread/internal/transport"
 )
 
@@ -16,12 +17,15 @@
 	soleBytes  int       // limit while this is the only process of the instance
 	limitBytes int       // current limit
 	reserved   int       // for large values of writes
+	heapBytes  int       // of open commands, outside the buffers
+	expected   int       // answers of unknown size that have not arrived
+	answerSize float64   // expected bytes of an answer
 	receiving  []*client // clients that receive a large value, in order of arrival
 }
 
 // newMemoryBudget limits the pool to that many bytes.
 func newMemoryBudget(pool *transport.Pool, bytes int) memoryBudget {
-	m := memoryBudget{pool: pool, soleBytes: bytes}
+	m := memoryBudget{pool: pool, soleBytes: bytes, answerSize: protocol.MaxBufferedValueBytes + transport.BufferSize}
 	m.setShared(false)
 	return m
 }
@@ -103,25 +107,105 @@
 	}
 }
 
-// stalledBytes returns the buffered bytes that only the client can release: unread answers, and input of an
-// incomplete command. Input that has not been delivered, or is being discarded, is released by this process.
-func (c *client) stalledBytes() int {
-	n := c.conn.Out.Len()
-	if len(c.pipeline) == 0 && !c.conn.HasUndelivered() && !c.decoder.IsDiscarding() {
+// charge counts bytes outside the buffers for an op.
+func (m *memoryBudget) charge(o *op, bytes int) {
+	o.heapBytes += bytes
+	m.heapBytes += bytes
+}
+
+// discharge ends the counting of an op's bytes outside the buffers.
+func (m *memoryBudget) discharge(o *op) {
+	m.heapBytes -= o.heapBytes
+	o.heapBytes = 0
+}
+
+// expectAnswer counts memory for the answer of an op until it arrives, or the op ends.
+func (m *memoryBudget) expectAnswer(o *op) {
+	o.expectsAnswer = true
+	m.expected++
+}
+
+// endExpected ends the counting of memory for the answer of an op.
+func (m *memoryBudget) endExpected(o *op) {
+	if o.expectsAnswer {
+		o.expectsAnswer = false
+		m.expected--
+	}
+}
+
+// recordAnswer adapts the expected size to an answer of the given bytes.
+func (m *memoryBudget) recordAnswer(bytes int) {
+	if bytes > maxUnpooledBytes { // its first and last buffers are not full
+		bytes += transport.BufferSize
+	}
+	weight := answerSizeFallWeight
+	if float64(bytes) > m.answerSize {
+		weight = answerSizeRiseWeight
+	}
+	m.answerSize += (float64(bytes) - m.answerSize) * weight
+}
+
+// usedBytes returns the bytes in buffers, those of open commands, and those expected for their answers.
+func (m *memoryBudget) usedBytes() int {
+	return m.pool.UsedBytes() + m.heapBytes + int(float64(m.expected)*m.answerSize)
+}
+
+// isShort reports whether so much memory is in use that clients which stall are to be closed.
+func (m *memoryBudget) isShort() bool {
+	return float64(m.pool.UsedBytes()+m.heapBytes) >= float64(m.limitBytes)*evictionShare
+}
+
+// isCritical reports whether the limit is exceeded by so much that the process may be killed.
+func (m *memoryBudget) isCritical() bool {
+	return float64(m.pool.UsedBytes()+m.heapBytes) >= float64(m.limitBytes)*criticalShare
+}
+
+// hasRoomForAnswer reports whether the answer of one more op fits into the limit.
+func (m *memoryBudget) hasRoomForAnswer() bool {
+	return float64(m.usedBytes())+m.answerSize <= float64(m.limitBytes)
+}
+
+// hasRoomInPipeline reports whether a client may have one more op open behind another. Such ops leave a part of the
+// limit to clients that have none open.
+func (m *memoryBudget) hasRoomInPipeline() bool {
+	return float64(m.usedBytes())+m.answerSize <= float64(m.limitBytes)*pipelineShare
+}
+
+// mayTakeCommand reports whether the client's next command may be read. One behind others waits, unread, for room for
+// its answer: what is dispatched has to be kept until its turn comes, however long the answers are.
+func (c *client) mayTakeCommand() bool {
+	unsent := c.conn.Out.Len() + c.queuedBytes
+	if len(c.pipeline) == 0 && unsent == 0 {
+		return true
+	}
+	return len(c.pipeline) < maxPipelinedCommands && unsent < maxUnsentBytes && c.router.memory.hasRoomInPipeline()
+}
+
+// stalledBytes returns the buffered bytes that only the client can release: answers that it does not read, and input of
+// an incomplete command. Input that has not been delivered, is held back, or is being discarded, is released by this
+// process. Answers of a client that has read some of them within slowReaderGrace count only where memory is critical.
+func (c *client) stalledBytes(critical bool) int {
+	n := 0
+	if critical || c.conn.WriteBlockedFor() >= slowReaderGrace {
+		n = c.conn.Out.Len()
+	}
+	if len(c.pipeline) == 0 && !c.held && !c.conn.HasUndelivered() && !c.decoder.IsDiscarding() {
 		n += c.conn.In.Len()
 	}
 	return n
 }
 
-// evictForMemory closes the clients that hold the most stalled bytes while the buffer limit is exceeded: over the
-// limit of memory, all would be lost. A write is refused instead if more of it may stand in the socket: its client
-// may have sent all of it.
+// evictForMemory closes the clients that hold the most stalled bytes while memory is short, so that others find room:
+// over the limit of memory, all would be lost. A write is refused instead if more of it may stand in the socket: its
+// client may have sent all of it.
 func (r *Router) evictForMemory() {
-	for r.loop.Pool.IsFull() {
+	for r.memory.isShort() {
+		critical := r.memory.isCritical()
 		var worst *client
+		most := 0
 		for _, c := range r.clients.all {
-			if n := c.stalledBytes(); n > 0 && (worst == nil || n > worst.stalledBytes()) {
-				worst = c
+			if n := c.stalledBytes(critical); n > most {
+				worst, most = c, n
 			}
 		}
 		switch {
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -27,6 +27,13 @@
 	maxUnpooledBytes      = 1 << 10  // bytes of a queued answer that are copied out of its pooled buffer
 	maxUnsentBytes        = 1 << 20  // unsent answer bytes at which reading from a client stops: a dozen of the largest buffered values
 	streamWindowBytes     = 64 << 10 // bytes of a streamed value that are buffered for the client: as many as of the largest buffered value
+	openCommandBytes      = 2 << 10  // bytes of the heap for an open command, beside its line
+	pipelineShare         = 0.5      // share of the buffer limit up to which a client may have further ops open behind its first
+	answerSizeRiseWeight  = 0.25     // weight of an answer that is larger than expected
+	answerSizeFallWeight  = 1.0 / 32 // weight of one that is smaller: some large ones among them are still expected
+	evictionShare         = 0.85     // share of the buffer limit in use above which clients that stall are closed
+	criticalShare         = 1.125    // share above which those that read slowly are closed too
+	slowReaderGrace       = 1000.0   // ms for which a client may read nothing while memory is short: a slow one pauses for less
 	largeWriteShare       = 0.5      // share of the buffers that large values of writes may take together
 	memoryWaitShare       = 0.5      // share of its TTL for which a large write may wait for memory: a later nack counts as late
 	commandTimeout        = 2600.0   // ms for the rest of a command, or for the first op on a connection: a slow client may take 2 s for a line
--- a/internal/routing/value_stream.go
+++ b/internal/routing/value_stream.go
@@ -23,6 +23,8 @@
 	vs := &valueStream{hostConn: hc, op: p.op, answer: a, remainder: hc.conn.In.NewSibling()}
 	p.firstByteAfter = hc.router.loop.Now() - p.startedAt
 	p.setState(pushStreaming)
+	hc.router.memory.endExpected(p.op)
+	hc.router.memory.recordAnswer(protocol.MaxBufferedValueBytes)
 	hc.stream, p.op.stream = vs, vs
 	vs.progressTimer.Fire = vs.onStall
 	hc.router.balancer.StreamingStarted(p.Push)
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -61,6 +61,7 @@
 	inputSince     float64 // ms; the same for the input in In
 	connectTimer   Timer   // ends a connection that is not established in time
 	halfCloseTimer Timer   // closes a half-closed connection
+	blockedSince   float64 // ms; since when the socket has accepted nothing of Out; 0 while it does
 	bytesRead      uint64
 	bytesWritten   uint64
 }
@@ -95,6 +96,14 @@
 	c.loop.SetTimer(&c.connectTimer, timeout)
 }
 
+// WriteBlockedFor returns for how many ms the socket has accepted nothing of Out.
+func (c *Conn) WriteBlockedFor() float64 {
+	if c.blockedSince == 0 || c.Out.Len() == 0 {
+		return 0
+	}
+	return c.loop.now - c.blockedSince
+}
+
 // Flush writes Out at the end of the round, or once the connection is established.
 func (c *Conn) Flush() {
 	c.LastUsed = c.loop.now
@@ -290,6 +299,12 @@
 		c.Out.Drop(n)
 		c.LastUsed = c.loop.now
 	}
+	switch {
+	case c.Out.Len() < before || before == 0:
+		c.blockedSince = 0
+	case c.blockedSince == 0:
+		c.blockedSince = c.loop.now
+	}
 	if c.AfterWrite != nil && c.Out.Len() < before {
 		c.AfterWrite()
 	}
--- a/internal/transport/loop.go
+++ b/internal/transport/loop.go
@@ -27,6 +27,8 @@
 	MaxReadBytes   = 5 * BufferSize // bytes read from a connection in one round: the largest buffered value and its command line
 	maxFreeBuffers = 512            // 8 MB; further free buffers are left to the garbage collector
 
+	shortPoolDivisor = 4 // with 1 in 4 of the pool's bytes in use, a round reads one buffer from each connection
+
 	maxOversleep          = 50.0   // ms that a poll may exceed its timeout on a busy machine
 	pollValidity          = 0.25   // ms after a poll for which its result counts as current
 	clientTimeSlice       = 0.5    // ms of a round for requests of clients: about a hundred
--- a/internal/transport/receive.go
+++ b/internal/transport/receive.go
@@ -122,6 +122,9 @@
 	}
 	c.unreadFrom, c.waitingSince = 0, 0
 	limit := MaxReadBytes
+	if c.loop.Pool.isShort() {
+		limit = BufferSize
+	}
 	if c.ReadLimit > 0 {
 		limit = min(limit, c.ReadLimit)
 	}
