Hold one buffer each way for a stream where memory is short

Cause: a stream holds up to 80 KiB of input and 64 KiB of output, whatever the limit.

Change: with a quarter of the buffer limit in use the window of a stream is one buffer, as its reads are already.

--- a/internal/routing/memory.go
+++ b/internal/routing/memory.go
@@ -150,6 +150,15 @@
 	return m.pool.UsedBytes() + m.heapBytes + int(float64(m.expected)*m.answerSize)
 }
 
+// streamWindow returns how many bytes of a streamed value are buffered for its client: fewer where hundreds of streams
+// would not fit.
+func (m *memoryBudget) streamWindow() int {
+	if m.pool.IsShort() {
+		return transport.BufferSize
+	}
+	return streamWindowBytes
+}
+
 // isShort reports whether so much memory is in use that clients which stall are to be closed.
 func (m *memoryBudget) isShort() bool {
 	return float64(m.pool.UsedBytes()+m.heapBytes) >= float64(m.limitBytes)*evictionShare
--- a/internal/routing/value_stream.go
+++ b/internal/routing/value_stream.go
@@ -43,13 +43,14 @@
 // advance forwards the available input, up to the window. Nothing is forwarded until the op is next in the queue.
 func (vs *valueStream) advance() {
 	c, hc := vs.op.client, vs.hostConn
+	window := hc.router.memory.streamWindow()
 	if vs.isNext() {
 		if !vs.started {
 			vs.started = true
 			protocol.WriteStreamHeader(&c.conn.Out, vs.op.command, vs.answer)
 		}
 		before := vs.source().Len()
-		done, err := hc.reader.StreamValue(vs.source(), &c.conn.Out, max(0, streamWindowBytes-c.conn.Out.Len()))
+		done, err := hc.reader.StreamValue(vs.source(), &c.conn.Out, max(0, window-c.conn.Out.Len()))
 		if vs.source().Len() < before {
 			c.conn.Flush()
 		}
@@ -61,7 +62,7 @@
 		case done:
 			vs.complete()
 			return
-		case vs.hostClosed && c.conn.Out.Len() < streamWindowBytes: // no input is left
+		case vs.hostClosed && c.conn.Out.Len() < window: // no input is left
 			vs.abort(transport.PeerClosed, balance.ConnBroken)
 			return
 		}
@@ -157,7 +158,7 @@
 
 // afterWrite continues a stream once the client has read half of the window.
 func (c *client) afterWrite() {
-	if c.headStream() != nil && c.conn.Out.Len() <= streamWindowBytes/2 {
+	if c.headStream() != nil && c.conn.Out.Len() <= c.router.memory.streamWindow()/2 {
 		c.router.loop.ScheduleReceive(c.conn)
 	}
 }
--- a/internal/transport/buffer.go
+++ b/internal/transport/buffer.go
@@ -19,8 +19,8 @@
 // IsFull reports whether the limit is reached.
 func (p *Pool) IsFull() bool { return p.MaxBytes > 0 && p.UsedBytes() >= p.MaxBytes }
 
-// isShort reports whether so much is in use that little is read from a connection at a time: hundreds of them have to fit.
-func (p *Pool) isShort() bool { return p.MaxBytes > 0 && p.UsedBytes() >= p.MaxBytes/shortPoolDivisor }
+// IsShort reports whether so much is in use that little is read from a connection at a time: hundreds of them have to fit.
+func (p *Pool) IsShort() bool { return p.MaxBytes > 0 && p.UsedBytes() >= p.MaxBytes/shortPoolDivisor }
 
 // UsedBytes returns the size of all buffers in use.
 func (p *Pool) UsedBytes() int { return p.inUse * BufferSize }
--- a/internal/transport/receive.go
+++ b/internal/transport/receive.go
@@ -122,7 +122,7 @@
 	}
 	c.unreadFrom, c.waitingSince = 0, 0
 	limit := MaxReadBytes
-	if c.loop.Pool.isShort() {
+	if c.loop.Pool.IsShort() {
 		limit = BufferSize
 	}
 	if c.ReadLimit > 0 {
