Count input behind a connection's turn as waiting for its next turn only

Cause: what a handler had no time for in a round kept its waiting time, so one connection's own backlog looked like an overloaded process (Loop.InputDelay), and Balancer.Admit refuses by chance, whoever asks. nackUnread did not look at the time.

Change: the waiting time of such input starts anew with each turn; the round's time is looked at before every command.

--- a/internal/routing/client.go
+++ b/internal/routing/client.go
@@ -208,6 +208,12 @@
 	tookCommand := false
 	c.held = false
 	for c.closeReason == "" && c.mayTakeCommand() && !c.awaitsHandOver() {
+		if tookCommand && conn.In.Len() > 0 && c.router.loop.ClientTimeExhausted() {
+			// The rest waits for the connection's next turn, which others have in between: it is no sign of overload.
+			c.router.loop.ScheduleReceive(conn)
+			c.updateTimer(tookCommand)
+			return
+		}
 		room, backoff := c.admit()
 		if !room && c.nackUnread(backoff) {
 			tookCommand = true
@@ -226,11 +232,6 @@
 		}
 		tookCommand = true
 		c.dispatch(command, room, backoff)
-		if c.router.loop.ClientTimeExhausted() && conn.In.Len() > 0 && c.closeReason == "" {
-			c.router.loop.DeferReceive(conn)
-			c.updateTimer(tookCommand)
-			return
-		}
 	}
 	c.held = true
 	conn.SetPaused(true)
--- a/internal/transport/receive.go
+++ b/internal/transport/receive.go
@@ -173,11 +173,6 @@
 	if !c.hasNewInput {
 		c.inputSince = l.now
 	}
-	l.DeferReceive(c)
-}
-
-// DeferReceive is ScheduleReceive for input that the handler had no time for: its waiting time continues.
-func (l *Loop) DeferReceive(c *Conn) {
 	if c.status == established {
 		c.hasNewInput = true
 		c.markReady()
