Ask again whether an op may be pushed as it leaves a queue

Cause: Balancer.route asks mayPush as it queues the op, Balancer.dispatch did not ask as it took it out. hostConn.beforeWrite did not look at SendBy on an open connection, so a process that is stopped before the write sends late.

Change: dispatch and the tick ask mayPush; an op that may no longer be pushed is given up at once. beforeWrite looks at SendBy.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -185,9 +185,9 @@
 		b.subscribe()
 	}
 	for _, lim := range []*limiter{&b.fleetLimiter, &b.originLimiter} {
-		for _, op := range slices.Clone(lim.queue) { // abandon those that can no longer meet their target
-			if op.state == stateQueued &&
-				b.now+op.Category.avgLatency+op.Category.latencyDev > op.arrivedAt+op.Category.Target {
+		for _, op := range slices.Clone(lim.queue) { // abandon those that are too late for another push
+			if op.state == stateQueued && (!b.mayPush(op) ||
+				b.now+op.Category.avgLatency+op.Category.latencyDev > op.arrivedAt+op.Category.Target) {
 				b.abandonPush(op)
 			}
 		}
--- a/balance/limits.go
+++ b/balance/limits.go
@@ -108,6 +108,11 @@
 		op := slices.MaxFunc(lim.queue, func(x, y *Op) int {
 			return cmp.Compare(queuePriority(x), queuePriority(y))
 		})
+		if !b.mayPush(op) { // its window has ended in the queue
+			lim.remove(op)
+			b.abandonPush(op)
+			continue
+		}
 		h := b.selectHost(lim, op)
 		if h == nil && op.failedHost == nil {
 			break
--- a/balance/repeat_test.go
+++ b/balance/repeat_test.go
@@ -39,6 +39,28 @@
 	//  310 dead-letter op
 }
 
+// Guards against a deduplicated op that runs twice: a repeat that waited in the origin's queue was pushed when a
+// place became free, after its window.
+func Example_noQueuedRepeatPastDedupWindow() {
+	cfg := testConfig()
+	cfg.CacheAside, cfg.AllowCancel = true, false
+	cfg.Categories[1].Target = 1000
+	sim := newHarness(cfg, "a", "origin")
+	sim.originLimiter.limit = 2
+	sim.sendOp("op", 1, "page", 2000, true)
+	sim.sendOp("other", 1, "page2", 2000, true)
+	sim.originLimiter.limit = 1
+	sim.advance(200)
+	sim.finish("op", ConnBroken, 200)
+	sim.advance(200)
+	sim.finish("other", Served, 400)
+	// Output:
+	// 0 push op to origin
+	//    0 push other to origin
+	//  290 nack op
+	//  400 other acked
+}
+
 // Every op is settled before its TTL ends, even one that arrives with almost no time left. Its pushes are
 // cancelled, and a late outcome changes nothing.
 func Example_settledBeforeTTL() {
--- a/internal/routing/host_conn.go
+++ b/internal/routing/host_conn.go
@@ -95,8 +95,10 @@
 	if p == nil || p.state != pushWaiting {
 		return
 	}
-	remaining, sending := p.splitTimeLeft(hc.router.loop.ReadClock())
-	if remaining < minRemaining {
+	now := hc.router.loop.ReadClock()
+	remaining, sending := p.splitTimeLeft(now)
+	isTooLate := p.op.Category.Repeat == balance.Deduplicated && now > p.SendBy // the process may have been stopped
+	if remaining < minRemaining || isTooLate {
 		p.cancel(transport.PushTimeout)
 		return
 	}
