Give each connection a generation, by which its events are known

Cause: Loop.evict closes a descriptor amid the events of one poll, accept gives the new connection the same one, and a later event of the evicted connection was taken for the new one's (Loop.handleEvent).

Change: the epoll registration of a connection carries its generation; events of another one are ignored.

--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -49,6 +49,7 @@
 	kind           string    // of peer, for the log
 	peer           netip.AddrPort
 	fd             int
+	generation     int32 // tells its events from those of others that had or will have its descriptor
 	status         status
 	events         uint32  // registered with epoll
 	endReason      Reason  // undelivered end; empty if there is none
@@ -234,11 +235,16 @@
 	return want
 }
 
+// epollEvent returns the registration of the connection.
+func (c *Conn) epollEvent() *unix.EpollEvent {
+	return &unix.EpollEvent{Events: c.events, Fd: int32(c.fd), Pad: c.generation}
+}
+
 // updateEvents registers the wanted events with epoll.
 func (c *Conn) updateEvents() {
 	if want := c.wantedEvents(); want != c.events {
 		c.events = want
-		unix.EpollCtl(c.loop.epoll, unix.EPOLL_CTL_MOD, c.fd, &unix.EpollEvent{Events: want, Fd: int32(c.fd)})
+		unix.EpollCtl(c.loop.epoll, unix.EPOLL_CTL_MOD, c.fd, c.epollEvent())
 	}
 }
 
--- a/internal/transport/loop.go
+++ b/internal/transport/loop.go
@@ -61,6 +61,7 @@
 	kernelBufferBytes    int // kernel buffer of a connection in one direction
 	openSockets          int
 	conns                []*Conn // by descriptor
+	lastGeneration       int32   // of the connection registered last
 	listeners            []*Listener
 	controlListeners     []*ControlListener
 	controlChannels      []*ControlChannel
@@ -136,11 +137,18 @@
 	return l.lastPollAt
 }
 
-// watchFD registers a descriptor with epoll.
+// watchFD registers a descriptor with epoll that is not a connection's.
 func (l *Loop) watchFD(fd int, events uint32) error {
 	return unix.EpollCtl(l.epoll, unix.EPOLL_CTL_ADD, fd, &unix.EpollEvent{Events: events, Fd: int32(fd)})
 }
 
+// nextGeneration returns a number above 0 for a connection. Its events carry the number, since the descriptor may be
+// another connection's by the time when an event is handled.
+func (l *Loop) nextGeneration() int32 {
+	l.lastGeneration = l.lastGeneration%math.MaxInt32 + 1
+	return l.lastGeneration
+}
+
 // Dial opens a connection at the end of the round. A failure is delivered to the handler in the next round.
 func (l *Loop) Dial(kind string, address netip.AddrPort, handler ConnHandler) *Conn {
 	c := &Conn{loop: l, kind: kind, peer: address, fd: -1, Handler: handler, CreatedAt: l.now, LastUsed: l.now,
@@ -184,7 +192,7 @@
 		stalled := overslept(l.now-pollStart, timeout)
 		l.idleWait = l.idleWait && !stalled
 		for _, e := range events[:n] {
-			l.handleEvent(int(e.Fd), e.Events)
+			l.handleEvent(e)
 		}
 		l.deliver()
 		switch {
@@ -229,8 +237,15 @@
 	return int(math.Ceil(max(0, next-l.now)))
 }
 
-// handleEvent handles an epoll event of a descriptor.
-func (l *Loop) handleEvent(fd int, events uint32) {
+// handleEvent handles an epoll event. An event of a connection that has been closed meanwhile is ignored.
+func (l *Loop) handleEvent(e unix.EpollEvent) {
+	fd := int(e.Fd)
+	if generation := e.Pad; generation != 0 {
+		if c := l.conns[fd]; c != nil && c.generation == generation {
+			c.handleEvents(e.Events)
+		}
+		return
+	}
 	for _, listener := range l.listeners {
 		if listener.fd == fd {
 			listener.acceptQueued()
@@ -249,12 +264,9 @@
 			return
 		}
 	}
-	switch {
-	case fd == l.wakeFD:
+	if fd == l.wakeFD {
 		var sink [8]byte
 		unix.Read(fd, sink[:])
-	case fd < len(l.conns) && l.conns[fd] != nil:
-		l.conns[fd].handleEvents(events)
 	}
 }
 
@@ -267,8 +279,9 @@
 	if !c.usesReserve() {
 		l.openSockets++
 	}
+	c.generation = l.nextGeneration()
 	c.events = c.wantedEvents()
-	if err := l.watchFD(c.fd, c.events); err != nil {
+	if err := unix.EpollCtl(l.epoll, unix.EPOLL_CTL_ADD, c.fd, c.epollEvent()); err != nil {
 		c.recordEnd(OutOfSockets)
 	}
 }
