Keep connections open while their peers receive what was written

Cause: a client counted as idle with its last answer unsent (client.updateTimer), and was closed as surplus. Conn.HalfClose closed the descriptor 200 ms behind the last byte that the kernel took, so the client's next command met a closed socket, and the reset took the rest of the answer with it.

Change: idle clients are those whose last answer is written; one that has not received all of it is passed over.

--- /dev/null
+++ b/cmd/larchthread/slow_reader_test.go
@@ -0,0 +1,60 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"sync"
+	"testing"
+	"time"
+)
+
+// Guards against answers that are cut off by a reset while their clients read them slowly: the clients counted as idle,
+// were closed as too many, and their next commands met closed sockets.
+func TestSlowReadersAmongIdleClients(t *testing.T) {
+	const slowReaders, others = 12, 70
+	f := &fleet{limits: `{"cores":1,"memory_mb":192,"sockets":256}`, settings: patientSettings} // permits 42 idle clients
+	const valueBytes = 120_000
+	answer := fmt.Sprintf("VA %d O{id}\r\n%s\r\n", valueBytes, longValue[:valueBytes])
+	f.AddHost("a", func(words []string) string {
+		if words[1] == "long" {
+			return answer
+		}
+		return hit(words)
+	})
+	f.start()
+	defer f.stop()
+	counts := &answerCounts{}
+	var all sync.WaitGroup
+	for i := range slowReaders {
+		c := f.newClient()
+		c.Conn.(*net.TCPConn).SetReadBuffer(16 << 10)
+		all.Go(func() {
+			defer c.Close()
+			fmt.Fprintf(c, "mg long v Ofirst%d Pc=read,d=%d\r\n", i, longTTL)
+			time.AfterFunc(950*time.Millisecond, func() { fmt.Fprintf(c, "mg long v Onext%d Pc=read,d=%d\r\n", i, longTTL) })
+			counts.readAnswers(bufio.NewReaderSize(&slowReader{c, 16 << 10, 180 * time.Millisecond}, 16<<10), 1)
+		})
+	}
+	for i := range others {
+		c := f.newClient()
+		all.Go(func() {
+			defer c.Close()
+			for n := range 4 { // an idle client may be closed, and connects anew
+				fmt.Fprintf(c, "mg short v O%d-%d Pc=read,d=%d\r\n", i, n, longTTL)
+				if _, err := c.reader.ReadString('\n'); err != nil {
+					c.Close()
+					c = f.newClient()
+					continue
+				}
+				c.reader.ReadString('\n')
+				time.Sleep(500 * time.Millisecond)
+			}
+		})
+	}
+	all.Wait()
+	t.Log(counts, f.endReasons())
+	if n := counts.served.Load(); n != slowReaders {
+		t.Errorf("%d answers whole, want %d", n, slowReaders)
+	}
+}
--- a/internal/routing/client.go
+++ b/internal/routing/client.go
@@ -114,7 +114,7 @@
 // acceptClient registers a new client connection.
 func (r *Router) acceptClient(conn *transport.Conn) {
 	c := &client{router: r, conn: conn}
-	conn.Handler, conn.EvictionClass = c, c.evictionClass
+	conn.Handler, conn.EvictionClass, conn.AfterWrite = c, c.evictionClass, c.afterWrite
 	c.timer.Fire = c.onTimeout
 	r.loop.SetTimer(&c.timer, commandTimeout)
 	r.clients.add(c)
@@ -155,7 +155,9 @@
 	case !c.hasPartialCommand():
 		c.awaitsCommand = false
 		c.router.loop.SetTimer(&c.timer, clientIdleTimeout)
-		c.router.clients.markIdle(c)
+		if c.conn.Out.Len() == 0 { // else it is called again once that is written
+			c.router.clients.markIdle(c)
+		}
 	case tookCommand || !c.awaitsCommand || c.decoder.HasPending(): // a large value may take longer while bytes keep arriving
 		c.awaitsCommand = true
 		c.router.loop.SetTimer(&c.timer, commandTimeout)
@@ -177,7 +179,7 @@
 		c.closeReason = transport.IncompleteCommand
 		c.conn.SetPaused(true)
 		c.dispatch(&protocol.Command{Err: protocol.ErrIncomplete}, true, 0)
-	case c.conn.Out.Len() > 0 && idleTime < progressTimeout: // the client is reading its answers, slowly
+	case c.conn.HasUnacked() && idleTime < progressTimeout: // the client is reading its answers, slowly
 		c.router.loop.SetTimer(&c.timer, progressTimeout-idleTime)
 	case c.proven && idleTime < clientIdleTimeout: // it has read the last one only now
 		c.router.loop.SetTimer(&c.timer, clientIdleTimeout-idleTime)
--- a/internal/routing/client_registry.go
+++ b/internal/routing/client_registry.go
@@ -42,7 +42,8 @@
 		return
 	}
 	for e := s.idle.Front(); e != nil; e = e.Next() {
-		if c := e.Value.(*client); !c.conn.HasPendingInput() { // else an op has just arrived on it
+		c := e.Value.(*client)
+		if !c.conn.HasPendingInput() && !c.conn.HasUnacked() { // else an op has just arrived on it, or it still reads
 			c.closeGracefully(transport.SurplusIdle)
 			return
 		}
--- a/internal/routing/value_stream.go
+++ b/internal/routing/value_stream.go
@@ -28,7 +28,6 @@
 	hc.stream, p.op.stream = vs, vs
 	vs.progressTimer.Fire = vs.onStall
 	hc.router.balancer.StreamingStarted(p.Push)
-	vs.op.client.conn.AfterWrite = vs.op.client.afterWrite
 	vs.advance()
 }
 
@@ -156,10 +155,14 @@
 	return c.pipeline[0].stream
 }
 
-// afterWrite continues a stream once the client has read half of the window.
+// afterWrite continues a stream once the client has read half of the window, and counts the client as idle once all is
+// written.
 func (c *client) afterWrite() {
-	if c.headStream() != nil && c.conn.Out.Len() <= c.router.memory.streamWindow()/2 {
+	switch {
+	case c.headStream() != nil && c.conn.Out.Len() <= c.router.memory.streamWindow()/2:
 		c.router.loop.ScheduleReceive(c.conn)
+	case len(c.pipeline) == 0 && c.conn.Out.Len() == 0:
+		c.updateTimer(false)
 	}
 }
 
--- a/internal/transport/sockets.go
+++ b/internal/transport/sockets.go
@@ -15,6 +15,9 @@
 		}
 		switch c.EvictionClass() {
 		case Idle:
+			if c.unackedAt == l.now {
+				continue
+			}
 			if oldest == nil || c.LastUsed < oldest.LastUsed {
 				oldest = c
 			}
@@ -35,6 +38,10 @@
 			return l.makeRoom()
 		}
 	}
+	if oldest != unproven && oldest.HasUnacked() { // a next request on it would have its answers discarded in transit
+		oldest.unackedAt = l.now
+		return l.makeRoom()
+	}
 	l.evict(oldest)
 	return true
 }
@@ -46,9 +53,11 @@
 	l.closeSocket(c)
 }
 
-// HasUnsent reports whether a half-closed connection still has output.
+// HasUnsent reports whether the peer of a half-closed connection has not received all output yet.
 func (l *Loop) HasUnsent() bool {
-	return slices.ContainsFunc(l.conns, func(c *Conn) bool { return c != nil && c.status == halfClosing && c.Out.Len() > 0 })
+	return slices.ContainsFunc(l.conns, func(c *Conn) bool {
+		return c != nil && c.status == halfClosing && (c.Out.Len() > 0 || c.linger.unacked > 0)
+	})
 }
 
 // SetMaxSockets sets the limit of open sockets, not counting reserved descriptors. Open ones are not closed.
