Send the answers before a value that breaks off

Cause: valueStream.abort closed the client's connection at once; Conn.Close drops all that is unsent.

Change: abort closes gracefully, behind what has been written; the value's length tells the client that it is not whole.

--- a/cmd/larchthread/slow_reader_test.go
+++ b/cmd/larchthread/slow_reader_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"fmt"
 	"net"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -58,3 +59,34 @@
 		t.Errorf("%d answers whole, want %d", n, slowReaders)
 	}
 }
+
+// Guards against a whole answer that is cut off, unread, as the host of the value behind it breaks off.
+func TestAnswerBeforeBrokenValue(t *testing.T) {
+	const reads = 4
+	f := &fleet{settings: patientSettings}
+	whole := fmt.Sprintf("VA %d O{id}\r\n%s\r\n", bufferedValueBytes, longValue[:bufferedValueBytes])
+	f.AddHost("a", func(words []string) string {
+		if words[1] == "broken" {
+			time.Sleep(50 * time.Millisecond)
+			return "VA 262144 O{id}\r\n" + longValue[:4096] + "drop"
+		}
+		return whole
+	})
+	f.start()
+	defer f.stop()
+	c := f.newClient()
+	defer c.Close()
+	c.Conn.(*net.TCPConn).SetReadBuffer(16 << 10)
+	var commands strings.Builder
+	for n := range reads {
+		fmt.Fprintf(&commands, "mg k%d v O%d Pc=read,d=%d\r\n", n, n, longTTL)
+	}
+	fmt.Fprintf(&commands, "mg broken v Obroken Pc=read,d=%d\r\n", longTTL)
+	c.sendAndPrint(0, commands.String())
+	counts := &answerCounts{}
+	counts.readAnswers(bufio.NewReaderSize(&slowReader{c, 16 << 10, 20 * time.Millisecond}, 16<<10), reads+1)
+	t.Log(counts, f.endReasons())
+	if counts.served.Load() != reads || counts.missing.Load() != 1 {
+		t.Errorf("%v, want %d served and 1 missing", counts, reads)
+	}
+}
--- a/internal/routing/value_stream.go
+++ b/internal/routing/value_stream.go
@@ -123,7 +123,8 @@
 }
 
 // abort ends an incomplete stream. If nothing of the value has been forwarded, the op is dead-lettered. Otherwise
-// abort closes the client's connection in the middle of the answer, since the client has no other way to notice.
+// abort closes the client's connection behind what has been forwarded, since the client has no other way to notice.
+// Answers before it that the client has not read yet still reach it.
 func (vs *valueStream) abort(reason transport.Reason, o balance.Outcome) {
 	hc, p, op := vs.hostConn, vs.hostConn.push, vs.op
 	hc.close(reason)
@@ -137,7 +138,7 @@
 	}
 	op.setState(opAnswered)
 	hc.router.reportEnd(p, o)
-	op.client.closeNow(transport.IncompleteAnswer)
+	op.client.closeGracefully(transport.IncompleteAnswer)
 }
 
 // release detaches the stream from its op and connection and frees its buffers.
