Look for a client's end behind unread input as its connection is accepted

Cause: on accept the end was looked for by peeking at the next byte, which finds input where more than one read stands in the socket.

Change: the poll is asked for the end itself.

--- a/cmd/larchthread/client_leaves_test.go
+++ b/cmd/larchthread/client_leaves_test.go
@@ -5,8 +5,11 @@
 	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
+	"testing"
 	"time"
 
 	"larchthread/internal/standin"
@@ -145,3 +148,94 @@
 	// Output:
 	// whole: false ended soon: true
 }
+
+// Guards against requests that are sent on for clients that left before their connections were accepted, where more than is
+// read at once stands in the sockets.
+func TestLeftBeforeAcceptWithMuchUnread(t *testing.T) {
+	const clients, commands = 30, 3500
+	f := &fleet{settings: patientSettings, limits: `{"cores":1,"memory_mb":192,"sockets":128}`}
+	f.AddHost("a", hit)
+	f.start()
+	defer f.stop()
+	f.newClient().sendAndPrint(0, "mg k v Oknown Pc=read,d=500\r\n") // opens a host connection
+	f.awaitNote("a: mg k v Oknown Pc=read,d=..", 1)
+	f.whileStopped(func() {
+		for i := range clients {
+			c := f.newClient()
+			var text strings.Builder
+			for n := range commands {
+				fmt.Fprintf(&text, "mg k%d v Oleft%d-%d Pc=read,d=3000\r\n", n, i, n)
+			}
+			c.SetWriteDeadline(time.Now().Add(50 * time.Millisecond)) // as much as the kernel accepts
+			io.WriteString(c, text.String())
+			c.Close()
+		}
+	})
+	time.Sleep(500 * time.Millisecond)
+	if n := strings.Count(strings.Join(f.Notes(), "\n"), "Oleft"); n > 0 {
+		t.Errorf("%d requests were sent on", n)
+	}
+}
+
+// Guards against requests that are sent on after their clients have left, with much of what they sent still unread.
+func TestLeftWithMuchUnread(t *testing.T) {
+	const clients = 100
+	for _, c := range []struct {
+		name    string
+		command func(client, n int) string
+		sends   int
+	}{
+		{"reads", func(client, n int) string { return fmt.Sprintf("mg k%d v O%d-%d Pc=read,d=3000\r\n", n, client, n) }, 10_000},
+		{"writes", func(client, n int) string {
+			return fmt.Sprintf("ms w%d 1000 O%d-%d Pc=put,d=3000\r\n%s\r\n", n, client, n, longValue[:1000])
+		}, 500},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f := &fleet{settings: patientSettings}
+			var left atomic.Int64 // Unix ms
+			var late atomic.Int32
+			note := func() {
+				if at := left.Load(); at > 0 && time.Since(time.UnixMilli(at)) > 500*time.Millisecond {
+					late.Add(1)
+				}
+			}
+			for i := range 8 {
+				f.AddHost(fmt.Sprint("host", i), func(words []string) string {
+					note()
+					if words[1] == "slow" {
+						time.Sleep(time.Second)
+					}
+					return hit(words)
+				})
+			}
+			f.AddOrigin(func(w http.ResponseWriter, r *http.Request) {
+				note()
+				handleOrigin(w, r)
+			})
+			f.start()
+			defer f.stop()
+			var all sync.WaitGroup
+			for i := range clients {
+				client := f.newClient()
+				all.Go(func() {
+					var text strings.Builder
+					fmt.Fprintf(&text, "mg slow v Oslow%d Pc=once,d=3000\r\n", i)
+					for n := range c.sends {
+						text.WriteString(c.command(i, n))
+					}
+					client.SetWriteDeadline(time.Now().Add(300 * time.Millisecond)) // as much as the kernel accepts
+					io.WriteString(client, text.String())
+					time.Sleep(100 * time.Millisecond)
+					client.Close()
+				})
+			}
+			all.Wait()
+			left.Store(time.Now().UnixMilli())
+			time.Sleep(2500 * time.Millisecond)
+			t.Log("sent on late:", late.Load(), "ended:", f.endReasons())
+			if late.Load() > 0 {
+				t.Errorf("%d requests were sent on late", late.Load())
+			}
+		})
+	}
+}
--- a/internal/transport/receive.go
+++ b/internal/transport/receive.go
@@ -42,14 +42,18 @@
 // already.
 func (c *Conn) readOnAccept() {
 	c.read()
-	if !c.isClient() || !c.hasNewInput || c.endReason != "" {
-		return
-	}
-	if n, err := c.peek(); n == 0 && err == nil {
+	if c.isClient() && c.hasNewInput && c.endReason == "" && c.peerHasClosed() {
 		c.recordEnd(PeerClosed)
 	}
 }
 
+// peerHasClosed reports whether the peer's end has arrived, perhaps behind input that has not been read.
+func (c *Conn) peerHasClosed() bool {
+	fds := []unix.PollFd{{Fd: int32(c.fd), Events: unix.POLLRDHUP}}
+	n, err := unix.Poll(fds, 0)
+	return err == nil && n > 0 && fds[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
+}
+
 // peek looks for a byte in the socket. It returns 0 and no error at the end of the stream.
 func (c *Conn) peek() (n int, err error) {
 	var b [1]byte
