Ask the kernel for what it could not send, in place of what is not acknowledged

A peer acknowledges a short answer up to 40 ms late, and the connection counted as read slowly until then.

Change: a connection is passed over as idle, and lingers, while the kernel holds output that it could not send for want of room at the peer (SIOCOUTQNSD). What was sent reaches the peer, whatever comes behind it.

--- a/internal/routing/client.go
+++ b/internal/routing/client.go
@@ -179,7 +179,7 @@
 		c.closeReason = transport.IncompleteCommand
 		c.conn.SetPaused(true)
 		c.dispatch(&protocol.Command{Err: protocol.ErrIncomplete}, true, 0)
-	case c.conn.HasUnacked() && idleTime < progressTimeout: // the client is reading its answers, slowly
+	case c.conn.AwaitsPeer() && idleTime < progressTimeout: // the client is reading its answers, slowly
 		c.router.loop.SetTimer(&c.timer, progressTimeout-idleTime)
 	case c.proven && idleTime < clientIdleTimeout: // it has read the last one only now
 		c.router.loop.SetTimer(&c.timer, clientIdleTimeout-idleTime)
--- a/internal/routing/client_registry.go
+++ b/internal/routing/client_registry.go
@@ -43,7 +43,7 @@
 	}
 	for e := s.idle.Front(); e != nil; e = e.Next() {
 		c := e.Value.(*client)
-		if !c.conn.HasPendingInput() && !c.conn.HasUnacked() { // else an op has just arrived on it, or it still reads
+		if !c.conn.HasPendingInput() && !c.conn.AwaitsPeer() { // else an op has just arrived on it, or it still reads
 			c.closeGracefully(transport.SurplusIdle)
 			return
 		}
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -63,7 +63,7 @@
 	connectTimer   Timer   // ends a connection that is not established in time
 	halfCloseTimer Timer   // closes a half-closed connection
 	linger         linger  // of a half-closed connection
-	unackedAt      float64 // ms; round in which the peer was last seen not to have received all output
+	blockedAt      float64 // ms; round in which output was last seen to wait for the peer
 	blockedSince   float64 // ms; since when the socket has accepted nothing of Out; 0 while it does
 	bytesRead      uint64
 	bytesWritten   uint64
@@ -144,8 +144,8 @@
 	return fd, unread, waited
 }
 
-// HalfClose writes the pending output, then closes the connection once the peer has closed it, or a while after the peer
-// has received all of it. The peer has halfCloseWriteTimeout for each part of the output that it reads, and for all of it
+// HalfClose writes the pending output, then closes the connection once the peer has closed it, or a while after
+// all of it has been sent. The peer has halfCloseWriteTimeout for each part of the output that it reads, and for all of it
 // where memory is full, since nothing else could free that output. An immediate close with unread input would discard
 // output in transit. The handler gets no more events.
 func (c *Conn) HalfClose(reason Reason) {
@@ -156,7 +156,7 @@
 	c.setStatus(halfClosing)
 	c.In.Free()
 	c.EvictionClass = func() EvictionClass {
-		if c.Out.Len() > 0 || c.linger.unacked > 0 {
+		if c.Out.Len() > 0 || c.linger.unsent > 0 {
 			return Needed
 		}
 		return Unproven
@@ -169,35 +169,35 @@
 	c.Flush()
 }
 
-// linger tracks how a half-closed connection's peer receives what the kernel still holds for it.
+// linger tracks how a half-closed connection's peer reads what the kernel still holds for it.
 type linger struct {
-	unacked    int     // bytes at the last check
+	unsent     int     // bytes at the last check
 	progressAt float64 // ms; when fewer were last seen
 }
 
-// unackedBytes returns how many bytes of output, and of its end, the kernel has that the peer has not received.
-func (c *Conn) unackedBytes() int {
-	n, err := unix.IoctlGetInt(c.fd, unix.SIOCOUTQ)
+// kernelUnsent returns how many bytes of output, and of its end, the kernel could not send yet, as the peer has no room.
+func (c *Conn) kernelUnsent() int {
+	n, err := unix.IoctlGetInt(c.fd, unix.SIOCOUTQNSD)
 	if err != nil {
 		return 0
 	}
 	return n
 }
 
-// HasUnacked reports whether the peer has not received all output yet.
-func (c *Conn) HasUnacked() bool { return c.Out.Len() > 0 || c.fd >= 0 && c.unackedBytes() > 0 }
+// AwaitsPeer reports whether output waits, here or in the kernel, for the peer to read what came before.
+func (c *Conn) AwaitsPeer() bool { return c.Out.Len() > 0 || c.fd >= 0 && c.kernelUnsent() > 0 }
 
-// onHalfCloseTimeout closes a half-closed connection, unless its peer still receives, slowly, what was written to it.
+// onHalfCloseTimeout closes a half-closed connection, unless its peer still reads, slowly, what was written to it.
 func (c *Conn) onHalfCloseTimeout(reason Reason) {
-	unacked := c.unackedBytes()
-	if c.Out.Len() > 0 || unacked == 0 {
+	unsent := c.kernelUnsent()
+	if c.Out.Len() > 0 || unsent == 0 {
 		c.Close(reason)
 		return
 	}
-	if unacked < c.linger.unacked {
+	if unsent < c.linger.unsent {
 		c.linger.progressAt = c.loop.now
 	}
-	c.linger.unacked = unacked
+	c.linger.unsent = unsent
 	if c.loop.now-c.linger.progressAt >= halfCloseWriteTimeout {
 		c.Close(reason)
 		return
@@ -359,7 +359,7 @@
 	case c.status != halfClosing:
 	case c.Out.Len() == 0:
 		unix.Shutdown(c.fd, unix.SHUT_WR)
-		c.linger = linger{unacked: c.unackedBytes(), progressAt: c.loop.now}
+		c.linger = linger{unsent: c.kernelUnsent(), progressAt: c.loop.now}
 		c.loop.SetTimer(&c.halfCloseTimer, halfClosePeerTimeout)
 	case c.Out.Len() < before && !c.loop.Pool.IsFull(): // the peer is reading, slowly
 		c.loop.SetTimer(&c.halfCloseTimer, halfCloseWriteTimeout)
--- a/internal/transport/loop.go
+++ b/internal/transport/loop.go
@@ -36,7 +36,7 @@
 	maxAccepts            = 256    // connections accepted per listener in one round, so that open ones are served in between
 	backlog               = 4096   // connections that the kernel queues between two rounds
 	halfCloseWriteTimeout = 5000.0 // ms to write a part of the last answers to a slow reader; longer than any TTL
-	halfClosePeerTimeout  = 200.0  // ms for the peer to close after it has received this side's end: many round trips
+	halfClosePeerTimeout  = 200.0  // ms for the peer to close after this side's end has been sent: many round trips
 	controlRetryDelay     = 2.0    // ms until messages that the other process had no room for are sent again; it reads in each round
 	acceptRetryDelay      = 5.0    // ms until accepting is tried again when no connection could be evicted
 
--- a/internal/transport/sockets.go
+++ b/internal/transport/sockets.go
@@ -15,7 +15,7 @@
 		}
 		switch c.EvictionClass() {
 		case Idle:
-			if c.unackedAt == l.now {
+			if c.blockedAt == l.now {
 				continue
 			}
 			if oldest == nil || c.LastUsed < oldest.LastUsed {
@@ -38,8 +38,8 @@
 			return l.makeRoom()
 		}
 	}
-	if oldest != unproven && oldest.HasUnacked() { // a next request on it would have its answers discarded in transit
-		oldest.unackedAt = l.now
+	if oldest != unproven && oldest.AwaitsPeer() { // a next request on it would have its answers discarded in transit
+		oldest.blockedAt = l.now
 		return l.makeRoom()
 	}
 	l.evict(oldest)
@@ -53,10 +53,10 @@
 	l.closeSocket(c)
 }
 
-// HasUnsent reports whether the peer of a half-closed connection has not received all output yet.
+// HasUnsent reports whether a half-closed connection has output that could not be sent yet.
 func (l *Loop) HasUnsent() bool {
 	return slices.ContainsFunc(l.conns, func(c *Conn) bool {
-		return c != nil && c.status == halfClosing && (c.Out.Len() > 0 || c.linger.unacked > 0)
+		return c != nil && c.status == halfClosing && (c.Out.Len() > 0 || c.linger.unsent > 0)
 	})
 }
 
