Keep the id of an op that may have run from running again

Cause: op.setState forgot the id as the client left, though a push of it was out; another process knew of no ids.

Two processes of an instance share these ids as pushes are written, and at the start of an upgrade.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -355,7 +355,7 @@
 	}
 	p.ended = true
 	b.pushTimers.Stop(&p.checkTimer)
-	p.neverRan = o == Overloaded || o == ConnLimited || o == ConnectFailed || o == NotSent || o == CacheMiss
+	p.neverRan = o.NeverRan()
 	op.inFlight--
 	op.addInFlight(-1)
 	if op.keyQueue != nil && !p.neverRan && o != Served && o != Failed { // it may still run
--- a/balance/retry.go
+++ b/balance/retry.go
@@ -13,6 +13,11 @@
 	fleetSilenceShare = 0.1 // share of the target for which a push is left alone while all hosts are silent
 )
 
+// NeverRan tells whether the outcome proves that the push did not run, or had no effect.
+func (o Outcome) NeverRan() bool {
+	return o == Overloaded || o == ConnLimited || o == ConnectFailed || o == NotSent || o == CacheMiss
+}
+
 // firstPossibleRun returns the first push of op that has run, may have run or may still run, or nil.
 func (op *Op) firstPossibleRun() *Push {
 	if i := slices.IndexFunc(op.pushes, func(p *Push) bool { return !p.neverRan }); i >= 0 {
--- /dev/null
+++ b/cmd/larchthread/repeated_id_test.go
@@ -0,0 +1,114 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+const repeatedIDClients = 100
+
+// sendThenLeave has clients send a command each and leave once hosts or the origin have got all of them.
+func (f *fleet) sendThenLeave(command func(client int) string, received func() int) {
+	var all []*client
+	for i := range repeatedIDClients {
+		c := f.newClient()
+		c.sendAndPrint(0, command(i))
+		all = append(all, c)
+	}
+	for end := time.Now().Add(time.Second); received() < repeatedIDClients && time.Now().Before(end); {
+		time.Sleep(5 * time.Millisecond)
+	}
+	for _, c := range all {
+		c.Close()
+	}
+}
+
+// sendAgain has new clients send the same commands and waits for the answers.
+func (f *fleet) sendAgain(command func(client int) string) {
+	var all sync.WaitGroup
+	for i := range repeatedIDClients {
+		c := f.newClient()
+		all.Go(func() {
+			defer c.Close()
+			c.sendAndPrint(0, command(i))
+			c.reader.ReadString('\n')
+		})
+	}
+	all.Wait()
+}
+
+// Guards against an op that runs twice as its id comes again: after its client has left, or at the other process of an
+// upgrade. An id whose op was turned away may come again.
+func TestIDThatComesAgain(t *testing.T) {
+	for _, c := range []struct {
+		name, category string
+		isWrite        bool
+		upgrade        bool
+		wait           time.Duration // until it comes again
+	}{
+		{"at most once, at once", "once", false, false, 0},
+		{"at most once, when it has run", "once", false, false, 400 * time.Millisecond},
+		{"write behind its window", "put", true, false, 600 * time.Millisecond},
+		{"at most once, at the other process", "once", false, true, 0},
+		{"write behind its window, at the other process", "put", true, true, 600 * time.Millisecond},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f := &fleet{settings: patientSettings, adminAddress: freeAddress()}
+			for i := range 8 {
+				f.AddHost(fmt.Sprint("host", i), func([]string) string {
+					time.Sleep(300 * time.Millisecond)
+					return "VA 5 O{id}\r\nvalue\r\n"
+				})
+			}
+			f.AddOrigin(func(w http.ResponseWriter, _ *http.Request) {
+				time.Sleep(300 * time.Millisecond)
+				io.WriteString(w, "receipt")
+			})
+			f.start()
+			defer f.stop()
+			command := func(i int) string {
+				if c.isWrite {
+					return fmt.Sprintf("ms k%d 2 Oid%d. Pc=%s,d=%d\r\nab\r\n", i, i, c.category, longTTL)
+				}
+				return fmt.Sprintf("mg k%d v Oid%d. Pc=%s,d=%d\r\n", i, i, c.category, longTTL)
+			}
+			runs := func() (received int, twice []string) {
+				notes := strings.Join(f.Notes(), "\n")
+				for i := range repeatedIDClients {
+					id := fmt.Sprintf("id%d.", i)
+					switch n := strings.Count(notes, id); {
+					case n > 1:
+						twice = append(twice, id)
+						received++
+					case n == 1:
+						received++
+					}
+				}
+				return received, twice
+			}
+			f.sendThenLeave(command, func() int { n, _ := runs(); return n })
+			first, twice := runs()
+			if c.upgrade {
+				old := f.process
+				f.process = f.startSuccessor()
+				defer old.Wait()
+				defer old.Process.Kill()
+			}
+			time.Sleep(c.wait)
+			f.sendAgain(command)
+			received, twiceAfter := runs()
+			t.Logf("received at first %d, in all %d; twice before %d, after %d", first, received, len(twice), len(twiceAfter))
+			if len(twiceAfter) > len(twice) {
+				t.Errorf("%d ops ran again, as %v", len(twiceAfter)-len(twice), twiceAfter[0])
+			}
+			if first < repeatedIDClients/10 {
+				t.Errorf("only %d ops ran", first)
+			}
+		})
+	}
+}
--- a/internal/routing/client.go
+++ b/internal/routing/client.go
@@ -31,6 +31,7 @@
 	reservedBytes int             // buffer bytes reserved for its large value
 	heapBytes     int             // bytes outside buffers that are counted for it
 	queuedBytes   int             // answer bytes in buffers that wait for its turn
+	possibleRuns  int             // pushes that have been written in full and may have run
 	expectsAnswer bool            // memory is counted for an answer that has not arrived
 	pushes        []*push         // those that have not ended
 	firstPush     [1]*push        // backing array of pushes: most ops have one
@@ -48,9 +49,7 @@
 	for _, p := range slices.Clone(o.pushes) {
 		p.cancelUnsent()
 	}
-	if r := o.client.router; r.clients.openOps[o.command.ID] == o {
-		delete(r.clients.openOps, o.command.ID)
-	}
+	o.client.router.clients.ids.close(o, o.client.router.loop.Now())
 }
 
 // output returns where the op's answer is written: the client's output if the op is next in the queue, else the
@@ -289,7 +288,7 @@
 		protocol.WritePong(o.output())
 	case category == nil:
 		protocol.WriteClientError(o.output(), protocol.UnknownCategoryError(command))
-	case r.clients.openOps[command.ID] != nil: // hosts would treat the two as one op and reject both
+	case r.clients.ids.isTaken(command.ID, r.loop.Now()): // it may run twice, or hosts reject both
 		protocol.WriteClientError(o.output(), protocol.DuplicateIDError(command))
 	case command.NoValue:
 		c.proven = true
@@ -299,7 +298,7 @@
 		r.counters.byCategory[category].Nacked++
 		protocol.WriteNack(o.output(), backoff)
 	default:
-		r.clients.openOps[command.ID], o.pushes = o, o.firstPush[:0]
+		r.clients.ids.open[command.ID], o.pushes = o, o.firstPush[:0]
 		c.proven = true
 		o.deadline = c.conn.ArrivedAt + command.TTL
 		o.Op = balance.Op{Ref: o, Category: category, Key: command.Key, Deadline: o.deadline,
--- a/internal/routing/client_registry.go
+++ b/internal/routing/client_registry.go
@@ -11,13 +11,13 @@
 	listener *transport.Listener // nil until the router listens
 	all      []*client
 	idle     idleList
-	maxIdle  int            // idle clients that may stay connected
-	openOps  map[string]*op // by id
+	maxIdle  int // idle clients that may stay connected
+	ids      opIDs
 }
 
 // newClientRegistry returns an empty registry that keeps at most maxIdle idle clients.
 func newClientRegistry(maxIdle int) clientRegistry {
-	return clientRegistry{maxIdle: maxIdle, openOps: map[string]*op{}}
+	return clientRegistry{maxIdle: maxIdle, ids: newOpIDs()}
 }
 
 // add registers a client.
--- a/internal/routing/host_conn.go
+++ b/internal/routing/host_conn.go
@@ -127,6 +127,7 @@
 	case hc.conn.Out.Len() == 0 && hc.unsentValue.WriteNext(&hc.conn.Out):
 	case !p.fullyWritten && p.isSent():
 		p.fullyWritten = true
+		hc.router.noteSent(p.op)
 		hc.router.loop.StopTimer(&p.writeTimer)
 		hc.router.counters.pushes++
 	}
--- a/internal/routing/port.go
+++ b/internal/routing/port.go
@@ -68,6 +68,9 @@
 			report = r.configuration.params.ApplyReportValue(report, a.Name, v)
 		}
 	}
+	if p.fullyWritten && o.NeverRan() {
+		p.op.possibleRuns--
+	}
 	duration := r.loop.Now() - p.startedAt
 	switch {
 	case p.firstByteAfter > 0: // a streamed answer counts until its first bytes
--- a/internal/routing/stats.go
+++ b/internal/routing/stats.go
@@ -36,7 +36,7 @@
 
 // Stats returns the current counters and gauges.
 func (r *Router) Stats() Stats {
-	s := Stats{Categories: r.counters.categories, Pushes: r.counters.pushes, OpenOps: len(r.clients.openOps)}
+	s := Stats{Categories: r.counters.categories, Pushes: r.counters.pushes, OpenOps: len(r.clients.ids.open)}
 	s.Hosts, s.Avoided = r.balancer.HostCounts()
 	return s
 }
--- a/internal/routing/upgrade.go
+++ b/internal/routing/upgrade.go
@@ -17,6 +17,8 @@
 	// ForwardBan bans a host in the other process, or lifts the ban. done is called with whether it knows the
 	// host.
 	ForwardBan(id string, banned bool, done func(known bool))
+	// ShareIDs tells the other process of ids of ops, by their hashes, that may have run here and must not run there.
+	ShareIDs(hashes []uint64)
 }
 
 // Successor is the process that takes over.
@@ -52,6 +54,9 @@
 // SetPeerProcess sets the other process of the instance, or nil once it is gone. Two processes share the buffer
 // memory equally.
 func (r *Router) SetPeerProcess(p PeerProcess) {
+	if p != nil && r.handOver.peer == nil {
+		p.ShareIDs(r.clients.ids.hashesToShare(r.loop.Now()))
+	}
 	r.handOver.peer = p
 	r.memory.setShared(p != nil)
 }
--- a/internal/takeover/bans.go
+++ b/internal/takeover/bans.go
@@ -46,12 +46,15 @@
 	}
 }
 
-// handle handles a message on a ban, be it a request or an answer. Others are ignored.
+// handle handles a message that either process may send: on a ban, be it a request or an answer, or on ids. Others are
+// ignored.
 func (b *banRequests) handle(t *Takeover, channel *transport.ControlChannel, m message) {
 	switch m.Kind {
 	case kindBan:
 		err := t.router.ApplyBan(m.ID, m.Out)
 		send(channel, message{Kind: kindBanned, Number: m.Number, Known: err == nil}, -1)
+	case kindIDs:
+		t.router.AdoptIDs(m.IDs)
 	case kindBanned:
 		b.resolve(t.loop, m.Number, m.Known)
 	}
--- a/internal/takeover/message.go
+++ b/internal/takeover/message.go
@@ -34,6 +34,7 @@
 const (
 	kindBan    messageKind = "ban"    // ID, Out, Number
 	kindBanned messageKind = "banned" // the answer to a ban: Number, Known
+	kindIDs    messageKind = "ids"    // IDs
 )
 
 // message is a message between the two processes. Unknown fields are ignored. The JSON names must not change, since a
@@ -54,6 +55,7 @@
 	Out     bool               `json:"out,omitempty"`     // true to ban the host, false to put it back
 	Number  int                `json:"number,omitempty"`  // number of a ban, repeated in the answer
 	Known   bool               `json:"known,omitempty"`   // the answering process knows the host
+	IDs     []uint64           `json:"ids,omitempty"`     // hashes of ids of ops that may have run in the sending process
 }
 
 // decode parses a message. A malformed one is logged and yields an empty message.
--- a/internal/takeover/parts.go
+++ b/internal/takeover/parts.go
@@ -33,6 +33,11 @@
 	return slices.Collect(slices.Chunk(items, maxItems))
 }
 
+// sendIDs sends hashes of ids in as many messages as necessary.
+func sendIDs(channel *transport.ControlChannel, hashes []uint64) {
+	sendList(channel, hashes, func(part []uint64) message { return message{Kind: kindIDs, IDs: part} })
+}
+
 // sendLearned sends what the balancer has learned in as many messages as necessary.
 func sendLearned(channel *transport.ControlChannel, learned balance.Learned) {
 	sendInParts(channel, learned, maxItemsPerMessage, balance.Learned.Split, func(part balance.Learned) message {
--- a/internal/takeover/predecessor.go
+++ b/internal/takeover/predecessor.go
@@ -95,6 +95,9 @@
 	p.updateSharing()
 }
 
+// ShareIDs implements routing.PeerProcess.
+func (p *predecessor) ShareIDs(hashes []uint64) { sendIDs(p.channel, hashes) }
+
 // ForwardBan implements routing.PeerProcess.
 func (p *predecessor) ForwardBan(id string, out bool, done func(known bool)) {
 	p.banRequests.send(p.loop, p.channel, id, out, done)
--- a/internal/takeover/successor.go
+++ b/internal/takeover/successor.go
@@ -98,6 +98,9 @@
 	}
 }
 
+// ShareIDs implements routing.PeerProcess.
+func (s *successor) ShareIDs(hashes []uint64) { sendIDs(s.channel, hashes) }
+
 // ForwardBan implements routing.PeerProcess.
 func (s *successor) ForwardBan(id string, out bool, done func(known bool)) {
 	s.banRequests.send(s.loop, s.channel, id, out, done)
