Give an address to the host that started last there

Cause: as a host's address changes, only its idle connections were closed, and a push whose connection was still coming up at the old one was written to whoever listens there then. A host whose entry is still listed shared its address with a newer one.

Change: a change of address withdraws what has not begun to be written. Of several hosts listed at one address the one with the latest start has it; the others count as gone.

--- a/internal/routing/host_pool.go
+++ b/internal/routing/host_pool.go
@@ -11,6 +11,7 @@
 type hostPool struct {
 	byID           map[string]*host
 	past           pastHosts
+	owners         addressOwners
 	idleTimeout    float64 // ms for which hosts keep idle connections open
 	connectTimeout float64 // ms
 }
@@ -20,7 +21,7 @@
 	if connectTimeout <= 0 {
 		connectTimeout = defaultConnectTimeout
 	}
-	return hostPool{byID: map[string]*host{}, connectTimeout: connectTimeout}
+	return hostPool{byID: map[string]*host{}, owners: addressOwners{}, connectTimeout: connectTimeout}
 }
 
 // host is a cache host or the origin, with its idle connections and its unfinished pushes.
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -153,7 +153,7 @@
 		h.listEntry = m
 		if m.Address.IsValid() && m.Address != h.address {
 			h.address = m.Address
-			h.closeIdle(transport.HostGone)
+			h.withdraw() // a connection that is still coming up may reach another host there
 		}
 		if listing.Status != balance.Ready {
 			h.withdraw()
@@ -164,6 +164,7 @@
 		}
 		entries = append(entries, balance.HostEntry{Host: &h.Host, Listing: listing})
 	}
+	entries = r.hosts.owners.update(entries, complete)
 	r.balancer.HostsListed(entries, complete, saved)
 	r.hosts.removeGone(r.loop.Now())
 }
