Look for the running process again before listening beside it

Cause: a new process that lost the one that it had asked took it that nobody runs at the address, though another had come up in its place. A process that ended removed the socket file at its path, though it was another one's by then.

A socket file is removed only by the process that made it.

--- a/internal/takeover/predecessor.go
+++ b/internal/takeover/predecessor.go
@@ -82,13 +82,14 @@
 	p.loop.SetTimer(&wait, retryDelay)
 }
 
-// PeerLost implements transport.PeerHandler: the running process has ended. If it did not hand over, this one listens
-// itself.
+// PeerLost implements transport.PeerHandler: the running process has ended. If it did not hand over, this one looks for
+// another, and listens itself where there is none.
 func (p *predecessor) PeerLost(*transport.ControlChannel, []transport.Message) {
 	p.predecessor = nil
 	p.banRequests.failAll(p.loop)
 	if !p.replaced {
-		p.listenOrEnd("the running process ended")
+		p.log.Info("the process that ran here has ended")
+		p.retryLater() // another one may have taken its place meanwhile
 		return
 	}
 	p.log.Info("the process before has ended")
--- a/internal/takeover/takeover.go
+++ b/internal/takeover/takeover.go
@@ -6,7 +6,6 @@
 import (
 	"log/slog"
 	"net/netip"
-	"os"
 	"path/filepath"
 	"strings"
 
@@ -57,14 +56,14 @@
 	return t, nil
 }
 
-// Close removes the socket file after the loop has ended. It returns the error that ended the loop where the process
+// Close removes this process's socket file after the loop has ended. It returns the error that ended the loop where the process
 // could not listen. The Takeover may be nil.
 func (t *Takeover) Close() error {
 	if t == nil {
 		return nil
 	}
 	if t.control != nil {
-		os.Remove(t.path)
+		t.control.Remove()
 	}
 	return t.listenErr
 }
--- a/internal/transport/control.go
+++ b/internal/transport/control.go
@@ -44,6 +44,8 @@
 type ControlListener struct {
 	loop   *Loop
 	fd     int
+	path   string
+	file   os.FileInfo // of the socket at path, to tell it from a later one there
 	accept func() PeerHandler
 }
 
@@ -75,17 +77,22 @@
 	}
 	tempPath := path + "." + strconv.Itoa(os.Getpid())
 	os.Remove(tempPath)
+	var file os.FileInfo
 	if err = withAddress(tempPath, func(a unix.Sockaddr) error { return unix.Bind(fd, a) }); err == nil {
-		if err = unix.Listen(fd, backlog); err == nil {
-			err = os.Rename(tempPath, path)
-		}
+		file, err = os.Lstat(tempPath)
+	}
+	if err == nil {
+		err = unix.Listen(fd, backlog)
+	}
+	if err == nil {
+		err = os.Rename(tempPath, path)
 	}
 	if err != nil {
 		unix.Close(fd)
 		os.Remove(tempPath)
 		return nil, fmt.Errorf("listen on %s: %w", path, err)
 	}
-	c := &ControlListener{loop: l, fd: fd, accept: accept}
+	c := &ControlListener{loop: l, fd: fd, path: path, file: file, accept: accept}
 	l.controlListeners = append(l.controlListeners, c)
 	return c, l.watchFD(fd, unix.EPOLLIN)
 }
@@ -96,6 +103,13 @@
 	unix.Close(c.fd)
 }
 
+// Remove removes the listener's socket from the file system, unless another process has put its own in its place.
+func (c *ControlListener) Remove() {
+	if file, err := os.Lstat(c.path); err == nil && os.SameFile(file, c.file) {
+		os.Remove(c.path)
+	}
+}
+
 // acceptOne accepts one channel; further ones follow in the next rounds.
 func (c *ControlListener) acceptOne() {
 	if fd, _, err := unix.Accept4(c.fd, unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC); err == nil {
