Dead-letter a value that ended before its turn in place of beginning it

Cause: a paused connection of a host was not watched for its end, so the incomplete value was begun and the client's connection closed within it.

Change: paused connections are watched for the peer's end; a value of which not enough has arrived by then is dead-lettered.

--- a/cmd/larchthread/slow_reader_test.go
+++ b/cmd/larchthread/slow_reader_test.go
@@ -93,3 +93,40 @@
 		t.Errorf("%v, want %d served and 1 missing", counts, reads)
 	}
 }
+
+// Guards against a command that is never answered behind a long value whose host ends orderly within it, while the value
+// waits for its turn: it was begun all the same, and the client's connection had to be closed.
+func TestValueThatEndsWhileWaiting(t *testing.T) {
+	f := &fleet{settings: patientSettings}
+	f.AddHost("a", func(words []string) string {
+		switch words[1] {
+		case "slow":
+			time.Sleep(200 * time.Millisecond)
+		case "broken":
+			return "VA 100000 O{id}\r\n" + longValue[:30_000] + "drop"
+		case "large": // more than is read at once
+			return "VA 400000 O{id}\r\n" + longValue[:120_000] + "drop"
+		case "complete":
+			return fmt.Sprintf("VA 400000 O{id}\r\n%s\r\n", longValue[:400_000]) + "drop"
+		}
+		return hit(words)
+	})
+	f.start()
+	defer f.stop()
+	for _, key := range []string{"broken", "large", "complete"} {
+		c := f.newClient()
+		counts := &answerCounts{}
+		fmt.Fprintf(c, "mg slow v Oslow%s Pc=read,d=%d\r\nmg %s v O%s Pc=once,d=%d\r\nmg short v Oshort%s Pc=read,d=%d\r\n",
+			key, longTTL, key, key, longTTL, key, longTTL)
+		counts.readAnswers(c.reader, 3)
+		c.Close()
+		t.Log(key, counts)
+		served := int64(2)
+		if key == "complete" {
+			served = 3
+		}
+		if counts.missing.Load() > 0 || counts.served.Load() != served {
+			t.Errorf("%s: %v, want %d served and none missing", key, counts, served)
+		}
+	}
+}
--- a/internal/routing/value_stream.go
+++ b/internal/routing/value_stream.go
@@ -44,6 +44,10 @@
 	c, hc := vs.op.client, vs.hostConn
 	window := hc.router.memory.streamWindow()
 	if vs.isNext() {
+		if !vs.started && !vs.hostClosed && hc.conn.EndsBefore(vs.answer.StreamSize) {
+			vs.abort(transport.PeerClosed, balance.ConnBroken)
+			return
+		}
 		if !vs.started {
 			vs.started = true
 			protocol.WriteStreamHeader(&c.conn.Out, vs.op.command, vs.answer)
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -57,6 +57,7 @@
 	hasNewInput    bool    // In has undelivered input
 	inWriteQueue   bool    // in loop.writeQueue
 	paused         bool    // reading is paused
+	peerEnded      bool    // the peer's end has arrived while reading was paused
 	unreadFrom     float64 // ms; earliest time at which input still in the socket can have arrived; 0 if unknown
 	waitingSince   float64 // ms; since when that input may wait because of this process; 0 if unknown
 	inputSince     float64 // ms; the same for the input in In
@@ -258,10 +259,10 @@
 	c.markReady()
 }
 
-// wantedEvents returns the epoll events to register. A client's disconnect is watched for even while reading is
-// paused, so that its requests are not forwarded in vain.
+// wantedEvents returns the epoll events to register. The peer's end is watched for even while reading is paused: a
+// client's requests are not forwarded in vain then, and a host's answer may be incomplete.
 func (c *Conn) wantedEvents() (want uint32) {
-	if c.isClient() && c.status == established {
+	if c.status == established && (c.isClient() || c.paused && !c.peerEnded) {
 		want |= unix.EPOLLRDHUP
 	}
 	if !c.paused && c.status != connecting {
@@ -301,6 +302,10 @@
 		c.recordEnd(PeerClosed)
 		return
 	}
+	if events&unix.EPOLLRDHUP != 0 && c.paused {
+		c.peerEnded = true
+		c.updateEvents()
+	}
 	if events&unix.EPOLLOUT != 0 {
 		c.queueWrite()
 	}
--- a/internal/transport/receive.go
+++ b/internal/transport/receive.go
@@ -38,6 +38,15 @@
 	return c.In.Len() == 0 && (c.endReason != "" || n == 0 && err == nil)
 }
 
+// EndsBefore reports whether the peer has ended the connection and fewer than size bytes of input are left.
+func (c *Conn) EndsBefore(size int) bool {
+	if !c.peerEnded || c.fd < 0 {
+		return false
+	}
+	unread, err := unix.IoctlGetInt(c.fd, unix.SIOCINQ)
+	return err == nil && c.In.Len()+unread < size
+}
+
 // readOnAccept reads what a connection sent before the loop first polled it. A client may have disconnected
 // already.
 func (c *Conn) readOnAccept() {
