Let slow readers finish as the buffer limit is halved for an upgrade

Cause: Router.SetPeerProcess halves the limit at once, and what was within it before counts as over it.

Change: new work is bounded by the half; clients that read slowly are closed only above the whole limit.

--- a/cmd/larchthread/slow_reader_test.go
+++ b/cmd/larchthread/slow_reader_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -130,3 +131,43 @@
 		}
 	}
 }
+
+// Guards against values that are cut off in an upgrade while their clients read them slowly: the limit of the buffers is
+// halved as the second process starts.
+func TestSlowReadersAtAnUpgrade(t *testing.T) {
+	const valueBytes = 300_000
+	for _, c := range []struct{ memoryMB, clients int }{{32, 150}, {128, 300}} {
+		t.Run(fmt.Sprintf("%d MB", c.memoryMB), func(t *testing.T) {
+			f := &fleet{limits: fmt.Sprintf(`{"cores":1,"memory_mb":%d,"sockets":1024}`, c.memoryMB), settings: patientSettings,
+				adminAddress: freeAddress()}
+			answer := fmt.Sprintf("VA %d O{id}\r\n%s\r\n", valueBytes, longValue[:valueBytes])
+			for i := range 8 {
+				f.AddHost(fmt.Sprint("host", i), func([]string) string { return answer })
+			}
+			f.start()
+			defer f.stop()
+			counts := &answerCounts{}
+			var all sync.WaitGroup
+			for i := range c.clients {
+				client := f.newClient()
+				client.Conn.(*net.TCPConn).SetReadBuffer(8 << 10)
+				client.SetDeadline(time.Now().Add(30 * time.Second))
+				all.Go(func() {
+					defer client.Close()
+					fmt.Fprintf(client, "mg k%d v O%d Pc=read,d=%d\r\n", i, i, longTTL)
+					counts.readAnswers(bufio.NewReaderSize(&slowReader{client, 32 << 10, 100 * time.Millisecond}, 32<<10), 1)
+				})
+			}
+			time.Sleep(300 * time.Millisecond)
+			old := f.process
+			f.process = f.startSuccessor()
+			old.Process.Signal(syscall.SIGTERM)
+			all.Wait()
+			old.Wait()
+			t.Log(counts, f.endReasons())
+			if n := counts.missing.Load(); n > 0 {
+				t.Errorf("%d values cut off: %v", n, f.endReasons())
+			}
+		})
+	}
+}
--- a/internal/routing/memory.go
+++ b/internal/routing/memory.go
@@ -16,6 +16,7 @@
 	pool       *transport.Pool
 	soleBytes  int       // limit while this is the only process of the instance
 	limitBytes int       // current limit
+	critical   int       // bytes in use above which the process may be killed
 	reserved   int       // for large values of writes
 	heapBytes  int       // of open commands, outside the buffers
 	expected   int       // answers of unknown size that have not arrived
@@ -36,6 +37,10 @@
 	if withOther {
 		m.limitBytes /= 2
 	}
+	m.critical = int(float64(m.soleBytes) * criticalShare)
+	if withOther { // what is in use already is given back as clients read
+		m.critical = m.soleBytes
+	}
 	m.pool.MaxBytes = m.limitBytes
 	m.admit()
 }
@@ -147,7 +152,7 @@
 
 // usedBytes returns the bytes in buffers, those of open commands, and those expected for their answers.
 func (m *memoryBudget) usedBytes() int {
-	return m.pool.UsedBytes() + m.heapBytes + int(float64(m.expected)*m.answerSize)
+	return m.inUse() + int(float64(m.expected)*m.answerSize)
 }
 
 // streamWindow returns how many bytes of a streamed value are buffered for its client: fewer where hundreds of streams
@@ -161,13 +166,14 @@
 
 // isShort reports whether so much memory is in use that clients which stall are to be closed.
 func (m *memoryBudget) isShort() bool {
-	return float64(m.pool.UsedBytes()+m.heapBytes) >= float64(m.limitBytes)*evictionShare
+	return float64(m.inUse()) >= float64(m.limitBytes)*evictionShare
 }
 
+// inUse returns the bytes in buffers and those of open commands.
+func (m *memoryBudget) inUse() int { return m.pool.UsedBytes() + m.heapBytes }
+
 // isCritical reports whether the limit is exceeded by so much that the process may be killed.
-func (m *memoryBudget) isCritical() bool {
-	return float64(m.pool.UsedBytes()+m.heapBytes) >= float64(m.limitBytes)*criticalShare
-}
+func (m *memoryBudget) isCritical() bool { return m.inUse() > m.critical }
 
 // hasRoomForAnswer reports whether the answer of one more op fits into the limit.
 func (m *memoryBudget) hasRoomForAnswer() bool {
