Test ids that come again from the old process of an upgrade as the next one serves

TestIDThatComesAgain has one more form: ops that are sent on connections of the old process while the next one serves already.

--- a/cmd/larchthread/repeated_id_test.go
+++ b/cmd/larchthread/repeated_id_test.go
@@ -12,14 +12,31 @@
 
 const repeatedIDClients = 100
 
-// sendThenLeave has clients send a command each and leave once hosts or the origin have got all of them.
-func (f *fleet) sendThenLeave(command func(client int) string, received func() int) {
-	var all []*client
-	for i := range repeatedIDClients {
+// upgradeMoment tells when the next process starts to serve.
+type upgradeMoment int
+
+const (
+	noUpgrade     upgradeMoment = iota
+	upgradeBefore               // before the ops are sent, on connections of the old process
+	upgradeAfter                // after their clients have left
+)
+
+// connectClients connects clients that have had an answer each.
+func (f *fleet) connectClients() (all []*client) {
+	for range repeatedIDClients {
 		c := f.newClient()
-		c.sendAndPrint(0, command(i))
+		c.sendAndPrint(0, "mn\r\n")
+		c.reader.ReadString('\n')
 		all = append(all, c)
 	}
+	return all
+}
+
+// sendThenLeave has clients send a command each and leave once hosts or the origin have got all of them.
+func sendThenLeave(all []*client, command func(client int) string, received func() int) {
+	for i, c := range all {
+		c.sendAndPrint(0, command(i))
+	}
 	for end := time.Now().Add(time.Second); received() < repeatedIDClients && time.Now().Before(end); {
 		time.Sleep(5 * time.Millisecond)
 	}
@@ -48,14 +65,15 @@
 	for _, c := range []struct {
 		name, category string
 		isWrite        bool
-		upgrade        bool
+		upgrade        upgradeMoment
 		wait           time.Duration // until it comes again
 	}{
-		{"at most once, at once", "once", false, false, 0},
-		{"at most once, when it has run", "once", false, false, 400 * time.Millisecond},
-		{"write behind its window", "put", true, false, 600 * time.Millisecond},
-		{"at most once, at the other process", "once", false, true, 0},
-		{"write behind its window, at the other process", "put", true, true, 600 * time.Millisecond},
+		{"at most once, at once", "once", false, noUpgrade, 0},
+		{"at most once, when it has run", "once", false, noUpgrade, 400 * time.Millisecond},
+		{"write behind its window", "put", true, noUpgrade, 600 * time.Millisecond},
+		{"at most once, at the next process", "once", false, upgradeAfter, 0},
+		{"at most once, sent to the old process as the next one serves", "once", false, upgradeBefore, 0},
+		{"write behind its window, at the next process", "put", true, upgradeAfter, 600 * time.Millisecond},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			f := &fleet{settings: patientSettings, adminAddress: freeAddress()}
@@ -91,13 +109,22 @@
 				}
 				return received, twice
 			}
-			f.sendThenLeave(command, func() int { n, _ := runs(); return n })
-			first, twice := runs()
-			if c.upgrade {
+			clients := f.connectClients()
+			upgrade := func() {
 				old := f.process
 				f.process = f.startSuccessor()
-				defer old.Wait()
-				defer old.Process.Kill()
+				t.Cleanup(func() {
+					old.Process.Kill()
+					old.Wait()
+				})
+			}
+			if c.upgrade == upgradeBefore {
+				upgrade()
+			}
+			sendThenLeave(clients, command, func() int { n, _ := runs(); return n })
+			first, twice := runs()
+			if c.upgrade == upgradeAfter {
+				upgrade()
 			}
 			time.Sleep(c.wait)
 			f.sendAgain(command)
