Close idle connections to hosts before those of clients to open another

Cause: connections to the origin and for ops that must not run twice rest for 20 ms; at that rate hundreds rest, further ones are opened, and Loop.makeRoom closed what had been idle longest, which were the other clients.

Change: to open a connection, the outgoing one idle longest is closed; a client's only where there is none.

--- a/cmd/larchthread/flood_test.go
+++ b/cmd/larchthread/flood_test.go
@@ -105,3 +105,47 @@
 		})
 	}
 }
+
+// Guards against the connections of other clients that are closed to make room, as one client sends at full speed requests
+// whose connections to hosts have to rest before they are used again.
+func TestFloodLeavesOthersConnected(t *testing.T) {
+	const others = 150 // fewer than may be idle
+	for name, command := range map[string]func(n int) string{
+		"misses": func(n int) string { return fmt.Sprintf("mg miss%d v O%d Pc=read,d=500\r\n", n, n) },
+		"once":   func(n int) string { return fmt.Sprintf("mg k%d v O%d Pc=once,d=500\r\n", n, n) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := &fleet{settings: patientSettings, limits: `{"cores":1,"memory_mb":192,"sockets":1024}`}
+			for i := range 4 {
+				f.AddHost(fmt.Sprint("host", i), func(words []string) string {
+					if strings.HasPrefix(words[1], "miss") {
+						return miss(words)
+					}
+					return hit(words)
+				})
+			}
+			f.AddOrigin(handleOrigin)
+			f.start()
+			defer f.stop()
+			stop := f.flood(command)
+			counts := &answerCounts{}
+			var all sync.WaitGroup
+			for i := range others {
+				c := f.newClient()
+				all.Go(func() {
+					defer c.Close()
+					for n := range 15 {
+						fmt.Fprintf(c, "mg usual%d v Ousual%d-%d Pc=read,d=500\r\n", n, i, n)
+						counts.readAnswers(c.reader, 1)
+						time.Sleep(200 * time.Millisecond)
+					}
+				})
+			}
+			all.Wait()
+			t.Log("sent", stop(), counts, f.endReasons())
+			if n := f.endReasons()["shed"]; n > 0 {
+				t.Errorf("%d connections of clients were closed to make room", n)
+			}
+		})
+	}
+}
--- a/internal/transport/listener.go
+++ b/internal/transport/listener.go
@@ -67,7 +67,7 @@
 func (ln *Listener) hasRoom() bool {
 	l := ln.loop
 	if ln.reserve == 0 {
-		return l.openSockets < l.maxSockets-l.maxSockets/dialReserveDivisor || l.makeRoom()
+		return l.openSockets < l.maxSockets-l.maxSockets/dialReserveDivisor || l.makeRoom(false)
 	}
 	if len(ln.reserved) < ln.reserve {
 		return true
--- a/internal/transport/loop.go
+++ b/internal/transport/loop.go
@@ -367,7 +367,7 @@
 	if c.status == closed {
 		return
 	}
-	if l.openSockets >= l.maxSockets && !l.makeRoom() {
+	if l.openSockets >= l.maxSockets && !l.makeRoom(true) {
 		c.recordEnd(OutOfSockets)
 		return
 	}
--- a/internal/transport/sockets.go
+++ b/internal/transport/sockets.go
@@ -4,9 +4,10 @@
 
 // makeRoom evicts a connection and reports whether it could. Unproven connections go first once their grace
 // period is over or if they are many, so that a flood of them does not evict others; then the connection idle
-// longest.
-func (l *Loop) makeRoom() bool {
-	var oldest, unproven *Conn
+// longest. For an outgoing connection, idle outgoing ones go before clients: one client's requests may keep hundreds
+// of them in turn.
+func (l *Loop) makeRoom(outgoing bool) bool {
+	var oldest, oldestOutgoing, unproven *Conn
 	n := 0
 	for _, c := range l.conns {
 		if c == nil || c.status != established && c.status != halfClosing || c.endReason != "" || c.hasNewInput ||
@@ -21,12 +22,18 @@
 			if oldest == nil || c.LastUsed < oldest.LastUsed {
 				oldest = c
 			}
+			if c.listener == nil && (oldestOutgoing == nil || c.LastUsed < oldestOutgoing.LastUsed) {
+				oldestOutgoing = c
+			}
 		case Unproven:
 			if n++; unproven == nil || c.CreatedAt < unproven.CreatedAt {
 				unproven = c
 			}
 		}
 	}
+	if outgoing && oldestOutgoing != nil {
+		oldest = oldestOutgoing
+	}
 	if unproven != nil && (l.now-unproven.CreatedAt > unprovenGrace || n > l.maxSockets/unprovenDivisor || oldest == nil) {
 		oldest = unproven
 	}
@@ -35,12 +42,12 @@
 	}
 	if n, _ := oldest.peek(); n > 0 { // closing it now would lose input, and answers in transit
 		if oldest.read(); oldest.hasNewInput { // false if memory is full
-			return l.makeRoom()
+			return l.makeRoom(outgoing)
 		}
 	}
 	if oldest != unproven && oldest.AwaitsPeer() { // a next request on it would have its answers discarded in transit
 		oldest.blockedAt = l.now
-		return l.makeRoom()
+		return l.makeRoom(outgoing)
 	}
 	l.evict(oldest)
 	return true
