Leave what the process takes by itself out of the memory for buffers

Cause: the buffers' share was taken of all memory, though some MB go to the process whatever it does.

--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -22,7 +22,8 @@
 	duplicateAnswerWindow = 20.0     // ms after an answer within which a second answer to the same push may arrive
 	idleTimeoutShare      = 0.9      // share of the hosts' idle timeout for which connections are reused: a push takes a while to arrive
 	defaultConnectTimeout = 250.0    // ms; applies where the start file sets no connect timeout: some round trips and one lost packet
-	bufferMemoryShare     = 0.4      // share of memory for buffers; the heap and the garbage collector use the rest
+	runtimeMemoryMB       = 6.0      // MB that the process takes whatever it does
+	bufferMemoryShare     = 0.4      // share of the other memory for buffers; the heap and the garbage collector use the rest
 	maxPipelinedCommands  = 256      // unanswered commands on a connection at which reading from it stops: well over what a client needs
 	maxUnpooledBytes      = 1 << 10  // bytes of a queued answer that are copied out of its pooled buffer
 	maxUnsentBytes        = 1 << 20  // unsent answer bytes at which reading from a client stops: a dozen of the largest buffered values
@@ -83,7 +84,7 @@
 		log:           log,
 		configuration: configuration{params: startFile.Params},
 		inventory:     inventoryState{inUse: useInventory},
-		memory:        newMemoryBudget(loop.Pool, int(startFile.MemoryMB*bufferMemoryShare*(1<<20))),
+		memory:        newMemoryBudget(loop.Pool, bufferBytes(startFile.MemoryMB)),
 		clients:       newClientRegistry(startFile.Sockets / idleClientDivisor),
 		hosts:         newHostPool(startFile.Params.Limits.Connect / 1000),
 	}
@@ -114,6 +115,11 @@
 	return r, nil
 }
 
+// bufferBytes returns how many bytes the buffers may take of that much memory.
+func bufferBytes(memoryMB float64) int {
+	return int(max(memoryMB-runtimeMemoryMB, memoryMB/2) * bufferMemoryShare * (1 << 20))
+}
+
 // startRound begins a round of the event loop: it advances the balancer's clock, applies pending requests from
 // other goroutines and reports the pushes that were cancelled in the previous round.
 func (r *Router) startRound(now float64) {
