--- a/internal/standin/host_work.go
+++ b/internal/standin/host_work.go
@@ -28,6 +28,7 @@
 	share := h.capacityShare(now)
 	if push.Cold = share < 1; push.Cold && h.recordColdPush(now, share) {
 		push.CausedCrash, h.crashed = true, true
+		h.fleet.recordPush(push) // under the lock: who sees the crash finds its push
 		h.killLocked()
 	}
 	full := h.pending >= h.capacity.QueueLimit+h.capacity.Slots
@@ -41,7 +42,6 @@
 	slots := h.slots
 	h.mu.Unlock()
 	if push.CausedCrash {
-		h.fleet.recordPush(push)
 		return "", true
 	}
 	if full {
