--- a/cmd/larchthread/client_leaves_test.go
+++ b/cmd/larchthread/client_leaves_test.go
@@ -199,15 +199,13 @@
 					late.Add(1)
 				}
 			}
-			for i := range 8 {
-				f.AddHost(fmt.Sprint("host", i), func(words []string) string {
-					note()
-					if words[1] == "slow" {
-						time.Sleep(time.Second)
-					}
-					return hit(words)
-				})
-			}
+			f.addHosts(8, func(words []string) string {
+				note()
+				if words[1] == "slow" {
+					time.Sleep(time.Second)
+				}
+				return hit(words)
+			})
 			f.AddOrigin(func(w http.ResponseWriter, r *http.Request) {
 				note()
 				handleOrigin(w, r)
--- a/cmd/larchthread/fleet_test.go
+++ b/cmd/larchthread/fleet_test.go
@@ -256,6 +256,13 @@
 	}
 }
 
+// addHosts adds that many cache hosts which answer alike.
+func (f *fleet) addHosts(hosts int, answer func(words []string) string) {
+	for i := range hosts {
+		f.AddHost(fmt.Sprint("host", i), answer)
+	}
+}
+
 // hit is a host that answers every command with the value "value".
 func hit(words []string) string { return "VA 5 O{id}\r\nvalue\r\n" }
 
--- a/cmd/larchthread/flood_test.go
+++ b/cmd/larchthread/flood_test.go
@@ -17,6 +17,14 @@
 	lateAnswer    = 200 * time.Millisecond
 )
 
+// hitOrMiss is a host that lacks the keys that begin with "miss".
+func hitOrMiss(words []string) string {
+	if strings.HasPrefix(words[1], "miss") {
+		return miss(words)
+	}
+	return hit(words)
+}
+
 // flood sends commands on one connection at full speed until the returned function is called, which returns how many
 // were sent. Their answers are read and dropped.
 func (f *fleet) flood(command func(n int) string) (stop func() int64) {
@@ -67,14 +75,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			f := &fleet{limits: fmt.Sprintf(`{"cores":1,"memory_mb":%d,"sockets":1024}`, memoryMB), settings: settings}
-			for i := range 4 {
-				f.AddHost(fmt.Sprint("host", i), func(words []string) string {
-					if strings.HasPrefix(words[1], "miss") {
-						return miss(words)
-					}
-					return hit(words)
-				})
-			}
+			f.addHosts(4, hitOrMiss)
 			f.AddOrigin(handleOrigin)
 			f.start()
 			defer f.stop()
@@ -116,14 +117,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			f := &fleet{settings: patientSettings, limits: `{"cores":1,"memory_mb":192,"sockets":1024}`}
-			for i := range 4 {
-				f.AddHost(fmt.Sprint("host", i), func(words []string) string {
-					if strings.HasPrefix(words[1], "miss") {
-						return miss(words)
-					}
-					return hit(words)
-				})
-			}
+			f.addHosts(4, hitOrMiss)
 			f.AddOrigin(handleOrigin)
 			f.start()
 			defer f.stop()
--- a/cmd/larchthread/memory_limit_test.go
+++ b/cmd/larchthread/memory_limit_test.go
@@ -124,12 +124,10 @@
 // addValueHosts adds cache hosts that answer reads with a value of bufferedValueBytes after the delay.
 func (f *fleet) addValueHosts(hosts int, delay time.Duration) {
 	answer := fmt.Sprintf("VA %d O{id}\r\n%s\r\n", bufferedValueBytes, longValue[:bufferedValueBytes])
-	for i := range hosts {
-		f.AddHost(fmt.Sprint("host", i), func([]string) string {
-			time.Sleep(delay)
-			return answer
-		})
-	}
+	f.addHosts(hosts, func([]string) string {
+		time.Sleep(delay)
+		return answer
+	})
 }
 
 // Guards against a process that is killed for memory, and against answers that never come: the answers to commands that
@@ -208,9 +206,7 @@
 		for name, fields := range map[string]string{"flags": strings.Repeat(" q", 1900), "attributes": strings.Repeat(",q", 900)} {
 			t.Run(fmt.Sprintf("%d MB, %s", memoryMB, name), func(t *testing.T) {
 				f := &fleet{limits: fmt.Sprintf(`{"cores":1,"memory_mb":%d,"sockets":1024}`, memoryMB), settings: patientSettings}
-				for i := range 8 {
-					f.AddHost(fmt.Sprint("host", i), hitWithSlowKey(2*time.Second))
-				}
+				f.addHosts(8, hitWithSlowKey(2*time.Second))
 				f.start()
 				defer f.stop()
 				peak := f.sampleMemory()
@@ -239,9 +235,7 @@
 		t.Run(fmt.Sprintf("%d MB, %d bytes", c.memoryMB, c.valueBytes), func(t *testing.T) {
 			f := &fleet{limits: fmt.Sprintf(`{"cores":1,"memory_mb":%d,"sockets":1024}`, c.memoryMB), settings: patientSettings}
 			answer := fmt.Sprintf("VA %d O{id}\r\n%s\r\n", c.valueBytes, longValue[:c.valueBytes])
-			for i := range 8 {
-				f.AddHost(fmt.Sprint("host", i), func([]string) string { return answer })
-			}
+			f.addHosts(8, func([]string) string { return answer })
 			f.start()
 			defer f.stop()
 			peak := f.sampleMemory()
--- a/cmd/larchthread/repeated_id_test.go
+++ b/cmd/larchthread/repeated_id_test.go
@@ -77,12 +77,10 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			f := &fleet{settings: patientSettings, adminAddress: freeAddress()}
-			for i := range 8 {
-				f.AddHost(fmt.Sprint("host", i), func([]string) string {
-					time.Sleep(300 * time.Millisecond)
-					return "VA 5 O{id}\r\nvalue\r\n"
-				})
-			}
+			f.addHosts(8, func([]string) string {
+				time.Sleep(300 * time.Millisecond)
+				return "VA 5 O{id}\r\nvalue\r\n"
+			})
 			f.AddOrigin(func(w http.ResponseWriter, _ *http.Request) {
 				time.Sleep(300 * time.Millisecond)
 				io.WriteString(w, "receipt")
--- a/cmd/larchthread/slow_reader_test.go
+++ b/cmd/larchthread/slow_reader_test.go
@@ -141,9 +141,7 @@
 			f := &fleet{limits: fmt.Sprintf(`{"cores":1,"memory_mb":%d,"sockets":1024}`, c.memoryMB), settings: patientSettings,
 				adminAddress: freeAddress()}
 			answer := fmt.Sprintf("VA %d O{id}\r\n%s\r\n", valueBytes, longValue[:valueBytes])
-			for i := range 8 {
-				f.AddHost(fmt.Sprint("host", i), func([]string) string { return answer })
-			}
+			f.addHosts(8, func([]string) string { return answer })
 			f.start()
 			defer f.stop()
 			counts := &answerCounts{}
