--- a/internal/routing/memory.go
+++ b/internal/routing/memory.go
@@ -7,7 +7,11 @@
 	"larchthread/internal/transport"
 )
 
-// memoryBudget limits the bytes in buffers and reserves part of them for large values of writes.
+// memoryBudget limits the bytes in buffers, those of open commands, and those that are expected for their answers. It
+// reserves part of them for large values of writes.
+//
+// A command is counted before it is read, with an answer as large as recent ones: what has been dispatched is kept until
+// its turn comes, so nothing could be given back then without losing an answer.
 //
 // Memory for a value is reserved as it arrives, so that a client that writes slowly holds little. All clients
 // together leave enough for the largest value that is being received; from that, one after another gets all it
@@ -38,7 +42,7 @@
 		m.limitBytes /= 2
 	}
 	m.critical = int(float64(m.soleBytes) * criticalShare)
-	if withOther { // what is in use already is given back as clients read
+	if withOther { // what was in use before is given back as clients read
 		m.critical = m.soleBytes
 	}
 	m.pool.MaxBytes = m.limitBytes
