Test a long write without memory at the buffers that its sizes are made for

Three slow writes of 4,000,000 bytes are to fill what long writes may take, 12.8 MB of the 64 that it gave the process. Since the buffers' share is taken of 58 of these, and long writes may take 11.6 MB: two fit, and leave room.

With 70 MB they may take 12.8 MB as before.

--- a/cmd/larchthread/long_test.go
+++ b/cmd/larchthread/long_test.go
@@ -186,7 +186,7 @@
 // Guards against writes that wait for memory without a limit: where slow ones fill it, a write is nacked in time,
 // and its connection serves on.
 func Example_longWriteWithoutMemory() {
-	f := &fleet{limits: `{"cores":1,"memory_mb":64,"sockets":512}`}
+	f := &fleet{limits: `{"cores":1,"memory_mb":70,"sockets":512}`}
 	f.AddHost("a", hit)
 	f.AddOrigin(handleOrigin)
 	f.start()
