Test a blackhole's length from before its end is scheduled

The goroutine that ends the blackhole after 100 ms got ahead of the round trip, which measures from its own start. The test now measures from before the goroutine is started; the bound of 100 ms is as it was. Nothing of the link or of the product was changed.

--- a/internal/trial/link_test.go
+++ b/internal/trial/link_test.go
@@ -110,11 +110,13 @@
 		c := dial()
 		roundTrip(c, 10)
 		l.SetImpairment(direction, Impairment{Blackhole: true})
+		began := time.Now() // before the goroutine, which may get ahead of the round trip
 		go func() {
 			time.Sleep(100 * time.Millisecond)
 			l.SetImpairment(direction, Impairment{})
 		}()
-		if n, took, err := roundTrip(c, 10); n > 0 || !isReset(err) || took < 100*time.Millisecond {
+		n, _, err := roundTrip(c, 10)
+		if took := time.Since(began); n > 0 || !isReset(err) || took < 100*time.Millisecond {
 			t.Fatalf("direction %d: %d bytes after %v, %v", direction, n, took, err)
 		}
 		if n, _, err := roundTrip(dial(), 10); err != nil {
