Log pushes that end without an answer, and ops that are failed, refused or abandoned, by id

Cause: the log named connections only. Change: 'push ended' with op, host, outcome and phase; 'op failed', 'op refused' (once pushed) and 'op abandoned' with op, peer, pushes and the ms left.

--- a/balance/frontend.go
+++ b/balance/frontend.go
@@ -172,6 +172,12 @@
 	UnknownOutcome         // anything else; the op may have run
 )
 
+// String returns the outcome's name in the log.
+func (o Outcome) String() string {
+	return [...]string{"served", "failed", "overloaded", "timed-out", "connect-failed", "conn-broken", "invalid-answer",
+		"stale-conn", "invalid-op", "cancelled", "not-sent", "cache-miss", "conn-limited", "unknown"}[o]
+}
+
 // Op is one request. The frontend fills in the exported fields before it calls OpArrived.
 type Op struct {
 	Ref      any // the frontend's handle; not read here
--- a/internal/routing/client.go
+++ b/internal/routing/client.go
@@ -287,6 +287,8 @@
 	c.pipeline = nil
 	for _, o := range pipeline {
 		if o.state == opOpen {
+			r.log.Info("op abandoned", "op", o.command.ID, "peer", c.conn.Peer(), "pushes", o.pushCount,
+				"left_ms", int(o.deadline-r.loop.Now()))
 			o.setState(opAbandoned)
 			r.balancer.ClientLeft(&o.Op)
 		}
--- a/internal/routing/op.go
+++ b/internal/routing/op.go
@@ -30,6 +30,7 @@
 	reservedBytes int             // buffer bytes reserved for its large value
 	heapBytes     int             // bytes outside buffers that are counted for it
 	queuedBytes   int             // answer bytes in buffers that wait for its turn
+	pushCount     int             // pushes so far
 	possibleRuns  int             // pushes that have been written in full and may have run
 	expectsAnswer bool            // memory is counted for an answer that has not arrived
 	pushes        []*push         // those that have not ended
@@ -90,3 +91,14 @@
 	o.queuedBytes = o.reply.Len()
 	o.client.queuedBytes += o.queuedBytes
 }
+
+// logSettled logs that an op which has been pushed is settled unserved. One that has not been is counted only: there are
+// too many of these while the process or the fleet is full.
+func (o *op) logSettled(message string) {
+	r := o.client.router
+	if o.pushCount == 0 {
+		return
+	}
+	r.log.Info(message, "op", o.command.ID, "peer", o.client.conn.Peer(), "pushes", o.pushCount,
+		"left_ms", int(o.deadline-r.loop.Now()))
+}
--- a/internal/routing/port.go
+++ b/internal/routing/port.go
@@ -14,6 +14,7 @@
 	now := r.loop.Now()
 	p := &push{Push: b, router: r, op: b.Op.Ref.(*op), startedAt: now, expiresAt: now + limit}
 	b.Ref = p
+	p.op.pushCount++
 	if p.timeLeft(now) < minRemaining {
 		p.endNextRound(balance.NotSent)
 		return
@@ -40,6 +41,7 @@
 	op := o.Ref.(*op)
 	r.counters.byCategory[op.Category].Nacked++
 	protocol.WriteNack(op.output(), backoff)
+	op.logSettled("op refused")
 	op.client.completeOp(op)
 }
 
@@ -48,6 +50,7 @@
 	op := o.Ref.(*op)
 	r.counters.byCategory[op.Category].DeadLettered++
 	protocol.WriteDeadLetter(op.output())
+	op.logSettled("op failed")
 	op.client.completeOp(op)
 }
 
@@ -62,6 +65,7 @@
 
 // reportEnd tells the balancer the outcome of a push, its duration and the load that its host reported, if any.
 func (r *Router) reportEnd(p *push, o balance.Outcome, load ...protocol.Attr) {
+	p.logEnd(o)
 	var report *balance.LoadReport
 	for _, a := range load {
 		if v, err := strconv.ParseFloat(a.Value, 64); err == nil {
--- a/internal/routing/push.go
+++ b/internal/routing/push.go
@@ -17,6 +17,11 @@
 	pushEnded                      // answered, given up or cancelled, or its connection failed
 )
 
+// String returns the state's name in the log.
+func (s pushState) String() string {
+	return [...]string{"waiting", "writing", "streaming", "ended"}[s]
+}
+
 // push is one attempt to have a host serve an op.
 type push struct {
 	*balance.Push
@@ -28,6 +33,7 @@
 	expiryTimer    transport.Timer
 	writeTimer     transport.Timer // limits writing its last byte
 	state          pushState
+	lastState      pushState       // before it ended
 	dispatched     bool            // it has begun to be written, or its connection to be established
 	fullyWritten   bool            // its last byte has been written
 	firstByteAfter float64         // ms until its answer began to arrive; set only for streamed answers
@@ -39,7 +45,7 @@
 	if p.state == pushEnded {
 		return
 	}
-	p.state = to
+	p.lastState, p.state = p.state, to
 	if to >= pushStreaming {
 		p.router.loop.StopTimer(&p.expiryTimer)
 	}
@@ -111,3 +117,16 @@
 		p.startedAt = now
 	}
 }
+
+// logEnd logs a push that ended without an answer that its op can use.
+func (p *push) logEnd(o balance.Outcome) {
+	if o == balance.Served || o == balance.CacheMiss || o == balance.Overloaded {
+		return
+	}
+	hostName := ""
+	if p.hostConn != nil {
+		hostName = p.hostConn.host.Name
+	}
+	p.router.log.Info("push ended", "op", p.op.command.ID, "host", hostName, "outcome", o.String(),
+		"phase", p.lastState.String(), "ms", int(p.router.loop.Now()-p.startedAt))
+}
