Keep an op's deadline, retries and hedges until a byte of its value is passed on

What callers saw: where a server fell silent behind the head of a long value, no byte for seconds and then a closed connection, and so for the commands behind it; at SIGTERM nothing. Cause: with the answer's first line the op counted as streaming. Its deadline and that of its push ended there, it was neither cancelled nor pushed again, its places at the host and the limiter were given back, and a served outcome was recorded, though nothing of the value had come. The head was written to the client at once, unsent, so the stall that followed was taken for the client's. Evidence: 'push ended ... phase=streaming ms=5005' for each such op; half a head was answered in time. Change: a push whose head has arrived is 'receiving': an ordinary push, that may time out, be cancelled or fail, with the op pushed again elsewhere. It streams from the first byte that is passed on. A value that waits for its turn reads on until its window is full; then, and at its op's deadline while it still arrives, the op waits on (Balancer.AnswerWaits). If it breaks off before its turn, the balancer takes the op up again (resume). Why this works: until a byte is passed on nothing binds the op to that push.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -2,9 +2,9 @@
 // queued, nacked or dead-lettered, how hosts are judged, and how many pushes may be in flight.
 //
 // Each instance makes one Balancer with New. Before each round of input, its frontend calls Advance with the
-// time, and then one method per event: HostsListed, HostListFailed, OpArrived, PushStarted, StreamingStarted,
-// PushEnded, ClientLeft and TimerFired. The Balancer acts by calling the Frontend, from within those calls
-// only. It is not safe for concurrent use. Times and latencies are in ms.
+// time, and then one method per event: HostsListed, HostListFailed, OpArrived, PushStarted, AnswerProgressed,
+// AnswerWaits, StreamingStarted, PushEnded, ClientLeft and TimerFired. The Balancer acts by calling the
+// Frontend, from within those calls only. It is not safe for concurrent use. Times and latencies are in ms.
 package balance
 
 import (
@@ -147,6 +147,7 @@
 		switch op := t.op; {
 		case op == nil: // a key queue's quiet time is over
 			b.startNext(t.keyQueue)
+		case b.holdForTurn(op):
 		case op.fetch != nil && op.inFlight > 0 && b.now < b.settleBy(op):
 			// Too late for this op, but the ops that wait for its fetch can use the result.
 			b.schedule(&b.opTimers, t, b.settleBy(op))
@@ -319,21 +320,6 @@
 	p.localWait, p.newConn = wait, newConn
 }
 
-// StreamingStarted tells that the answer to p has begun to flow to the client. The host's work is done: the
-// push no longer counts as in flight there or at the limiter, and those who wait for its fetch go on: a slow
-// reader must not hold a place.
-func (b *Balancer) StreamingStarted(p *Push) {
-	if op := p.Op; op.state < stateStreaming {
-		op.streamingPush = p
-		b.setState(op, stateStreaming)
-		p.limiter.inFlight--
-		p.Host.inFlight--
-		b.recordOutcome(p, Served, b.now-p.sentAt)
-		b.finishFetch(op, true)
-		b.dispatch(p.limiter)
-	}
-}
-
 // ClientLeft tells that no client waits for op any more.
 func (b *Balancer) ClientLeft(op *Op) {
 	if op.state == stateSettled {
@@ -362,13 +348,17 @@
 		op.keyQueue.quietUntil = b.now + b.KeyQuietTime
 	}
 	switch {
-	case op.streamingPush != p:
+	case !p.placesReleased:
 		h.inFlight--
 		lim.inFlight--
 		b.recordOutcome(p, o, latency)
 	case o != Served && o != Cancelled: // the stream broke off
 		b.recordFailure(h, o, latency, failureWeight)
 	}
+	interrupted := op.streamingPush == p && !p.passedOn && !final && op.state != stateSettled
+	if interrupted {
+		b.resume(op)
+	}
 	if report != nil && report.Busy >= 0 && !h.IsOrigin {
 		b.recordBusy(h, math.Min(report.Busy, 1))
 	}
@@ -404,7 +394,7 @@
 		if h.IsOrigin {
 			b.finishFetch(op, false)
 		}
-	case confirmed || presumed || b.now >= op.Deadline-tickInterval:
+	case confirmed || presumed || b.now >= op.Deadline-tickInterval || interrupted && b.now >= op.giveUpAt:
 		b.giveUp(op)
 	case o == Overloaded && !h.IsOrigin && b.isShedWhenFull(op):
 		if b.originLimiter.congestion > b.originLimiter.congestionGoal || !b.CacheAside || !b.mayPush(op) {
--- a/balance/frontend.go
+++ b/balance/frontend.go
@@ -174,8 +174,8 @@
 
 // String returns the outcome's name in the log.
 func (o Outcome) String() string {
-	return [...]string{"served", "failed", "overloaded", "timed-out", "connect-failed", "conn-broken", "invalid-answer",
-		"stale-conn", "invalid-op", "cancelled", "not-sent", "cache-miss", "conn-limited", "unknown"}[o]
+	return [...]string{"served", "failed", "overloaded", "timed-out", "connect-failed", "conn-broken",
+		"invalid-answer", "stale-conn", "invalid-op", "cancelled", "not-sent", "cache-miss", "conn-limited", "unknown"}[o]
 }
 
 // Op is one request. The frontend fills in the exported fields before it calls OpArrived.
@@ -196,7 +196,7 @@
 	inFlight      int           // pushes without an outcome: at most two
 	failedHost    *Host         // last host that failed it
 	errorHost     *Host         // cache host that answered it with an error (Failed or InvalidOp)
-	streamingPush *Push         // push whose answer is being streamed
+	streamingPush *Push         // push whose answer is being streamed, or waits for its turn
 	fetch         *fetch        // led by this op
 	giveUpAt      float64       // ms
 	flows         [2]*flowStats // of its key and of its tenant
@@ -217,11 +217,19 @@
 	localWait  float64  // ms that it waited in this process, not yet added to checkTimer
 	limiter    *limiter // that admitted it
 	checkTimer timer
-	newConn    bool // a connection was made for it
-	rechecked  bool // its check was put off once
-	cancelled  bool // Frontend.Cancel was called
-	ended      bool // its outcome is known
-	neverRan   bool // the outcome proves that the op did not run
+	// When the first bytes of the answer arrived (0: not yet), and the latest ones, in ms.
+	firstByteAt, progressAt float64
+	checkedAt               float64 // ms; when it was last checked and its answer was arriving
+
+	waitsForTurn   bool // a part of its answer waits behind earlier answers to the client
+	passedOn       bool // a part of its answer has been passed on to the client
+	placesReleased bool // it no longer counts as in flight at its host and its limiter
+
+	newConn   bool // a connection was made for it
+	rechecked bool // its check was put off once
+	cancelled bool // Frontend.Cancel was called
+	ended     bool // its outcome is known
+	neverRan  bool // the outcome proves that the op did not run
 }
 
 // LoadReport is the load that a host reports with an answer. Fields below 0 are not reported.
--- a/balance/retry.go
+++ b/balance/retry.go
@@ -68,6 +68,7 @@
 	c := op.Category
 	notElsewhere := c.Repeat == AtMostOnce || c.Repeat == Deduplicated && c.DedupScope != DedupAllHosts
 	if notElsewhere || p.cancelled || len(op.pushes) >= b.MaxPushes || b.deferWhileSilent(p) ||
+		b.deferWhileArriving(p) ||
 		b.recheckOnce(p, recheckFactor) ||
 		p.Host.IsOrigin && p.Host.newestAnsweredPush <= p.sentAt {
 		return
@@ -99,6 +100,23 @@
 	return true
 }
 
+// deferWhileArriving leaves a push alone whose answer has begun to arrive if no other host could answer
+// sooner, and puts off its check while the answer arrives and only waits for its turn. It tells whether it
+// did either.
+func (b *Balancer) deferWhileArriving(p *Push) bool {
+	switch {
+	case p.progressAt == 0:
+		return false
+	case len(b.readyHosts) < 2:
+		return true
+	case !p.waitsForTurn || p.progressAt <= p.checkedAt:
+		return false
+	}
+	p.checkedAt = b.now
+	b.schedule(&b.pushTimers, &p.checkTimer, b.now+recheckFactor*(b.now-p.sentAt))
+	return true
+}
+
 // hedge sends a second push of an op whose first one is late; the first answer counts. Hedges are limited by
 // hedgeTokens. A host that has answered nobody since the first push has failed.
 func (b *Balancer) hedge(p *Push) {
--- a/balance/settle.go
+++ b/balance/settle.go
@@ -13,7 +13,7 @@
 	stateNew       opState = iota // accepted; ordered ops wait here for the earlier ones of their key
 	stateQueued                   // in a limiter's queue, or waiting for the fetch of its key
 	statePushed                   // a push is in flight
-	stateStreaming                // the answer of one push is being streamed to the client
+	stateStreaming                // the answer of one push is streamed to the client, or waits for its turn
 	stateSettled                  // acked, nacked or dead-lettered
 )
 
@@ -55,8 +55,8 @@
 	return math.Min(b.MaxBackoff, target/2*(1+b.rng.uniform()))
 }
 
-// setState is the only place where an op changes state. A settled op stays settled, and a streaming one can
-// only be settled. An op that is settled without being acked returns its tenant's token.
+// setState is the only place where an op changes state, but for resume. A settled op stays settled, and a
+// streaming one can only be settled. An op that is settled without being acked returns its tenant's token.
 func (b *Balancer) setState(op *Op, to opState) {
 	if op.state == stateSettled || op.state == stateStreaming && to != stateSettled {
 		return
--- /dev/null
+++ b/balance/streaming.go
@@ -0,0 +1,88 @@
+package balance
+
+// Answers that are passed on as they arrive: when their ops' deadlines end, and when they count as stalled.
+
+const (
+	// Of an answer that has begun to be passed on: it is given up when nothing of it has arrived for its op's
+	// TTL, within these limits, but not before the op's deadline.
+	minStallTimeout = 500.0  // ms
+	maxStallTimeout = 1000.0 // ms
+)
+
+// AnswerProgressed tells that bytes of the answer to p have arrived, its head included, or that its host
+// may send again after it was held back.
+func (b *Balancer) AnswerProgressed(p *Push) {
+	if p.firstByteAt == 0 {
+		p.firstByteAt = b.now
+	}
+	p.progressAt = b.now
+}
+
+// AnswerWaits tells that a part of the answer to p has arrived and waits behind earlier answers to the same
+// client. blocked tells whether the host can send no more until its turn. Such an op, and at its deadline
+// one whose answer still arrives, waits on: the wait is not the host's fault.
+func (b *Balancer) AnswerWaits(p *Push, blocked bool) {
+	if !p.waitsForTurn {
+		p.waitsForTurn = true
+		p.Host.lastAnswer, b.lastAnswer = b.now, b.now
+	}
+	if blocked {
+		b.startStreaming(p)
+	}
+}
+
+// StreamingStarted tells that the first byte of the answer to p is passed on to the client. From then on
+// the op can neither be pushed again nor be settled otherwise, and its deadline no longer counts.
+func (b *Balancer) StreamingStarted(p *Push) {
+	p.passedOn = true
+	b.startStreaming(p)
+}
+
+// stallTimeout returns for how many ms an answer may make no progress.
+func stallTimeout(op *Op) float64 {
+	return clamp(op.Deadline-op.arrivedAt, minStallTimeout, maxStallTimeout)
+}
+
+// startStreaming ends the op's deadline. The host's work is done: the push no longer counts as in flight
+// there or at the limiter, and those who wait for its fetch go on: a slow reader must not hold a place.
+func (b *Balancer) startStreaming(p *Push) {
+	op := p.Op
+	if op.state == stateSettled || op.streamingPush == p || op.streamingPush != nil && !p.passedOn {
+		return
+	}
+	op.streamingPush = p
+	b.setState(op, stateStreaming)
+	if p.placesReleased {
+		return
+	}
+	p.placesReleased = true
+	p.limiter.inFlight--
+	p.Host.inFlight--
+	firstByteAt := b.now
+	if p.firstByteAt > 0 {
+		firstByteAt = p.firstByteAt
+	}
+	b.recordOutcome(p, Served, firstByteAt-p.sentAt)
+	b.finishFetch(op, true)
+	b.dispatch(p.limiter)
+}
+
+// holdForTurn tells whether an op that is due waits on because its answer still arrives and only waits for
+// its turn.
+func (b *Balancer) holdForTurn(op *Op) bool {
+	for _, p := range op.pushes {
+		if !p.ended && p.waitsForTurn && b.now < p.progressAt+stallTimeout(op) {
+			b.startStreaming(p)
+			return true
+		}
+	}
+	return false
+}
+
+// resume takes up an op again whose answer broke off before any of it was passed on.
+func (b *Balancer) resume(op *Op) {
+	op.streamingPush, op.state = nil, statePushed
+	if b.now < op.giveUpAt {
+		b.schedule(&b.opTimers, &op.giveUpTimer, op.giveUpAt)
+	}
+}
--- /dev/null
+++ b/balance/streaming_test.go
@@ -0,0 +1,59 @@
+package balance
+
+import "fmt"
+
+// Guards against an op that is held until its deadline by the head of an answer: its push is cancelled when it is late,
+// and the op goes elsewhere.
+func Example_headAloneDoesNotHoldOp() {
+	sim := newHarness(testConfig(), "a", "b")
+	op := sim.sendOp("op", 0, "page", 500, false)
+	sim.advance(10)
+	sim.AnswerProgressed(pendingPush(op))
+	sim.advance(100)
+	fmt.Println("pushes:", len(op.pushes))
+	// Output:
+	// 0 push op to a
+	//   88 cancel op
+	//   88 push op to b
+	// pushes: 2
+}
+
+// Guards against an op that is pushed elsewhere, or given up at its deadline, while its answer arrives and only waits for
+// those before it.
+func Example_arrivingAnswerWaitsForItsTurn() {
+	sim := newHarness(testConfig(), "a", "b")
+	op := sim.sendOp("op", 0, "page", 200, false)
+	p := pendingPush(op)
+	for range 30 {
+		sim.advance(10)
+		sim.AnswerProgressed(p)
+		sim.AnswerWaits(p, false)
+	}
+	fmt.Println("open:", op.state == stateStreaming, "at the host:", p.Host.inFlight)
+	sim.StreamingStarted(p)
+	sim.PushEnded(p, Served, 300, true, nil)
+	fmt.Println("done:", op.IsDone(), "at the host:", p.Host.inFlight, sim.fleetLimiter.inFlight)
+	// Output:
+	// 0 push op to a
+	// open: true at the host: 0
+	// done: true at the host: 0 0
+}
+
+// Guards against an op that is settled as failed, or never, when its answer breaks off while it waits for its turn.
+func Example_waitingAnswerBreaksOff() {
+	sim := newHarness(testConfig(), "a", "b")
+	op := sim.sendOp("op", 0, "page", 500, false)
+	p := pendingPush(op)
+	sim.advance(10)
+	sim.AnswerProgressed(p)
+	sim.AnswerWaits(p, true)
+	sim.advance(300)
+	sim.PushEnded(p, ConnBroken, 310, false, nil)
+	fmt.Println("at the first host:", p.Host.inFlight)
+	sim.finish("op", Overloaded, 10)
+	// Output:
+	// 0 push op to a
+	//  310 push op to b
+	// at the first host: 0
+	//  310 nack op
+}
--- a/cmd/larchthread/long_test.go
+++ b/cmd/larchthread/long_test.go
@@ -312,7 +312,7 @@
 	// Output:
 	// VA 5 O1
 	// value
-	// SERVER_ERROR failed
+	// SERVER_ERROR busy ..
 	// MN
 	// half-answer 0
 	// connect-timeout 0
--- a/cmd/larchthread/server_faults_test.go
+++ b/cmd/larchthread/server_faults_test.go
@@ -41,6 +41,7 @@
 	sentBytes  int  // bytes of the value that are written; all of them for completeReply
 	pieces     int  // in which they are written; 0 for one
 	pause      time.Duration
+	lastAlone  bool          // the last byte is written by itself, behind a pause
 	readPause  time.Duration // behind each piece that is read of the request
 	framing    bodyFraming
 	end        replyEnd
@@ -218,6 +219,10 @@
 	case s.end == completeReply:
 		text += tail
 	}
+	last := ""
+	if s.lastAlone {
+		text, last = text[:len(text)-1], text[len(text)-1:]
+	}
 	pieces := max(s.pieces, 1)
 	for i := range pieces {
 		if _, err := io.WriteString(c, text[len(text)*i/pieces:len(text)*(i+1)/pieces]); err != nil {
@@ -227,6 +232,10 @@
 			time.Sleep(s.pause)
 		}
 	}
+	if s.lastAlone {
+		time.Sleep(s.pause)
+		io.WriteString(c, last)
+	}
 	switch s.end {
 	case silentReply: // until the process closes the connection
 		io.Copy(io.Discard, c)
--- a/internal/routing/client.go
+++ b/internal/routing/client.go
@@ -117,7 +117,7 @@
 // share of the round or its limits are used up. In a hand-over it leaves them to the successor.
 func (c *client) Received(conn *transport.Conn) {
 	conn.LastUsed = c.router.loop.Now()
-	if vs := c.headStream(); vs != nil {
+	if vs := c.nextStream(); vs != nil {
 		vs.advance()
 		if c.removed {
 			return
@@ -248,7 +248,7 @@
 		n++
 	}
 	c.pipeline = slices.Delete(c.pipeline, 0, n)
-	if c.headStream() != nil { // the next answer in the queue is streamed
+	if c.nextStream() != nil { // the next answer in the queue is streamed
 		r.loop.ScheduleReceive(c.conn)
 	}
 	if n > 0 {
@@ -292,10 +292,6 @@
 			o.setState(opAbandoned)
 			r.balancer.ClientLeft(&o.Op)
 		}
-		if o.stream != nil && o.stream.hostConn.push.state == pushStreaming {
-			// Nobody reads the stream, so it ends even where cancelling pushes is not allowed.
-			o.stream.hostConn.push.cancel(transport.Cancelled)
-		}
 		o.release()
 	}
 }
--- a/internal/routing/op.go
+++ b/internal/routing/op.go
@@ -26,7 +26,7 @@
 	reply         transport.Chain // answer that waits for its turn
 	shortReply    []byte          // the same, copied out where it is short: a pooled buffer for each would take most of the memory
 	trailingNacks []byte          // nacks for the commands right after it that were rejected unread
-	stream        *valueStream    // of its large answer, or nil
+	stream        *valueStream    // of its large answer that is being forwarded, or nil
 	reservedBytes int             // buffer bytes reserved for its large value
 	heapBytes     int             // bytes outside buffers that are counted for it
 	queuedBytes   int             // answer bytes in buffers that wait for its turn
@@ -39,7 +39,7 @@
 }
 
 // setState is the only place that changes the op's state. When the op stops being open, its pushes that have
-// not been sent in full are cancelled.
+// not been sent in full, and those whose long values are arriving, are cancelled.
 func (o *op) setState(to opState) {
 	if o.state != opOpen {
 		return
@@ -48,6 +48,7 @@
 	o.client.router.memory.endExpected(o)
 	for _, p := range slices.Clone(o.pushes) {
 		p.cancelUnsent()
+		p.cancelStream()
 	}
 	o.client.router.clients.ids.close(o, o.client.router.loop.Now())
 }
--- a/internal/routing/push.go
+++ b/internal/routing/push.go
@@ -13,13 +13,14 @@
 const (
 	pushWaiting   pushState = iota // not written yet; the connection may still be coming up
 	pushWriting                    // its command is being written, or is written in full
+	pushReceiving                  // the head of a long value has arrived, and nothing of it has been forwarded
 	pushStreaming                  // the value that answers it is being forwarded
 	pushEnded                      // answered, given up or cancelled, or its connection failed
 )
 
 // String returns the state's name in the log.
 func (s pushState) String() string {
-	return [...]string{"waiting", "writing", "streaming", "ended"}[s]
+	return [...]string{"waiting", "writing", "receiving", "streaming", "ended"}[s]
 }
 
 // push is one attempt to have a host serve an op.
@@ -61,7 +62,15 @@
 
 // cancelUnsent cancels a push that has not been written in full; such a push never runs.
 func (p *push) cancelUnsent() {
-	if p.state < pushStreaming && !p.isSent() {
+	if p.state < pushReceiving && !p.isSent() {
+		p.cancel(transport.Cancelled)
+	}
+}
+
+// cancelStream cancels a push whose long value is arriving. Nobody can use the rest, so it ends even where cancelling
+// pushes is not allowed.
+func (p *push) cancelStream() {
+	if p.state == pushReceiving || p.state == pushStreaming {
 		p.cancel(transport.Cancelled)
 	}
 }
@@ -97,8 +106,12 @@
 	p.router.loop.SkipWait()
 }
 
-// onExpiry gives up a push whose time is over.
+// onExpiry gives up a push whose time is over. If a part of its value has arrived and waits for its turn, the stall
+// timer limits it.
 func (p *push) onExpiry() {
+	if p.state == pushReceiving && p.hostConn.stream.firstByteAt > 0 {
+		return
+	}
 	outcome := balance.TimedOut
 	if !p.isSent() {
 		outcome = balance.ConnectFailed
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -43,7 +43,8 @@
 	clientIdleTimeout     = 2100.0   // ms that an idle client connection is kept; clients expect at least 2 s
 	maxPastHosts          = 4096     // ids of former hosts that operators may still name: some days of replacements, in little memory
 	goneHostRetention     = 20000.0  // ms that a removed host is remembered, in case a list dropped it by mistake
-	progressTimeout       = 5000.0   // ms without progress after which an exchange is abandoned; longer than any TTL
+	progressTimeout       = 5000.0   // ms without progress after which a client is given up; longer than any TTL
+	minFirstByteTime      = 0.01     // ms; least time in which an answer can begin
 
 	firstWatchWait   = 1      // ms that the first request of a watch waits: its answer confirms the watch
 	watchWait        = 2000   // ms that each later request waits: repeating it costs discovery little, and a dead connection shows soon
--- a/internal/routing/value_stream.go
+++ b/internal/routing/value_stream.go
@@ -1,33 +1,37 @@
 package routing
 
 import (
+	"slices"
+
 	"larchthread/balance"
 	"larchthread/internal/protocol"
 	"larchthread/internal/transport"
 )
 
-// valueStream forwards a large value from a host to a client. The host is read no faster than the client reads.
+// valueStream forwards a large value from a host to a client. The host is read no faster than the client reads. Until
+// the first byte of the value is forwarded its push is one like others: it may time out, be cancelled, or fail, and the
+// balancer may push the op again.
 type valueStream struct {
-	hostConn      *hostConn
-	op            *op
-	answer        *protocol.Answer
-	started       bool            // the answer's first line has been written
-	remainder     transport.Chain // input that was unread when the host closed the connection
-	hostClosed    bool            // the host has closed the connection
-	progressTimer transport.Timer // fires when the stream makes no progress
+	hostConn    *hostConn
+	op          *op
+	answer      *protocol.Answer
+	started     bool            // a part of the answer has been forwarded
+	buffered    int             // bytes of the value that had arrived and were not forwarded when last seen
+	remainder   transport.Chain // input that was unread when the host closed the connection
+	hostClosed  bool            // the host has closed the connection
+	firstByteAt float64         // ms; when the first byte of the value arrived; 0 before
+	stallTimer  transport.Timer // fires when the stream makes no progress
 }
 
-// startStream starts to forward the value of an answer.
+// startStream takes the head of a large value, which is forwarded as it arrives.
 func (hc *hostConn) startStream(a *protocol.Answer) {
-	p := hc.push
-	vs := &valueStream{hostConn: hc, op: p.op, answer: a, remainder: hc.conn.In.NewSibling()}
-	p.firstByteAfter = hc.router.loop.Now() - p.startedAt
-	p.setState(pushStreaming)
-	hc.router.memory.endExpected(p.op)
+	vs := &valueStream{hostConn: hc, op: hc.push.op, answer: a, remainder: hc.conn.In.NewSibling()}
+	hc.push.setState(pushReceiving)
+	hc.router.memory.endExpected(vs.op)
 	hc.router.memory.recordAnswer(protocol.MaxBufferedValueBytes)
-	hc.stream, p.op.stream = vs, vs
-	vs.progressTimer.Fire = vs.onStall
-	hc.router.balancer.StreamingStarted(p.Push)
+	hc.stream = vs
+	hc.router.balancer.AnswerProgressed(hc.push.Push)
+	vs.stallTimer.Fire = vs.onStall
 	vs.advance()
 }
 
@@ -39,53 +43,117 @@
 	return &vs.hostConn.conn.In
 }
 
-// advance forwards the available input, up to the window. Nothing is forwarded until the op is next in the queue.
+// advance forwards the available input, up to the window. Nothing is forwarded until the op is next in the queue and
+// some of the value has arrived.
 func (vs *valueStream) advance() {
-	c, hc := vs.op.client, vs.hostConn
-	window := hc.router.memory.streamWindow()
-	if vs.isNext() {
-		if !vs.started && !vs.hostClosed && hc.conn.EndsBefore(vs.answer.StreamSize) {
-			vs.abort(transport.PeerClosed, balance.ConnBroken)
-			return
-		}
-		if !vs.started {
-			vs.started = true
-			protocol.WriteStreamHeader(&c.conn.Out, vs.op.command, vs.answer)
-		}
-		before := vs.source().Len()
-		done, err := hc.reader.StreamValue(vs.source(), &c.conn.Out, max(0, window-c.conn.Out.Len()))
-		if vs.source().Len() < before {
-			c.conn.Flush()
-		}
-		switch {
-		case err != nil:
-			hc.router.log.Warn("invalid answer from host", "peer", hc.host.Name, "error", err)
-			vs.abort(transport.BadInput, balance.InvalidAnswer)
-			return
-		case done:
-			vs.complete()
-			return
-		case vs.hostClosed && c.conn.Out.Len() < window: // no input is left
-			vs.abort(transport.PeerClosed, balance.ConnBroken)
-			return
+	vs.noteArrival()
+	switch {
+	case vs.started:
+		vs.forward()
+	case !vs.hostClosed && vs.hostConn.conn.EndsBefore(vs.answer.StreamSize):
+		vs.abort(transport.PeerClosed, balance.ConnBroken)
+	case vs.source().Len() == 0: // the push's own limits hold
+	case vs.isNext():
+		vs.start()
+		vs.forward()
+	default:
+		vs.awaitTurn()
+	}
+}
+
+// noteArrival tells the balancer if more of the value has arrived.
+func (vs *valueStream) noteArrival() {
+	n := vs.source().Len()
+	if n > vs.buffered {
+		vs.noteProgress()
+	}
+	vs.buffered = n
+}
+
+// noteProgress tells the balancer that the host has sent some of the value, or may send again.
+func (vs *valueStream) noteProgress() {
+	r := vs.hostConn.router
+	if vs.firstByteAt == 0 {
+		vs.firstByteAt = r.loop.Now()
+	}
+	r.balancer.AnswerProgressed(vs.hostConn.push.Push)
+}
+
+// start chooses the stream as the answer to its op.
+func (vs *valueStream) start() {
+	hc, p, op := vs.hostConn, vs.hostConn.push, vs.op
+	vs.started, op.stream = true, vs
+	p.firstByteAfter = max(vs.firstByteAt-p.startedAt, minFirstByteTime)
+	p.setState(pushStreaming)
+	for _, other := range slices.Clone(op.pushes) {
+		if other != p {
+			other.cancelStream()
 		}
 	}
-	hc.conn.SetPaused(hc.conn.In.Len() > 0)
-	vs.limitProgress()
+	protocol.WriteStreamHeader(&op.client.conn.Out, op.command, vs.answer)
+	hc.conn.ReadLimit = 0
+	hc.router.balancer.StreamingStarted(p.Push)
+}
+
+// forward forwards the available input, up to the window.
+func (vs *valueStream) forward() {
+	hc, out := vs.hostConn, &vs.op.client.conn.Out
+	window := hc.router.memory.streamWindow()
+	before := vs.source().Len()
+	done, err := hc.reader.StreamValue(vs.source(), out, max(0, window-out.Len()))
+	vs.buffered = vs.source().Len()
+	if vs.buffered < before {
+		vs.op.client.conn.Flush()
+	}
+	switch {
+	case err != nil:
+		hc.router.log.Warn("invalid answer from host", "peer", hc.host.Name, "error", err)
+		vs.abort(transport.BadInput, balance.InvalidAnswer)
+	case done:
+		vs.complete()
+	case vs.hostClosed && out.Len() < window: // no input is left
+		vs.abort(transport.PeerClosed, balance.ConnBroken)
+	default:
+		vs.setPaused(hc.conn.In.Len() > 0)
+		vs.limitStall()
+	}
+}
+
+// awaitTurn reads on while earlier answers are sent, until the window is full.
+func (vs *valueStream) awaitTurn() {
+	hc := vs.hostConn
+	room := min(hc.router.memory.streamWindow(), vs.answer.StreamSize) - vs.source().Len()
+	hc.conn.ReadLimit = max(1, room)
+	vs.setPaused(room <= 0)
+	hc.router.balancer.AnswerWaits(hc.push.Push, vs.isBlocked())
+	vs.limitStall()
 }
 
+// setPaused stops or resumes reading from the host, whose time starts anew then.
+func (vs *valueStream) setPaused(on bool) {
+	conn := vs.hostConn.conn
+	if conn.IsPaused() && !on {
+		vs.noteProgress()
+	}
+	conn.SetPaused(on)
+}
+
+// isBlocked reports whether the host can send no more until the client has read some.
+func (vs *valueStream) isBlocked() bool { return vs.hostClosed || vs.hostConn.conn.IsPaused() }
+
 // isNext reports whether the op is the first in the client's queue, so that its answer may be written.
 func (vs *valueStream) isNext() bool { return vs.op.client.pipeline[0] == vs.op }
 
-// limitProgress restarts the time in which the client or the host has to make progress. A value that has input and
-// waits for its turn depends on neither: those before it have limits of their own.
-func (vs *valueStream) limitProgress() {
-	loop := vs.hostConn.router.loop
-	if !vs.isNext() && vs.source().Len() > 0 {
-		loop.StopTimer(&vs.progressTimer)
-		return
+// limitStall restarts the time in which the host, or a client that holds it up, has to make progress. A value that
+// waits for its turn and has filled its window depends on neither: those before it have limits of their own.
+func (vs *valueStream) limitStall() {
+	r := vs.hostConn.router
+	switch {
+	case vs.started || !vs.isBlocked():
+		r.loop.SetTimer(&vs.stallTimer, progressTimeout)
+	default:
+		r.loop.StopTimer(&vs.stallTimer)
 	}
-	loop.SetTimer(&vs.progressTimer, progressTimeout)
 }
 
 // complete ends the stream after its last byte.
@@ -119,27 +187,25 @@
 
 // onStall ends a stream that has made no progress: either the client does not read or the host does not send.
 func (vs *valueStream) onStall() {
-	if vs.isNext() && (vs.source().Len() > 0 || vs.op.client.conn.Out.Len() > 0) {
+	if vs.started && (vs.source().Len() > 0 || vs.op.client.conn.Out.Len() > 0) {
 		vs.op.client.closeNow(transport.SlowReader)
 		return
 	}
 	vs.abort(transport.PushTimeout, balance.TimedOut)
 }
 
-// abort ends an incomplete stream. If nothing of the value has been forwarded, the op is dead-lettered. Otherwise
-// abort closes the client's connection behind what has been forwarded, since the client has no other way to notice.
-// Answers before it that the client has not read yet still reach it.
+// abort ends an incomplete stream. If nothing of the value has been forwarded, the balancer decides what becomes of the
+// op. Otherwise abort closes the client's connection behind what has been forwarded, since the client has no other way to
+// notice. Answers before it that the client has not read yet still reach it.
 func (vs *valueStream) abort(reason transport.Reason, o balance.Outcome) {
 	hc, p, op := vs.hostConn, vs.hostConn.push, vs.op
-	hc.close(reason)
-	p.setState(pushEnded)
-	hc.router.counters.byCategory[op.Category].DeadLettered++
 	if !vs.started {
-		protocol.WriteDeadLetter(op.output())
-		op.client.completeOp(op)
-		hc.router.reportEnd(p, o)
+		hc.fail(reason, o)
 		return
 	}
+	hc.close(reason)
+	p.setState(pushEnded)
+	hc.router.counters.byCategory[op.Category].DeadLettered++
 	op.setState(opAnswered)
 	hc.router.reportEnd(p, o)
 	op.client.closeGracefully(transport.IncompleteAnswer)
@@ -147,24 +213,38 @@
 
 // release detaches the stream from its op and connection and frees its buffers.
 func (vs *valueStream) release() {
-	vs.hostConn.router.loop.StopTimer(&vs.progressTimer)
+	vs.hostConn.router.loop.StopTimer(&vs.stallTimer)
 	vs.remainder.Free()
-	vs.hostConn.stream, vs.op.stream = nil, nil
+	vs.hostConn.stream = nil
+	vs.hostConn.conn.ReadLimit = 0
+	if vs.op.stream == vs {
+		vs.op.stream = nil
+	}
 }
 
-// headStream returns the stream of the first op in the queue, or nil.
-func (c *client) headStream() *valueStream {
+// nextStream returns the stream that answers the first op in the queue, or may do so as some of its value has arrived,
+// or nil.
+func (c *client) nextStream() *valueStream {
 	if len(c.pipeline) == 0 {
 		return nil
 	}
-	return c.pipeline[0].stream
+	o := c.pipeline[0]
+	if o.stream != nil {
+		return o.stream
+	}
+	for _, p := range o.pushes {
+		if hc := p.hostConn; hc != nil && hc.stream != nil && hc.stream.source().Len() > 0 {
+			return hc.stream
+		}
+	}
+	return nil
 }
 
 // afterWrite continues a stream once the client has read half of the window, and counts the client as idle once all is
 // written.
 func (c *client) afterWrite() {
 	switch {
-	case c.headStream() != nil && c.conn.Out.Len() <= c.router.memory.streamWindow()/2:
+	case c.nextStream() != nil && c.conn.Out.Len() <= c.router.memory.streamWindow()/2:
 		c.router.loop.ScheduleReceive(c.conn)
 	case len(c.pipeline) == 0 && c.conn.Out.Len() == 0:
 		c.updateTimer(false)
