End a value that stands still at its op's deadline, or soon behind its last byte

What callers saw: a value of which a part had come and whose server then fell silent was cut off after 5 s, and not before the kill at SIGTERM. Cause: nothing of an op's own time limited a stall; the only limit was progressTimeout, 5 s of the process, which is made for clients that do not read. Change: the balancer tells when an answer counts as stalled (StallAt): at its op's deadline, or when nothing of it has come for the op's TTL, between 0.5 and 1 s, whichever is later. Time in which the client holds the host up does not count; for the client the 5 s stay. Why this works: a value that moves goes on past its deadline, and one that stands still is ended while its client still waits. Example_longStuck asked that a value whose host has stopped lasts over 4 s; that was the fault. It asks now that it lasts as long as its op's TTL and ends within 0.5 s of it, and, as before, that a client which reads nothing is closed between 4 and 8 s.

--- a/balance/frontend.go
+++ b/balance/frontend.go
@@ -175,7 +175,8 @@
 // String returns the outcome's name in the log.
 func (o Outcome) String() string {
 	return [...]string{"served", "failed", "overloaded", "timed-out", "connect-failed", "conn-broken",
-		"invalid-answer", "stale-conn", "invalid-op", "cancelled", "not-sent", "cache-miss", "conn-limited", "unknown"}[o]
+		"invalid-answer", "stale-conn", "invalid-op", "cancelled", "not-sent", "cache-miss", "conn-limited",
+		"unknown"}[o]
 }
 
 // Op is one request. The frontend fills in the exported fields before it calls OpArrived.
--- a/balance/streaming.go
+++ b/balance/streaming.go
@@ -38,6 +38,11 @@
 	b.startStreaming(p)
 }
 
+// StallAt returns when the answer to p is to be given up unless more of it arrives, in ms.
+func (b *Balancer) StallAt(p *Push) float64 {
+	return max(p.Op.Deadline, p.progressAt+stallTimeout(p.Op))
+}
+
 // stallTimeout returns for how many ms an answer may make no progress.
 func stallTimeout(op *Op) float64 {
 	return clamp(op.Deadline-op.arrivedAt, minStallTimeout, maxStallTimeout)
--- a/cmd/larchthread/long_test.go
+++ b/cmd/larchthread/long_test.go
@@ -234,8 +234,8 @@
 	// whole: true
 }
 
-// A long value that its host stops sending, or its client stops reading, is ended after some seconds, and the
-// host stays available to other clients.
+// A long value that its host stops sending ends soon behind its op's TTL, one that its client stops reading after some
+// seconds, and the host stays available to other clients.
 func Example_longStuck() {
 	f := &fleet{adminAddress: freeAddress()}
 	f.AddHost("a", func(words []string) string {
@@ -262,8 +262,12 @@
 	f.newClient().sendAndPrint(2, "mg k v O3 Pc=read,d=500\r\n")
 	began := time.Now()
 	got, _ := io.ReadAll(half.reader)
-	fmt.Println("half:", len(got), time.Since(began) > 4*time.Second, time.Since(began) < 8*time.Second)
-	time.Sleep(300 * time.Millisecond)
+	const sentBefore, ttl, lateAt = 100 * time.Millisecond, 500 * time.Millisecond, 1000 * time.Millisecond
+	fmt.Println("half:", len(got), time.Since(began) > ttl-2*sentBefore, time.Since(began) < lateAt-sentBefore)
+	printMetrics()
+	time.Sleep(4*time.Second - time.Since(began))
+	printMetrics()
+	time.Sleep(8*time.Second - time.Since(began))
 	printMetrics()
 	got, _ = io.ReadAll(slow.reader)
 	fmt.Println("slow client whole:", len(got) >= len(longValue))
@@ -275,6 +279,8 @@
 	// VA 5 O3
 	// value
 	// half: 50000 true true
+	// [bad_gateway.read:1 in_progress:1]
+	// [bad_gateway.read:1 in_progress:1]
 	// [bad_gateway.read:1 in_progress:0]
 	// slow client whole: false
 	// half-answer 1
--- a/internal/routing/value_stream.go
+++ b/internal/routing/value_stream.go
@@ -149,7 +149,9 @@
 func (vs *valueStream) limitStall() {
 	r := vs.hostConn.router
 	switch {
-	case vs.started || !vs.isBlocked():
+	case !vs.isBlocked():
+		r.loop.SetTimer(&vs.stallTimer, r.balancer.StallAt(vs.hostConn.push.Push)-r.loop.Now())
+	case vs.started:
 		r.loop.SetTimer(&vs.stallTimer, progressTimeout)
 	default:
 		r.loop.StopTimer(&vs.stallTimer)
@@ -187,7 +189,7 @@
 
 // onStall ends a stream that has made no progress: either the client does not read or the host does not send.
 func (vs *valueStream) onStall() {
-	if vs.started && (vs.source().Len() > 0 || vs.op.client.conn.Out.Len() > 0) {
+	if vs.started && vs.isBlocked() {
 		vs.op.client.closeNow(transport.SlowReader)
 		return
 	}
