Read on behind a value whose line end comes in two parts

What callers saw: a value that its server writes in small pieces was cut off 5 s behind its last byte but one. Cause: a host's connection was paused while any input was left unforwarded. Of the two bytes of the line end one alone is left, so the host was not read any more and the other never came; the client, which had read everything, was then closed as one that does not read. Change: the host is held back only while the client's window is full. Why this works: one byte that is left says nothing about the client.

--- a/internal/routing/value_stream.go
+++ b/internal/routing/value_stream.go
@@ -114,7 +114,7 @@
 	case vs.hostClosed && out.Len() < window: // no input is left
 		vs.abort(transport.PeerClosed, balance.ConnBroken)
 	default:
-		vs.setPaused(hc.conn.In.Len() > 0)
+		vs.setPaused(out.Len() >= window)
 		vs.limitStall()
 	}
 }
