--- a/cmd/larchthread/fleet_test.go
+++ b/cmd/larchthread/fleet_test.go
@@ -39,6 +39,9 @@
 	servedOps        int // ops served in benchmarks
 }
 
+// fleetCount numbers the fleets of this test process, which may run beside each other.
+var fleetCount atomic.Int64
+
 // logBuffer collects the logs of several processes.
 type logBuffer struct {
 	mu   sync.Mutex
@@ -116,7 +119,7 @@
 	if f.settings == "" {
 		f.settings = defaultSettings
 	}
-	f.configPath = filepath.Join(os.TempDir(), fmt.Sprintf("larchthread-test-%d.json", os.Getpid()))
+	f.configPath = filepath.Join(os.TempDir(), fmt.Sprintf("larchthread-test-%d-%d.json", os.Getpid(), fleetCount.Add(1)))
 	f.discoveryAddress = f.ServeDiscovery("discovery")
 	f.writeConfig(f.discoveryAddress)
 	f.process = f.startProcess()
--- a/cmd/larchthread/server_faults_test.go
+++ b/cmd/larchthread/server_faults_test.go
@@ -35,11 +35,12 @@
 
 // serverReply is how a server reads a request and answers it.
 type serverReply struct {
-	miss       bool // at a cache host: it does not hold the key
-	headBytes  int  // bytes of the head that are written; 0 for all of it
-	valueBytes int  // bytes of the value, as the head tells
-	sentBytes  int  // bytes of the value that are written; all of them for completeReply
-	pieces     int  // in which they are written; 0 for one
+	miss       bool          // at a cache host: it does not hold the key
+	delay      time.Duration // before anything is written
+	headBytes  int           // bytes of the head that are written; 0 for all of it, below 0 for none
+	valueBytes int           // bytes of the value, as the head tells
+	sentBytes  int           // bytes of the value that are written; all of them for completeReply
+	pieces     int           // in which the answer is written; 0 for one
 	pause      time.Duration
 	lastAlone  bool          // the last byte is written by itself, behind a pause
 	readPause  time.Duration // behind each piece that is read of the request
@@ -51,8 +52,14 @@
 
 func (s serverReply) String() string {
 	parts := []string{string(s.end), string(s.framing), fmt.Sprintf("%d of %d bytes", s.sentBytes, s.valueBytes)}
-	if s.headBytes > 0 {
-		parts = append(parts, fmt.Sprintf("%d bytes of the head", s.headBytes))
+	if s.headBytes != 0 {
+		parts = append(parts, fmt.Sprintf("%d bytes of the head", max(0, s.headBytes)))
+	}
+	if s.miss {
+		parts = append(parts, "a miss")
+	}
+	if s.delay > 0 {
+		parts = append(parts, fmt.Sprintf("after %v", s.delay))
 	}
 	if s.pieces > 1 {
 		parts = append(parts, fmt.Sprintf("%d pieces, %v apart", s.pieces, s.pause))
@@ -68,10 +75,14 @@
 	return serverReply{valueBytes: valueBytes, sentBytes: valueBytes, framing: lengthFraming, end: completeReply}
 }
 
-// receivedRequest is a request as a faulty server has received it.
+// receivedRequest is a request that a server has received, and its reply.
 type receivedRequest struct {
 	server, key, id string
 	isWrite         bool
+	timeLeft        time.Duration // that the request tells
+	headAt          time.Time     // when its head was received
+	completeAt      time.Time     // when its last byte was received; zero before
+	reply           serverReply
 }
 
 // faultyFleet is a fleet whose servers answer each request as drawReply says.
@@ -80,7 +91,7 @@
 	drawReply func(receivedRequest) serverReply
 
 	mu       sync.Mutex
-	received map[string]int // requests by id
+	received map[string][]*receivedRequest // by id
 }
 
 // addFaultyHosts adds cache hosts, and addFaultyOrigin an origin.
@@ -100,23 +111,37 @@
 	f.Serve(l, f.serveHTTP)
 }
 
-// draw records a request and returns the reply to it.
-func (f *faultyFleet) draw(r receivedRequest) serverReply {
+// draw records a request of which the head has come, and sets its reply.
+func (f *faultyFleet) draw(r *receivedRequest, attributes string) {
+	if found := requestTime.FindStringSubmatch("P" + attributes); found != nil {
+		r.timeLeft, _ = time.ParseDuration(found[1] + "ms")
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.received == nil {
-		f.received = map[string]int{}
+		f.received = map[string][]*receivedRequest{}
 	}
-	f.received[r.id]++
-	return f.drawReply(r)
+	r.headAt = time.Now()
+	f.received[r.id] = append(f.received[r.id], r)
+	r.reply = f.drawReply(*r)
 }
 
-// requestsOf returns how many requests with an id the servers have received, those included of which only the head
-// has come.
-func (f *faultyFleet) requestsOf(id string) int {
+// complete records that the last byte of a request has come.
+func (f *faultyFleet) complete(r *receivedRequest) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.received[id]
+	r.completeAt = time.Now()
+}
+
+// requestsOf returns the requests with an id that the servers have received, those included of which only the head has
+// come.
+func (f *faultyFleet) requestsOf(id string) (all []receivedRequest) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, r := range f.received[id] {
+		all = append(all, *r)
+	}
+	return all
 }
 
 // serveCommands answers the commands on a connection to a cache host.
@@ -128,13 +153,16 @@
 			return
 		}
 		id := strings.TrimPrefix(words[3], "O")
-		reply := f.draw(receivedRequest{name, words[1], id, words[0] == "ms"})
+		r := &receivedRequest{server: name, key: words[1], id: id, isWrite: words[0] == "ms"}
+		f.draw(r, line)
+		reply := r.reply
 		if words[0] == "ms" {
 			length, _ := strconv.Atoi(words[2])
 			if err := discardSlowly(in, length+len("\r\n"), reply.readPause); err != nil {
 				return
 			}
 		}
+		f.complete(r)
 		head, tail := fmt.Sprintf("VA %d O%s\r\n", reply.valueBytes, id), "\r\n"
 		switch {
 		case words[0] == "ms":
@@ -151,8 +179,8 @@
 // serveHTTP answers the requests on a connection to the origin.
 func (f *faultyFleet) serveHTTP(c net.Conn) {
 	for in := bufio.NewReaderSize(c, requestPieceBytes); ; {
-		r := receivedRequest{server: "origin"}
-		length := 0
+		r := &receivedRequest{server: "origin"}
+		length, attributes := 0, ""
 		for n := 0; ; n++ {
 			line, err := in.ReadString('\n')
 			if err != nil {
@@ -167,14 +195,18 @@
 				r.isWrite, r.key = strings.HasPrefix(line, "PUT"), strings.Trim(strings.Fields(line)[1], "/")
 			case name == "X-Request-ID":
 				r.id = value
+			case name == "X-Attrs":
+				attributes = value
 			case name == "Content-Length":
 				length, _ = strconv.Atoi(value)
 			}
 		}
-		reply := f.draw(r)
+		f.draw(r, attributes)
+		reply := r.reply
 		if err := discardSlowly(in, length, reply.readPause); err != nil {
 			return
 		}
+		f.complete(r)
 		if r.isWrite {
 			reply.valueBytes, reply.sentBytes = min(reply.valueBytes, 30), min(reply.sentBytes, 30)
 		}
@@ -212,15 +244,16 @@
 
 // write writes an answer as the reply says, and reports whether the connection can be used further.
 func (s serverReply) write(c net.Conn, head, tail string) bool {
+	time.Sleep(s.delay)
 	text := head + longValue[:s.sentBytes]
 	switch {
-	case s.headBytes > 0:
-		text = head[:min(len(head), s.headBytes)]
+	case s.headBytes != 0:
+		text = head[:min(len(head), max(0, s.headBytes))]
 	case s.end == completeReply:
 		text += tail
 	}
 	last := ""
-	if s.lastAlone {
+	if s.lastAlone && text != "" {
 		text, last = text[:len(text)-1], text[len(text)-1:]
 	}
 	pieces := max(s.pieces, 1)
@@ -267,6 +300,11 @@
 	firstAt, lastAt, endsAt time.Time
 }
 
+// isReceipt reports whether a text is a receipt that a faulty fleet gives.
+func isReceipt(text string) bool {
+	return text == "receipt" || text != "" && strings.HasPrefix(longValue, text)
+}
+
 // receiveAnswer reads the answer to an op. Values are the first bytes of longValue.
 func (c *client) receiveAnswer(id string) (a clientAnswer) {
 	defer func() { a.endsAt = time.Now() }()
@@ -286,7 +324,7 @@
 	case line == "SERVER_ERROR failed\r\n":
 		a.end = failed
 		return a
-	case line == fmt.Sprintf("HD O%s creceipt\r\n", id):
+	case strings.HasPrefix(line, "HD O"+id+" c") && isReceipt(strings.TrimSpace(strings.TrimPrefix(line, "HD O"+id+" c"))):
 		a.end = served
 		return a
 	case !strings.HasSuffix(line, " O"+id+"\r\n"):
