Count all input that was held back from the pause on, not only the first read of it

What callers saw: commands that are sent at once behind a long write were forwarded with up to their whole time from when they were read, though they had waited 0.2 to 0.6 s unread for the answers before them; their answers came that much behind their time, and their servers were told more time than the client had left. Cause: what waits in the socket counts from the pause on, but the mark went with the first read behind it. What did not fit into that read, or into the receive buffer, counted as new. Change: what follows held input without a gap of 5 ms counts as it does, up to the largest value, if so much was read that the peer cannot have sent all (heldInput). Why this works: a peer sends on as soon as there is room, so a gap tells that it had no more.

--- a/internal/transport/arrival_test.go
+++ b/internal/transport/arrival_test.go
@@ -268,3 +268,37 @@
 		}
 	}
 }
+
+// Guards against input that counts anew with each read after a pause: it takes several, as the peer has sent more than is
+// read at once.
+func TestMuchArrivedWhilePaused(t *testing.T) {
+	const reads = 3
+	r := &recorder{arrivals: make(chan arrival, 2*reads)}
+	var resume Timer
+	pauses := 0
+	r.onReceive = func(c *Conn) {
+		if pauses++; pauses > 1 {
+			return
+		}
+		c.SetPaused(true)
+		resume.Fire = func() { c.SetPaused(false) }
+		c.loop.SetTimer(&resume, float64(unreadWait.Milliseconds()))
+	}
+	loop, address := startRecording(t, r, 256)
+	client := dialTest(t, address)
+	send(t, loop, client)
+	paused := (<-r.arrivals).deliveredAt
+	if _, err := client.Write(make([]byte, reads*MaxReadBytes)); err != nil {
+		t.Fatal(err)
+	}
+	for range reads {
+		select {
+		case held := <-r.arrivals:
+			if held.earliest > paused+float64(unreadWait.Milliseconds())/2 {
+				t.Errorf("counts from %.0f ms after the pause began", held.earliest-paused)
+			}
+		case <-time.After(time.Second):
+			t.Fatal("not all was read")
+		}
+	}
+}
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -59,6 +59,7 @@
 	paused         bool    // reading is paused
 	peerEnded      bool    // the peer's end has arrived while reading was paused
 	unreadFrom     float64 // ms; earliest time at which input still in the socket can have arrived; 0 if unknown
+	held           heldInput
 	waitingSince   float64 // ms; since when that input may wait because of this process; 0 if unknown
 	inputSince     float64 // ms; the same for the input in In
 	connectTimer   Timer   // ends a connection that is not established in time
--- a/internal/transport/receive.go
+++ b/internal/transport/receive.go
@@ -90,9 +90,12 @@
 	switch {
 	case !c.isClient(): // nobody needs the arrival time of an answer
 	case on:
+		c.held.fromIfContinued(c.loop.now)
 		c.noteUnread(c.loop.conservativeArrival())
 	case c.socketEmpty():
 		c.unreadFrom = 0
+	default:
+		c.held.resume(c.loop.now)
 	}
 	c.updateEvents()
 }
@@ -123,6 +126,10 @@
 	if waits && c.unreadFrom == 0 && c.socketEmpty() { // later input must not count as having arrived now
 		return
 	}
+	wasHeld := c.unreadFrom > 0
+	if from := c.held.fromIfContinued(c.loop.now); from > 0 {
+		c.unreadFrom = from
+	}
 	c.noteUnread(c.loop.conservativeArrival())
 	if c.waitingSince == 0 {
 		c.waitingSince = c.loop.EarliestArrival()
@@ -133,6 +140,7 @@
 	if !c.hasNewInput {
 		c.ArrivedAt, c.inputSince = c.unreadFrom, c.waitingSince
 	}
+	earliest := c.unreadFrom
 	c.unreadFrom, c.waitingSince = 0, 0
 	limit := MaxReadBytes
 	if c.loop.Pool.IsShort() {
@@ -141,7 +149,9 @@
 	if c.ReadLimit > 0 {
 		limit = min(limit, c.ReadLimit)
 	}
-	for got := 0; got < limit; {
+	got := 0
+	defer func() { c.noteHeld(wasHeld, earliest, got, limit) }()
+	for got < limit {
 		b := c.In.tail()
 		n, err := unix.Read(c.fd, b.data[b.w:min(BufferSize, b.w+limit-got)])
 		switch {
