Shed from the client that fills a limiter's queue

Cause: a full queue sheds the op of the lowest priority, the latest of equals. The flood filled the queue, and the latest op was the other client's (traced at: 34 of 34 refusals). Change: ops name their client's connection; where one has more than half of a full queue, one of its ops is shed. Why this works: a client without the majority loses no op for one that has it.

--- a/balance/frontend.go
+++ b/balance/frontend.go
@@ -184,6 +184,7 @@
 	Ref      any // the frontend's handle; not read here
 	Category *Category
 	Tenant   *Tenant // nil without tenants
+	Client   uint64  // identifies the connection of its client; 0 where that is not known
 	Key      string
 	Deadline float64 // ms, when the client stops waiting; OpArrived extends it by Config.DeadlineSkew at most
 	IsWrite  bool
--- a/balance/limits.go
+++ b/balance/limits.go
@@ -101,7 +101,7 @@
 }
 
 // dispatch pushes queued ops, those of the highest priority first, until the limit is reached. If more ops
-// than the limit are left, it sheds those of the lowest priority, the latest first.
+// than the limit are left, it sheds some.
 func (b *Balancer) dispatch(lim *limiter) {
 	lim.queue = slices.DeleteFunc(lim.queue, func(op *Op) bool { return op.state != stateQueued })
 	for len(lim.queue) > 0 && float64(lim.inFlight) < math.Max(lim.limit, 1) {
@@ -128,12 +128,52 @@
 		return
 	}
 	for float64(len(lim.queue)) > math.Max(2, lim.limit) {
-		lowest := slices.MinFunc(lim.queue, func(x, y *Op) int {
-			return cmp.Or(cmp.Compare(queuePriority(x), queuePriority(y)), -1)
-		})
-		lim.remove(lowest)
-		b.abandonPush(lowest)
+		op := lim.opToShed()
+		lim.remove(op)
+		b.abandonPush(op)
+	}
+}
+
+// opToShed returns the op of the lowest priority in a full queue, the latest of several. Where one client has
+// more than half of the queue, it is one of that client's.
+func (lim *limiter) opToShed() *Op {
+	client := lim.majorityClient()
+	var lowest *Op
+	for _, op := range lim.queue {
+		if client != 0 && op.Client != client {
+			continue
+		}
+		if lowest == nil || queuePriority(op) <= queuePriority(lowest) {
+			lowest = op
+		}
+	}
+	return lowest
+}
+
+// majorityClient returns the client that has more than half of the queue, or 0 (majority vote by Boyer and
+// Moore).
+func (lim *limiter) majorityClient() (client uint64) {
+	votes := 0
+	for _, op := range lim.queue {
+		switch {
+		case votes == 0:
+			client, votes = op.Client, 1
+		case op.Client == client:
+			votes++
+		default:
+			votes--
+		}
+	}
+	count := 0
+	for _, op := range lim.queue {
+		if op.Client == client {
+			count++
+		}
+	}
+	if 2*count <= len(lim.queue) {
+		return 0
 	}
+	return client
 }
 
 // isShedByChance tells whether op is shed at random because the limit is below 1: the limit is the share of
--- a/internal/routing/client.go
+++ b/internal/routing/client.go
@@ -25,6 +25,7 @@
 	closeReason   transport.Reason // the connection closes with it after the pending answers; empty to stay open
 	timer         transport.Timer  // limits the rest of a command, the first op and idle time
 	index         int              // in clientRegistry.all
+	id            uint64           // unique in this process, above 0
 }
 
 // acceptClient registers a new client connection.
@@ -218,7 +219,7 @@
 		r.clients.ids.open[command.ID], o.pushes = o, o.firstPush[:0]
 		c.proven = true
 		o.deadline = c.conn.ArrivedAt + command.TTL
-		o.Op = balance.Op{Ref: o, Category: category, Key: command.Key, Deadline: o.deadline,
+		o.Op = balance.Op{Ref: o, Category: category, Client: c.id, Key: command.Key, Deadline: o.deadline,
 			IsWrite: command.Verb == protocol.Set}
 		if !o.IsWrite {
 			r.memory.expectAnswer(o)
--- a/internal/routing/client_registry.go
+++ b/internal/routing/client_registry.go
@@ -10,6 +10,7 @@
 type clientRegistry struct {
 	listener *transport.Listener // nil until the router listens
 	all      []*client
+	lastID   uint64 // of a client; 0 before the first
 	idle     idleList
 	maxIdle  int // idle clients that may stay connected
 	ids      opIDs
@@ -20,8 +21,10 @@
 	return clientRegistry{maxIdle: maxIdle, ids: newOpIDs()}
 }
 
-// add registers a client.
+// add registers a client and gives it an id.
 func (s *clientRegistry) add(c *client) {
+	s.lastID++
+	c.id = s.lastID
 	c.index = len(s.all)
 	s.all = append(s.all, c)
 }
