--- a/internal/transport/arrival_test.go
+++ b/internal/transport/arrival_test.go
@@ -102,19 +102,26 @@
 	return at
 }
 
-// Input that arrives during a pause counts from the start of the pause; later input counts from its arrival.
-func TestArrivedWhilePaused(t *testing.T) {
-	r := &recorder{arrivals: make(chan arrival, 3)}
+// newPausingRecorder returns a recorder of so many arrivals that pauses reading for unreadWait after the first.
+func newPausingRecorder(arrivals int) *recorder {
+	r := &recorder{arrivals: make(chan arrival, arrivals)}
 	var resume Timer
-	pauses := 0
+	hasPaused := false
 	r.onReceive = func(c *Conn) {
-		if pauses++; pauses > 1 {
+		if hasPaused {
 			return
 		}
+		hasPaused = true
 		c.SetPaused(true)
 		resume.Fire = func() { c.SetPaused(false) }
 		c.loop.SetTimer(&resume, float64(unreadWait.Milliseconds()))
 	}
+	return r
+}
+
+// Input that arrives during a pause counts from the start of the pause; later input counts from its arrival.
+func TestArrivedWhilePaused(t *testing.T) {
+	r := newPausingRecorder(3)
 	loop, address := startRecording(t, r, 256)
 	client := dialTest(t, address)
 	send(t, loop, client)
@@ -273,17 +280,7 @@
 // read at once.
 func TestMuchArrivedWhilePaused(t *testing.T) {
 	const reads = 3
-	r := &recorder{arrivals: make(chan arrival, 2*reads)}
-	var resume Timer
-	pauses := 0
-	r.onReceive = func(c *Conn) {
-		if pauses++; pauses > 1 {
-			return
-		}
-		c.SetPaused(true)
-		resume.Fire = func() { c.SetPaused(false) }
-		c.loop.SetTimer(&resume, float64(unreadWait.Milliseconds()))
-	}
+	r := newPausingRecorder(2 * reads)
 	loop, address := startRecording(t, r, 256)
 	client := dialTest(t, address)
 	send(t, loop, client)
